--- a/keelhollow/adapter.py
+++ b/lugtally/adapter.py
@@ -1,6 +1,6 @@
 """Speaks the juniper-767c wire on standard input and output for many balancers; decides nothing.
 
-``python -m keelhollow.adapter`` reads batches of events, one JSON array a line, and answers each batch.
+``python -m lugtally.adapter`` reads batches of events, one JSON array a line, and answers each batch.
 Exit status: 0 at the end of input, 2 on a line that cannot be understood.
 """
 
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO, TextIO
 
-from keelhollow import api
-from keelhollow.decide import Balancer
+from lugtally import api
+from lugtally.decide import Balancer
 
 EFFECTS = {
     "idempotent": api.Effect.SAFE,
--- a/keelhollow/api.py
+++ b/lugtally/api.py
@@ -1,6 +1,6 @@
 """The interface of the decision module: settings, events and actions.
 
-Everything that enters or leaves :class:`keelhollow.decide.Balancer` is one of the types below.  Times are
+Everything that enters or leaves :class:`lugtally.decide.Balancer` is one of the types below.  Times are
 integer nanoseconds; classes and zones are positions in the settings; servers are opaque integers.
 """
 
--- a/keelhollow/decide.py
+++ b/lugtally/decide.py
@@ -1,4 +1,4 @@
-# Its types, events and actions: keelhollow/api.py
+# Its types, events and actions: lugtally/api.py
 """Every decision of the balancer: retry pacing, the pick, the rules, and the exceptions to the design.
 
 ``Balancer.handle(now, event)`` returns the actions to take at ``now``.  There is no clock, no I/O and no
@@ -13,8 +13,8 @@
 from math import exp
 from random import Random
 
-from keelhollow import api
-from keelhollow.api import Effect, Group, ListKind, Result, State
+from lugtally import api
+from lugtally.api import Effect, Group, ListKind, Result, State
 
 # The design (see docs/design.md).
 BASE_NS = 100 * api.MS          # first backoff bound; doubles with each retry
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from keelhollow import adapter, api
-from keelhollow.decide import Balancer
+from lugtally import adapter, api
+from lugtally.decide import Balancer
 
 ROOT = pathlib.Path(__file__).parent.parent
 OPTIONS = {
@@ -96,7 +96,7 @@
 
 
 def test_the_command_itself() -> None:
-    done = subprocess.run([sys.executable, "-m", "keelhollow.adapter"], input=b'["mark",1]\n["go"]\n',
+    done = subprocess.run([sys.executable, "-m", "lugtally.adapter"], input=b'["mark",1]\n["go"]\n',
                           capture_output=True, cwd=ROOT, check=False)
     assert (done.returncode, done.stdout, done.stderr) == (0, b'["done"]\n', b"")
 
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from keelhollow import Balancer, api
+from lugtally import Balancer, api
 from tests.world import MS, SAFE, UNSAFE, S, keyed, lines, served, settings, started
 
 
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from keelhollow import api
-from keelhollow.decide import CROWDED, EJECT_MOST
+from lugtally import api
+from lugtally.decide import CROWDED, EJECT_MOST
 from tests.world import MS, SAFE, S, World, age_connections, lines, served, settings, started
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from keelhollow import api
+from lugtally import api
 from tests.world import MS, SAFE, UNSAFE, S, World, age_connections, keyed, lines, sent, settings, started
 
 
--- a/tests/test_rules_random.py
+++ b/tests/test_rules_random.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from keelhollow import api
+from lugtally import api
 from tests.world import MS, SAFE, UNSAFE, S, World, keyed, lines
 from tests.world import settings as told
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from keelhollow import Balancer, api
+from lugtally import Balancer, api
 
 MS = api.MS
 S = api.SECOND
