--- /dev/null
+++ b/lugtally/__main__.py
@@ -0,0 +1,111 @@
+"""The command line of the sidecar.
+
+Exit status: 0 after a planned stop, 1 where the address cannot be listened on, 2 for a bad command line or
+configuration.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import os
+import signal
+import socket
+import sys
+
+from loguru import logger
+
+from lugtally import __version__, config
+from lugtally.facade import Facade
+from lugtally.net.destination import Destinations, Limits, idle_limit
+from lugtally.net.front import Front
+from lugtally.net.pool_config import PoolWatch
+from lugtally.net.scheduler import MS, READ, Hub
+
+RETIRE_EVERY_NS = 1000 * MS
+LOG_FORMAT = "{time:HH:mm:ss.SSS} {level: <7} {message}"
+
+
+def serve(told: config.Config, level: str) -> int:
+    """Run the sidecar until it is told to stop."""
+    logger.remove()
+    logger.add(sys.stderr, level=level, format=LOG_FORMAT, backtrace=False, diagnose=False)
+    hub = Hub()
+    facade = Facade(told.settings, told.seed, hub)
+    # Descriptors: half for front sockets, three eighths for destinations, the rest for all else.
+    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), told.sockets * 3 // 8)
+    fields = told.settings.load_fields if told.answers_report else ()
+    destinations = Destinations(hub, limits, fields)
+    pool = PoolWatch(hub, facade, destinations, told.discovery, told.zones)
+    facade.register(destinations.close_idle, pool.watch)
+    front = Front(hub, facade, destinations, told.settings.classes, told.sockets // 2)
+    try:
+        front.listen(told.listen)
+    except OSError as error:
+        print(f"lugtally: listen: {told.listen[0]}:{told.listen[1]}: {error.strerror}", file=sys.stderr)
+        return 1
+    _on_signals(hub, front)
+    hub.spawn(pool.start, told.known)
+    hub.spawn(_keep_house, hub, destinations, pool, front)
+    # What lives from the start is never garbage: collections then stay short.
+    gc.collect()
+    gc.freeze()
+    logger.info("{} serves at {}:{}", told.name, *told.listen)
+    hub.run(facade.tick)
+    logger.info("{} has stopped; timers were at most {:.1f} ms late", told.name, hub.latest_ns / MS)
+    return 0
+
+
+def _keep_house(hub: Hub, destinations: Destinations, pool: PoolWatch, front: Front) -> None:
+    """Retire idle connections; be ready once there is somewhere to send to."""
+    while True:
+        front.ready = front.ready or pool.usable > 0
+        hub.sleep(RETIRE_EVERY_NS if front.ready else 10 * MS)
+        destinations.retire()
+
+
+def _on_signals(hub: Hub, front: Front) -> None:
+    """SIGTERM and SIGINT wake the poll through a socket, as a blocked poll would go on after a handler."""
+    reader, writer = socket.socketpair()
+    reader.setblocking(False)
+    writer.setblocking(False)
+    signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: None)
+
+    def told(_: int) -> None:
+        reader.recv(64)
+        writer.fileno()     # keeps the other end alive
+        logger.info("told to stop: draining")
+        front.drain()
+
+    hub.watch(reader.fileno(), READ, told)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Parse the command line and run one sub-command."""
+    parser = argparse.ArgumentParser(prog="lugtally", description="A load-balancing sidecar.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    run = commands.add_parser("serve", help="run the sidecar, as the PROXY_* variables say")
+    run.add_argument("--log-level", default="INFO", choices=["DEBUG", "INFO", "WARNING", "ERROR"])
+    check = commands.add_parser("check-config", help="check the configuration and say what it holds")
+    check.add_argument("file", nargs="?", help="config.json; default: what PROXY_CONFIG names")
+    commands.add_parser("version", help="print the version")
+    chosen = parser.parse_args(arguments)
+    if chosen.command == "version":
+        print(f"lugtally {__version__}")
+        return 0
+    try:
+        told = config.load(os.environ, getattr(chosen, "file", None))
+    except config.ConfigError as error:
+        print(f"lugtally: {error}", file=sys.stderr)
+        return 2
+    if chosen.command == "check-config":
+        print(f"{told.name}: {len(told.settings.classes)} classes, {len(told.known.rows)} known destinations,"
+              f" listens at {told.listen[0]}:{told.listen[1]}")
+        return 0
+    return serve(told, chosen.log_level)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lugtally/config.py
@@ -0,0 +1,114 @@
+"""What the sidecar is told: the environment and config.json, decoded once and checked.
+
+A :class:`ConfigError` names the field at fault in one plain line.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import ujson
+
+from lugtally import api
+from lugtally.net.pool_config import PoolConfig, read_address, read_pool
+from lugtally.settings import read_settings
+
+LEAST_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used."""
+
+
+@dataclass(slots=True)
+class Config:
+    """The values that the sidecar uses."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: PoolConfig
+    settings: api.Settings
+    zones: tuple[str, ...]
+    keepalive_ns: int
+    connect_timeout_ns: int
+    answers_report: bool    # answers carry load reports
+
+
+def load(environment: Mapping[str, str], path: str | None = None) -> Config:
+    """Read the file that ``PROXY_CONFIG`` names; the other variables go before what it says."""
+    path = path or environment.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG: not set")
+    try:
+        raw = ujson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"PROXY_CONFIG: {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"PROXY_CONFIG: {path}: no JSON: {error}") from error
+    if not isinstance(raw, dict):
+        raise ConfigError(f"PROXY_CONFIG: {path}: an object is wanted")
+    try:
+        return _read(raw, environment)
+    except ValueError as error:
+        raise ConfigError(str(error)) from error
+
+
+def _part(raw: dict[str, Any], name: str, kind: type) -> Any:
+    value = raw.get(name)
+    if value is None:
+        return kind()
+    if not isinstance(value, kind):
+        raise ValueError(f"{name}: {value!r} is no {kind.__name__}")
+    return value
+
+
+def _positive(raw: dict[str, Any], name: str, default: int) -> int:
+    value = raw.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < 2**62:
+        raise ValueError(f"{name}: {value!r} is no positive number")
+    return int(value)
+
+
+def _seed(text: Any) -> int:
+    try:
+        return int(text, 16) if isinstance(text, str) else int(text or 0)
+    except (TypeError, ValueError) as error:
+        raise ValueError(f"seed: {text!r} is no hexadecimal number") from error
+
+
+def _read(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+    told, limits = _part(raw, "settings", dict), _part(raw, "limits", dict)
+    ceilings, report = _part(told, "ceilings", dict), _part(told, "report", dict)
+    if not isinstance(told.get("grades"), list) or not told["grades"]:
+        raise ValueError("settings.grades: a list of classes is wanted")
+    try:
+        # Whatever the settings say of the simulator, a real sidecar learns of changes only by asking.
+        settings = replace(read_settings(told), ask_for_list=True)
+        keepalive = _positive(ceilings, "keepalive_ns", 60 * api.SECOND)
+        connect = _positive(ceilings, "connect_timeout_ns", 150 * api.MS)
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ValueError(f"settings: {error}") from error
+    sockets = _positive(limits, "sockets", 1024)
+    if sockets < LEAST_SOCKETS:
+        raise ValueError(f"limits.sockets: {sockets} is under {LEAST_SOCKETS}")
+    return Config(
+        name=str(environment.get("PROXY_NAME") or raw.get("name") or "lugtally"),
+        listen=read_address(environment.get("PROXY_LISTEN") or raw.get("listen"), "listen"),
+        discovery=read_address(environment.get("PROXY_DISCOVERY") or raw.get("discovery"), "discovery"),
+        seed=_seed(raw.get("seed")),
+        sockets=sockets,
+        known=read_pool(raw.get("known") or {"version": 0, "full": True, "servers": []}, "known"),
+        settings=settings,
+        zones=tuple(str(zone) for zone in _part(told, "zones", list)),
+        keepalive_ns=keepalive,
+        connect_timeout_ns=connect,
+        answers_report=report.get("how") == "answers",
+    )
--- /dev/null
+++ b/lugtally/facade.py
@@ -0,0 +1,222 @@
+"""The decision module in blocking style: ``pick``, ``report`` and ``tick``.
+
+This is the sidecar's one caller of ``Balancer``.  It translates plain values to the module's events and its
+actions to verdicts and orders; it decides nothing and knows no protocol.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+
+from loguru import logger
+
+from lugtally import api
+from lugtally.decide import Balancer
+from lugtally.net.ending import RESULTS, Ending
+from lugtally.net.scheduler import Hub, Signal
+
+BACKSTOP_NS = 20 * api.MS
+
+
+@dataclass(slots=True)
+class RouteStep:
+    """Verdict: send the request to this destination."""
+
+    number: int
+    destination: int
+    until: int
+
+
+@dataclass(slots=True)
+class BusyReply:
+    """Verdict: final, asking again does no harm, best after ``retry_in_ns`` (0: no advice)."""
+
+    retry_in_ns: int
+
+
+@dataclass(slots=True)
+class Failed:
+    """Verdict: final, promises nothing."""
+
+
+@dataclass(slots=True)
+class Over:
+    """Verdict: nothing is left to decide; a step was served, or the client is gone."""
+
+
+Verdict = RouteStep | BusyReply | Failed | Over
+
+
+class Ask:
+    """One request as the facade sees it, from its arrival to its final answer."""
+
+    __slots__ = ("id", "cls", "deadline", "is_retry", "cancel", "verdicts", "signal", "sent", "out", "over",
+                 "begun")
+
+    def __init__(self, hub: Hub, cls: int, deadline: int, is_retry: bool,
+                 cancel: Callable[[int], None]) -> None:
+        self.id = ""
+        self.cls, self.deadline, self.is_retry = cls, deadline, is_retry
+        self.cancel = cancel                    # calls off the step of that number; reports it later
+        self.verdicts: deque[Verdict] = deque()
+        self.signal = Signal(hub)
+        self.sent: list[tuple[int, int]] = []   # by step: destination, when
+        self.out: set[int] = set()
+        self.over = False
+        self.begun = False
+
+
+@dataclass(slots=True)
+class StepEnded:
+    """Report: how a route step ended."""
+
+    ask: Ask
+    number: int
+    ending: Ending
+    load: tuple[float, ...] | None = None
+
+
+@dataclass(slots=True)
+class ClientGone:
+    """Report: the client went away before its final answer."""
+
+    ask: Ask
+
+
+@dataclass(slots=True)
+class Listed:
+    """A destination as the pool config lists it."""
+
+    number: int
+    zone: int
+    cell: int
+    state: str
+    started_ns: int
+
+
+@dataclass(slots=True)
+class PoolNews:
+    """Report: a pool config (``kept``, ``whole`` or ``changes``), or that asking for one ``failed``."""
+
+    kind: str
+    listed: list[Listed]
+
+
+STATES = {"ready": api.State.UP, "draining": api.State.DRAINING}
+
+
+class Facade:
+    """One sidecar's decisions, called from its tasks."""
+
+    def __init__(self, settings: api.Settings, seed: int, hub: Hub) -> None:
+        self._hub = hub
+        self._balancer = Balancer(settings, seed)
+        self._asks: dict[str, Ask] = {}
+        self._count = 0
+        self._timers: list[tuple[int, int, str]] = []
+        self._close_idle: Callable[[int], None] = lambda _: None
+        self._watch: Callable[[], None] = lambda: None
+
+    def register(self, close_idle: Callable[[int], None], watch: Callable[[], None]) -> None:
+        """Who closes idle connections to a destination, and who watches the pool config."""
+        self._close_idle, self._watch = close_idle, watch
+
+    def pick(self, ask: Ask) -> Verdict:
+        """Block until the next verdict on a request; the first call hands it to the module."""
+        if not ask.begun:
+            ask.begun = True
+            self._count += 1
+            ask.id = str(self._count)   # our own: a client that repeats an id in flight must not lose one
+            self._asks[ask.id] = ask
+            left = max(0, ask.deadline - self._hub.now())
+            self._feed(api.Request(ask.id, ask.cls, 0, left, ask.is_retry))
+        while not ask.verdicts:
+            ask.signal.wait(ask.deadline + BACKSTOP_NS)
+            if not ask.verdicts and self._hub.now() >= ask.deadline + BACKSTOP_NS:
+                # Guards the one final answer against a fault: each step has timed out by now.
+                logger.error("no verdict by the deadline of a request")
+                self._end(ask, Failed())
+        return ask.verdicts.popleft()
+
+    def report(self, news: StepEnded | ClientGone | PoolNews) -> None:
+        """Tell the module what has happened."""
+        if isinstance(news, StepEnded):
+            self._step_ended(news)
+        elif isinstance(news, ClientGone):
+            if not news.ask.over:
+                self._feed(api.ClientLeft(news.ask.id))
+                self._end(news.ask, Over())
+        else:
+            self._feed(api.ServerList(api.ListKind(news.kind), [
+                api.Server(line.number, line.zone, line.cell, STATES.get(line.state, api.State.GONE),
+                           line.started_ns) for line in news.listed]))
+
+    def tick(self) -> int | None:
+        """Fire due timers; returns when to call again, none where no timer is set."""
+        now = self._hub.now()
+        while self._timers and self._timers[0][0] <= now:
+            self._feed(api.Timer(heappop(self._timers)[2]))
+        return self._timers[0][0] if self._timers else None
+
+    def _step_ended(self, news: StepEnded) -> None:
+        ask = news.ask
+        ask.out.discard(news.number)
+        destination, sent = ask.sent[news.number]
+        won = news.ending is Ending.SERVED and not ask.over
+        self._feed(api.Outcome(ask.id, news.number, destination, RESULTS[news.ending], won or ask.over,
+                               self._hub.now() - sent, news.load))
+        if won:
+            self._end(ask, Over())
+
+    def _end(self, ask: Ask, verdict: Verdict) -> None:
+        """The request is over: its last verdict, and an end to the steps that are still out."""
+        if ask.over:
+            return
+        ask.over = True
+        self._asks.pop(ask.id, None)
+        ask.verdicts.append(verdict)
+        ask.signal.set()
+        for number in list(ask.out):
+            ask.cancel(number)
+
+    def _feed(self, event: api.Event) -> None:
+        now = self._hub.now()
+        try:
+            actions = self._balancer.handle(now, event)
+        except Exception:
+            # The request concerned still gets its answer from the backstop in ``pick``.
+            logger.exception("the decision module failed on {}", type(event).__name__)
+            return
+        for action in actions:
+            self._act(now, action)
+
+    def _act(self, now: int, action: api.Action) -> None:
+        match action:
+            case api.Send(id, destination, timeout):
+                if (ask := self._asks.get(id)) is not None:
+                    number = len(ask.sent)
+                    ask.sent.append((destination, now))
+                    ask.out.add(number)
+                    ask.verdicts.append(RouteStep(number, destination, now + timeout))
+                    ask.signal.set()
+            case api.Refuse(id, retry_in):
+                if (ask := self._asks.get(id)) is not None:
+                    self._end(ask, BusyReply(retry_in))
+            case api.Fail(id):
+                if (ask := self._asks.get(id)) is not None:
+                    self._end(ask, Failed())
+            case api.Cancel(id, attempt):
+                if (ask := self._asks.get(id)) is not None and attempt in ask.out:
+                    ask.cancel(attempt)
+            case api.Wake(after, token):
+                self._count += 1
+                heappush(self._timers, (now + after, self._count, token))
+            case api.CloseIdle(destination):
+                self._close_idle(destination)
+            case api.Watch():
+                self._watch()
+            case api.Tell():
+                pass    # sidecars have no way to talk to each other here
--- /dev/null
+++ b/lugtally/net/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar's sockets: scheduler, parsers, front sockets, destinations and the pool config."""
--- /dev/null
+++ b/lugtally/net/destination.py
@@ -0,0 +1,235 @@
+"""Connections to destinations, and one route step over one of them.
+
+A connection carries one request at a time.  It is used again only where the whole answer, and nothing more,
+has been read from it.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+from dataclasses import dataclass
+
+import ujson
+from loguru import logger
+
+from lugtally.net.ending import Ending
+from lugtally.net.http1 import BadMessage, Forward, Message, Parser
+from lugtally.net.scheduler import MS, READ, WRITE, Hub, Woken
+
+CHUNK = 64 * 1024
+NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+
+class Link:
+    """One connection to a destination."""
+
+    __slots__ = ("sock", "fd", "parser", "idle_since")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.fd = sock.fileno()
+        self.parser = Parser(responses=True)
+        self.idle_since = 0
+
+
+class _StepOver(Exception):
+    """Ends a route step from inside."""
+
+    def __init__(self, ending: Ending) -> None:
+        super().__init__(ending.name)
+        self.ending = ending
+
+
+@dataclass(slots=True)
+class Limits:
+    """What the settings and the machine allow for connections."""
+
+    connect_ns: int
+    idle_ns: int        # an idle connection is retired after this; the server closes it a little later
+    most: int           # connections to all destinations together
+
+
+class Destinations:
+    """All connections of this sidecar to destinations."""
+
+    def __init__(self, hub: Hub, limits: Limits, load_fields: tuple[str, ...]) -> None:
+        self._hub = hub
+        self._limits = limits
+        self._load_fields = load_fields
+        self._addresses: dict[int, tuple[str, int]] = {}
+        self._idle: dict[int, list[Link]] = {}      # the most recently used last
+        self.open = 0
+
+    def place(self, number: int, address: tuple[str, int]) -> None:
+        """Where a destination is; idle connections to where it was are closed."""
+        if self._addresses.get(number) != address:
+            self.close_idle(number)
+            self._addresses[number] = address
+
+    def close_idle(self, number: int) -> None:
+        """Close the idle connections to a destination."""
+        for link in self._idle.pop(number, []):
+            self._close(link, watched=True)
+
+    def retire(self) -> None:
+        """Close what has been idle for long, before the other side does."""
+        before = self._hub.now() - self._limits.idle_ns
+        for links in self._idle.values():
+            while links and links[0].idle_since < before:
+                self._close(links.pop(0), watched=True)
+
+    def run(self, number: int, forward: Forward, until: int) -> tuple[Ending, Message | None]:
+        """One route step, in its own task; interrupting the task calls the step off."""
+        link: Link | None = None
+        written = False
+        try:
+            link = self._reuse(number) or self._connect(number, until)
+            self._write(link, forward.write(until - self._hub.now()), until)
+            written = True
+            answer = self._read(link, until)
+            ending = _judge(answer)
+        except _StepOver as over:
+            ending, answer = over.ending, None
+            if ending is Ending.BROKEN and not written:
+                ending = Ending.BROKEN_UNSENT
+        if link is not None:
+            if answer is not None and answer.keep and link.parser.idle:
+                self._rest(number, link)
+            else:
+                self._close(link)
+        return ending, answer
+
+    def load_of(self, answer: Message | None) -> tuple[float, ...] | None:
+        """The load report that came with an answer, where the settings say that answers carry one."""
+        text = answer.names.get("x-backend-load") if answer is not None and self._load_fields else None
+        if text is None:
+            return None
+        try:
+            report = ujson.loads(text)
+            return tuple(float(report[name]) for name in self._load_fields)
+        except (ValueError, KeyError, TypeError):
+            return None     # a report that cannot be read is as good as none
+
+    # ------------------------------------------------------------ connections
+
+    def _reuse(self, number: int) -> Link | None:
+        """The most recently used idle connection that the other side has not closed meanwhile."""
+        links = self._idle.get(number)
+        while links:
+            link = links.pop()
+            self._hub.unwatch(link.fd)
+            try:
+                link.sock.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                return link
+            except OSError:
+                pass
+            self._close(link)       # it has ended, or holds bytes that belong to no answer
+        return None
+
+    def _rest(self, number: int, link: Link) -> None:
+        """Keep the connection for later; whatever comes on it meanwhile ends it."""
+        link.idle_since = self._hub.now()
+        self._idle.setdefault(number, []).append(link)
+
+        def ended(_: int) -> None:
+            self._idle[number].remove(link)
+            self._close(link, watched=True)
+
+        self._hub.watch(link.fd, READ, ended)
+
+    def _close(self, link: Link, *, watched: bool = False) -> None:
+        if watched:
+            self._hub.unwatch(link.fd)
+        link.sock.close()
+        self.open -= 1
+
+    def _make_room(self) -> None:
+        """Close the connection that has been idle longest, so that a step is not refused a descriptor."""
+        oldest = min((links for links in self._idle.values() if links), key=lambda ls: ls[0].idle_since,
+                     default=None)
+        if oldest is not None:
+            self._close(oldest.pop(0), watched=True)
+
+    def _connect(self, number: int, until: int) -> Link:
+        if self.open >= self._limits.most:
+            self._make_room()
+            if self.open >= self._limits.most:
+                raise _StepOver(Ending.NO_SOCKET)
+        address = self._addresses[number]
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError as error:
+            logger.warning("no socket for a destination: {}", error.strerror)
+            raise _StepOver(Ending.NO_SOCKET) from error
+        self.open += 1
+        link = Link(sock)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(address)
+            if code == errno.EINPROGRESS:
+                limit = self._hub.now() + self._limits.connect_ns
+                late = Ending.CONNECT_SLOW if limit < until else Ending.TIMED_OUT_UNSENT
+                self._await(link, WRITE, min(limit, until), late, Ending.CANCELLED_UNSENT)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                logger.debug("connecting to {}: {}", address, os.strerror(code))
+                raise _StepOver(Ending.REFUSED)
+        except BaseException:
+            self._close(link)
+            raise
+        return link
+
+    # ------------------------------------------------------------ the exchange
+
+    def _await(self, link: Link, events: int, until: int, late: Ending, called_off: Ending) -> None:
+        why = self._hub.wait(link.fd, events, until)
+        if why is not Woken.READY:
+            raise _StepOver(late if why is Woken.TIMEOUT else called_off)
+
+    def _write(self, link: Link, data: bytes, until: int) -> None:
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[link.sock.send(view):]
+            except BlockingIOError:
+                self._await(link, WRITE, until, Ending.TIMED_OUT_UNSENT, Ending.CANCELLED_UNSENT)
+            except OSError as error:
+                raise _StepOver(Ending.BROKEN_UNSENT) from error
+
+    def _read(self, link: Link, until: int) -> Message:
+        while True:
+            self._await(link, READ, until, Ending.TIMED_OUT, Ending.CANCELLED)
+            try:
+                data = link.sock.recv(CHUNK)
+                answer = link.parser.feed(data) if data else link.parser.end()
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise _StepOver(Ending.BROKEN) from error
+            except BadMessage as error:
+                # A destination's garbage costs this connection and this step, nothing else.
+                raise _StepOver(Ending.GARBLED) from error
+            if answer is not None:
+                answer.keep = answer.keep and bool(data)
+                return answer
+            if not data:
+                raise _StepOver(Ending.BROKEN)
+
+
+def _judge(answer: Message) -> Ending:
+    if answer.status == 200:
+        return Ending.SERVED
+    if answer.status in (503, 504) and answer.names.get("x-unprocessed") == "1":
+        return Ending.TURNED_AWAY       # only the mark proves that the request never ran
+    return Ending.ERRORED
+
+
+def idle_limit(keepalive_ns: int) -> int:
+    """When to retire an idle connection: early enough that no request crosses the other side's closing."""
+    return max(keepalive_ns - 2000 * MS, keepalive_ns // 2)
+
+
--- /dev/null
+++ b/lugtally/net/front.py
@@ -0,0 +1,289 @@
+"""Front sockets: the application's requests, and the one final answer that each of them gets."""
+
+from __future__ import annotations
+
+import errno
+import socket
+
+from loguru import logger
+
+from lugtally import api
+from lugtally.facade import Ask, BusyReply, ClientGone, Facade, RouteStep, StepEnded
+from lugtally.net.destination import Destinations
+from lugtally.net.ending import Ending
+from lugtally.net.http1 import METHODS, BadMessage, Forward, Message, Parser, write_answer
+from lugtally.net.scheduler import LEFT, MS, READ, WRITE, Hub, Signal, Task, Woken
+
+HEALTH = "/_health"
+CHUNK = 64 * 1024
+BACKLOG = 1024
+IDLE_NS = 120_000 * MS      # a front socket without a request
+PARTIAL_NS = 10_000 * MS    # a request that has begun and does not go on
+STALL_NS = 5_000 * MS       # an answer that the client does not take
+LINGER_NS = 500 * MS
+ACCEPT_AFTER_TERM_NS = 500 * MS     # new connections keep coming that long at a planned restart
+NO_DESCRIPTOR_PAUSE_NS = 20 * MS
+MOST_LEFT_S = 3600.0
+
+# Of a destination's answer, what concerns the connection to it alone.
+_OWN = frozenset({"connection", "keep-alive", "content-length", "transfer-encoding", "trailer", "upgrade",
+                  "proxy-connection", "x-backend-load", "x-unprocessed"})
+
+Answer = tuple[int, bytes, list[tuple[str, str]]]
+
+
+def _complaint(error: BadMessage) -> Answer:
+    return error.status, f"{error}\n".encode(), [("Content-Type", "text/plain")]
+
+
+class FrontSocket:
+    """One connection of the application."""
+
+    __slots__ = ("sock", "fd", "parser", "signal")
+
+    def __init__(self, sock: socket.socket, hub: Hub) -> None:
+        self.sock = sock
+        self.fd = sock.fileno()
+        self.parser = Parser(responses=False)
+        self.signal = Signal(hub)
+
+
+class _Exchange:
+    """One request and its route steps."""
+
+    __slots__ = ("hub", "ask", "forward", "tasks", "answer", "gone")
+
+    def __init__(self, hub: Hub, forward: Forward, cls: int, deadline: int, is_retry: bool) -> None:
+        self.hub = hub
+        self.forward = forward
+        self.tasks: dict[int, Task] = {}
+        self.answer: Message | None = None      # of the step that was served first
+        self.gone = False
+        self.ask = Ask(hub, cls, deadline, is_retry, self.cancel)
+
+    def cancel(self, number: int) -> None:
+        """Call off a route step; it reports its own end."""
+        if (task := self.tasks.get(number)) is not None:
+            self.hub.interrupt(task)
+
+
+class Front:
+    """All front sockets of this sidecar."""
+
+    def __init__(self, hub: Hub, facade: Facade, destinations: Destinations,
+                 classes: tuple[api.RequestClass, ...], most: int) -> None:
+        self._hub = hub
+        self._facade = facade
+        self._destinations = destinations
+        self._classes = {cls.name: (at, cls) for at, cls in enumerate(classes)}
+        self._most = most
+        self._open: set[FrontSocket] = set()
+        self._listener: socket.socket | None = None
+        self._room = Signal(hub)        # a front socket has been closed
+        self._draining = False          # every answer from now on closes its connection
+        self._closing = False           # front sockets without a request are closed
+        self.ready = False
+
+    def listen(self, address: tuple[str, int]) -> None:
+        """Accept front sockets at this address and no other."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(address)
+        self._listener.listen(BACKLOG)
+        self._hub.spawn(self._accept, self._listener)
+
+    def drain(self) -> None:
+        """Planned restart: go on accepting for a while, answer all that is taken, close, stop the hub."""
+        if not self._draining:
+            self._draining = True
+            self._hub.spawn(self._drain)
+
+    # ------------------------------------------------------------ connections
+
+    def _accept(self, listener: socket.socket) -> None:
+        while listener.fileno() >= 0:
+            if len(self._open) >= self._most:
+                self._room.wait()       # the others wait in the backlog
+            elif self._hub.wait(listener.fileno(), READ) is Woken.READY:
+                self._accept_all(listener)
+
+    def _accept_all(self, listener: socket.socket) -> None:
+        while listener.fileno() >= 0 and len(self._open) < self._most:
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    # The backlog stays readable, so without a pause this would spin.
+                    logger.warning("cannot accept: {}", error.strerror)
+                    self._hub.sleep(NO_DESCRIPTOR_PAUSE_NS)
+                    return
+                continue        # that client has gone again
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            front = FrontSocket(sock, self._hub)
+            self._open.add(front)
+            self._hub.spawn(self._serve, front)
+
+    def _serve(self, front: FrontSocket) -> None:
+        try:
+            while (message := self._read(front)) is not None:
+                answer = self._answer(front, message)
+                if answer is None:
+                    return
+                close = self._draining or not message.keep
+                if not self._write(front, write_answer(*answer, close=close)):
+                    return
+                if close:
+                    if not front.parser.idle:
+                        self._linger(front)
+                    return
+        except BadMessage as error:
+            if self._write(front, write_answer(*_complaint(error), close=True)):
+                self._linger(front)
+        except OSError as error:
+            logger.debug("a front socket broke: {}", error)
+        finally:
+            self._hub.unwatch(front.fd)
+            front.sock.close()
+            self._open.discard(front)
+            self._room.set()
+
+    def _read(self, front: FrontSocket) -> Message | None:
+        """The next request; none where the connection is over."""
+        message = front.parser.feed(b"")        # one that came together with the last
+        told = False
+        while message is None:
+            pending = front.parser.pending
+            if pending is not None and pending.expects and not told:
+                told = True
+                self._write(front, b"HTTP/1.1 100 Continue\r\n\r\n")
+            idle = front.parser.idle
+            span = IDLE_NS if idle else LINGER_NS if self._closing else PARTIAL_NS
+            why = Woken.READY
+            if not (idle and self._closing):
+                self._hub.watch(front.fd, READ, lambda _: front.signal.set())
+                why = front.signal.wait(self._hub.now() + span)
+                self._hub.unwatch(front.fd)
+            try:
+                data = front.sock.recv(CHUNK)
+            except BlockingIOError:
+                if why is Woken.READY and not (idle and self._closing):
+                    continue
+                if not idle:
+                    raise BadMessage(408, "the request did not become whole in time") from None
+                return None
+            if not data:
+                return None
+            message = front.parser.feed(data)
+        return message
+
+    def _write(self, front: FrontSocket, data: bytes) -> bool:
+        """Write it all; false where the client has gone or does not take it."""
+        view = memoryview(data)
+        try:
+            while view:
+                try:
+                    view = view[front.sock.send(view):]
+                except BlockingIOError:
+                    until = self._hub.now() + STALL_NS
+                    if self._hub.wait(front.fd, WRITE, until) is not Woken.READY:
+                        return False
+        except OSError:
+            return False        # a client that closes mid-answer costs its own connection
+        return True
+
+    def _linger(self, front: FrontSocket) -> None:
+        """Let the client read the answer: closing at once over unread bytes would reset the connection."""
+        until = self._hub.now() + LINGER_NS
+        front.sock.shutdown(socket.SHUT_WR)
+        while self._hub.wait(front.fd, READ, until) is Woken.READY and front.sock.recv(CHUNK):
+            pass
+
+    # ------------------------------------------------------------ requests
+
+    def _answer(self, front: FrontSocket, message: Message) -> Answer | None:
+        """The final answer to one request; none where the client has gone."""
+        if message.target.partition("?")[0] == HEALTH:
+            able = self.ready and not self._draining
+            return (200, b"ok\n", []) if able else (503, b"not ready\n", [])
+        try:
+            cls, left_ns = self._check(message)
+        except BadMessage as error:
+            return _complaint(error)
+        exchange = _Exchange(self._hub, Forward(message), cls, self._hub.now() + left_ns,
+                             message.names.get("x-repeat") == "1")
+
+        def left(_: int) -> None:
+            self._hub.unwatch(front.fd)
+            exchange.gone = True
+            self._facade.report(ClientGone(exchange.ask))
+
+        self._hub.watch(front.fd, LEFT, left)
+        verdict = self._facade.pick(exchange.ask)
+        while isinstance(verdict, RouteStep):
+            exchange.tasks[verdict.number] = self._hub.spawn(self._step, exchange, verdict)
+            verdict = self._facade.pick(exchange.ask)
+        self._hub.unwatch(front.fd)
+        if exchange.gone:
+            return None
+        if isinstance(verdict, BusyReply):
+            wait = verdict.retry_in_ns / api.SECOND
+            return 503, b"busy\n", [("Retry-After", f"{wait:.3f}")] if wait else []
+        if exchange.answer is not None:
+            return 200, exchange.answer.body, [
+                (name, value) for name, value in exchange.answer.headers if name.lower() not in _OWN]
+        return 502, b"failed\n", []
+
+    def _check(self, message: Message) -> tuple[int, int]:
+        """The class and the time left of a request, or what is wrong with it."""
+        if message.method not in METHODS:
+            raise BadMessage(405, "the method is not allowed")
+        if not message.names.get("x-correlation-id"):
+            raise BadMessage(400, "X-Correlation-Id is missing")
+        path = message.target.partition("?")[0]
+        name = message.names.get("x-service-class") or path.lstrip("/").partition("/")[0]
+        if name not in self._classes:
+            raise BadMessage(400, "the class is unknown")
+        at, cls = self._classes[name]
+        if cls.effect is api.Effect.KEYED and not message.names.get("idempotency-key"):
+            raise BadMessage(400, "Idempotency-Key is missing")     # without it no repeat would be dropped
+        text = message.names.get("x-time-left")
+        try:
+            left = cls.deadline_ns if text is None else int(float(text) * api.SECOND)
+            if not 0 <= left <= MOST_LEFT_S * api.SECOND:
+                raise ValueError
+        except (ValueError, OverflowError):
+            raise BadMessage(400, "X-Time-Left is no number of seconds") from None
+        return at, left
+
+    def _step(self, exchange: _Exchange, step: RouteStep) -> None:
+        ending, answer = Ending.CANCELLED_UNSENT, None
+        if not exchange.ask.over:
+            try:
+                ending, answer = self._destinations.run(step.destination, exchange.forward, step.until)
+            except Exception:
+                # Every step must report its end, or the module would wait for it.
+                logger.exception("a route step failed")
+                ending = Ending.BROKEN
+        if ending is Ending.SERVED and exchange.answer is None:
+            exchange.answer = answer
+        logger.debug("step {} to {}: {}", step.number, step.destination, ending.name)
+        self._facade.report(StepEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
+
+    # ------------------------------------------------------------ planned restart
+
+    def _drain(self) -> None:
+        self._hub.sleep(ACCEPT_AFTER_TERM_NS)
+        if self._listener is not None:
+            self._accept_all(self._listener)    # what waits in the backlog has been taken, too
+            self._hub.unwatch(self._listener.fileno())
+            self._listener.close()
+        self._closing = True
+        for front in self._open:
+            front.signal.set()
+        while self._open:
+            self._room.wait()
+        self._hub.stop()
--- /dev/null
+++ b/lugtally/net/http1.py
@@ -0,0 +1,261 @@
+"""HTTP/1.1 messages: incremental parsers and writers.  No sockets, no decisions.
+
+The parsers are strict where two readings are possible, as a body that two parties delimit differently lets
+one request hide inside another.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+MOST_HEAD = 16 * 1024
+MOST_BODY = 64 * 1024
+MOST_LINE = 256         # of a chunk's size or a trailer
+
+REASONS = {
+    200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 408: "Request Timeout",
+    413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    502: "Bad Gateway", 503: "Service Unavailable",
+}
+METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
+
+_REQUEST = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([!-~]+) HTTP/1\.([01])")
+_STATUS = re.compile(r"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: .*)?")
+_HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*", re.S)
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
+_NUMBER = re.compile(r"[0-9]{1,10}")
+
+# What concerns one connection only, and what the sidecar writes anew.
+_OWN = frozenset({"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+                  "upgrade", "expect", "content-length", "x-time-left"})
+
+
+class BadMessage(Exception):
+    """The other side sent no HTTP; ``status`` is the answer where it is a client."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """One request or response."""
+
+    method: str = ""
+    target: str = ""
+    status: int = 0
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    names: dict[str, str] = field(default_factory=dict)     # by lower-case name; the first of a repeated one
+    body: bytes = b""
+    keep: bool = True           # the connection may carry another message
+    expects: bool = False       # the client waits for "100 Continue" before it sends the body
+
+
+class Parser:
+    """Takes bytes as they come and gives messages as they become whole."""
+
+    def __init__(self, *, responses: bool, most_body: int = MOST_BODY) -> None:
+        self._responses = responses
+        self._most_body = most_body
+        self._buffer = bytearray()
+        self._head: Message | None = None
+        self._left = 0              # of a body of told length; -1: until the connection ends
+        self._chunked = False
+        self._body = bytearray()
+        self._phase = "size"        # of a chunked body: size, data, end, trailer
+
+    @property
+    def idle(self) -> bool:
+        """Nothing of a message has come since the last whole one."""
+        return self._head is None and not self._buffer
+
+    @property
+    def pending(self) -> Message | None:
+        """The message whose head is whole and whose body is not."""
+        return self._head
+
+    def feed(self, data: bytes) -> Message | None:
+        """Take bytes; a whole message if they complete one.  Call with ``b""`` for one that follows."""
+        self._buffer += data
+        while True:
+            if self._head is None:
+                self._head = self._read_head()
+                if self._head is None:
+                    return None
+            if not (self._read_chunks() if self._chunked else self._read_told()):
+                return None
+            done, self._head = self._head, None
+            done.body = bytes(self._body)
+            self._body.clear()
+            if done.status >= 200 or not self._responses:
+                return done         # an interim response is passed over
+
+    def end(self) -> Message | None:
+        """The connection has ended: the message that this completes, if any."""
+        if self._head is None or self._chunked or self._left != -1:
+            return None
+        done, self._head = self._head, None
+        done.body = bytes(self._body)
+        return done
+
+    # ------------------------------------------------------------ head
+
+    def _read_head(self) -> Message | None:
+        if not self._responses:
+            while self._buffer[:2] == b"\r\n":     # left behind a body by some old clients
+                del self._buffer[:2]
+        end = self._buffer.find(b"\r\n\r\n", 0, MOST_HEAD + 4)
+        if end < 0:
+            if len(self._buffer) > MOST_HEAD:
+                raise BadMessage(431, "the head is too large")
+            if self._buffer.find(b"\n\n") >= 0 or self._buffer.startswith(b"\x16\x03"):
+                raise BadMessage(400, "the head is malformed")      # it would never become whole
+            return None
+        lines = self._buffer[:end].decode("latin-1").split("\r\n")
+        del self._buffer[:end + 4]
+        message, minor = self._read_start(lines[0])
+        for line in lines[1:]:
+            match = _HEADER.fullmatch(line)
+            if match is None or _CONTROL.search(match[2]):
+                raise BadMessage(400, "a header is malformed")
+            name, value = match[1], match[2]
+            message.headers.append((name, value))
+            low = name.lower()
+            if low == "content-length" and low in message.names:
+                raise BadMessage(400, "Content-Length is repeated")
+            if low in ("connection", "transfer-encoding") and low in message.names:
+                message.names[low] += "," + value
+            else:
+                message.names.setdefault(low, value)
+        options = [o.strip().lower() for o in message.names.get("connection", "").split(",")]
+        message.keep = "keep-alive" in options if minor == "0" else "close" not in options
+        message.expects = message.names.get("expect", "").lower() == "100-continue"
+        self._frame(message)
+        return message
+
+    def _read_start(self, line: str) -> tuple[Message, str]:
+        match = (_STATUS if self._responses else _REQUEST).fullmatch(line)
+        if match is None:
+            raise BadMessage(400, "the first line is malformed")
+        if self._responses:
+            return Message(status=int(match[2])), match[1]
+        return Message(method=match[1], target=match[2]), match[3]
+
+    def _frame(self, message: Message) -> None:
+        """How the body is delimited."""
+        length, coding = message.names.get("content-length"), message.names.get("transfer-encoding")
+        self._chunked = coding is not None
+        self._phase, self._left = "size", 0
+        if coding is not None:
+            if length is not None:
+                raise BadMessage(400, "both Content-Length and Transfer-Encoding")
+            if coding.lower() != "chunked":
+                raise BadMessage(400, "an unknown Transfer-Encoding")
+        elif length is not None:
+            if _NUMBER.fullmatch(length) is None:
+                raise BadMessage(400, "Content-Length is no number")
+            self._left = int(length)
+            if self._left > self._most_body:
+                raise BadMessage(413, "the body is too large")
+        elif self._responses:
+            self._left = -1
+            message.keep = False
+        if self._responses and (message.status < 200 or message.status in (204, 304)):
+            self._chunked, self._left = False, 0
+            message.keep = message.keep or message.status < 200
+
+    # ------------------------------------------------------------ body
+
+    def _grow(self, count: int) -> None:
+        if len(self._body) + count > self._most_body:
+            raise BadMessage(413, "the body is too large")
+        self._body += self._buffer[:count]
+        del self._buffer[:count]
+
+    def _read_told(self) -> bool:
+        if self._left < 0:
+            self._grow(len(self._buffer))
+            return False
+        count = min(self._left, len(self._buffer))
+        self._grow(count)
+        self._left -= count
+        return self._left == 0
+
+    def _read_line(self) -> bytes | None:
+        end = self._buffer.find(b"\r\n", 0, MOST_LINE + 2)
+        if end < 0:
+            if len(self._buffer) > MOST_LINE:
+                raise BadMessage(400, "a line of the chunked body is too long")
+            return None
+        line = bytes(self._buffer[:end])
+        del self._buffer[:end + 2]
+        return line
+
+    def _read_chunks(self) -> bool:
+        while True:
+            if self._phase == "data":
+                count = min(self._left, len(self._buffer))
+                self._grow(count)
+                self._left -= count
+                if self._left:
+                    return False
+                self._phase = "end"
+            line = self._read_line()
+            if line is None:
+                return False
+            if self._phase == "trailer":
+                if not line:
+                    return True
+            elif self._phase == "end":
+                if line:
+                    raise BadMessage(400, "a chunk is longer than told")
+                self._phase = "size"
+            else:
+                match = _SIZE.fullmatch(line)
+                if match is None:
+                    raise BadMessage(400, "a chunk's size is malformed")
+                self._left = int(match[1], 16)
+                if self._left > self._most_body:
+                    raise BadMessage(413, "the body is too large")
+                self._phase = "data" if self._left else "trailer"
+
+
+# ---------------------------------------------------------------- writers
+
+
+class Forward:
+    """A client's request as it goes to a destination; only the time left differs between route steps."""
+
+    __slots__ = ("_head", "_body")
+
+    def __init__(self, message: Message) -> None:
+        named = {o.strip().lower() for o in message.names.get("connection", "").split(",")}
+        lines = [f"{message.method} {message.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in message.headers
+                  if (low := name.lower()) not in _OWN and low not in named]
+        if message.body or message.method != "GET":
+            lines.append(f"Content-Length: {len(message.body)}")
+        self._head = "\r\n".join(lines).encode("latin-1")
+        self._body = message.body
+
+    def write(self, left_ns: int) -> bytes:
+        """The bytes of one route step."""
+        return b"%s\r\nX-Time-Left: %.3f\r\n\r\n%s" % (self._head, max(0, left_ns) / 1e9, self._body)
+
+
+def write_get(host: str, target: str) -> bytes:
+    """A request of the sidecar's own."""
+    return f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode("latin-1")
+
+
+def write_answer(status: int, body: bytes, headers: list[tuple[str, str]], *, close: bool) -> bytes:
+    """A final answer."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- /dev/null
+++ b/lugtally/net/pool_config.py
@@ -0,0 +1,210 @@
+"""The pool config: the list of destinations as discovery tells it, kept up to date by a watch."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+import ujson
+from loguru import logger
+
+from lugtally.facade import Facade, Listed, PoolNews
+from lugtally.net.destination import Destinations
+from lugtally.net.http1 import BadMessage, Message, Parser, write_get
+from lugtally.net.scheduler import MS, READ, WRITE, Hub, Signal, Woken
+
+HOLD_MS = 10_000
+ANSWER_NS = 1500 * MS       # beyond the hold, for the answer to come
+CONNECT_NS = 1500 * MS
+EMPTY_PAUSE_NS = 100 * MS   # where answers come at once without news; well under the 200 ms of a watch
+MOST_LIST = 4 * 1024 * 1024
+PATH = "/catalog/members"
+
+
+@dataclass(slots=True)
+class Row:
+    """One destination, decoded."""
+
+    number: int
+    address: tuple[str, int]
+    zone: str
+    cell: int
+    state: str
+    started_ms: int
+
+
+@dataclass(slots=True)
+class PoolConfig:
+    """One list, decoded."""
+
+    version: int
+    full: bool
+    rows: list[Row]
+
+
+def read_address(text: Any, field: str) -> tuple[str, int]:
+    """``host:port`` with a numeric host, as there is no DNS."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    host = host.removeprefix("[").removesuffix("]")
+    if not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{field}: {text!r} is no address with a port")
+    try:
+        socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+    except OSError as error:
+        raise ValueError(f"{field}: {text!r} is no numeric address") from error
+    return host, int(port)
+
+
+def number_of(name: str) -> int:
+    """A destination's number: the same at every sidecar and after a restart, as its id is."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
+
+
+def read_pool(raw: Any, field: str) -> PoolConfig:
+    """Decode a list; a ``ValueError`` names the field at fault."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("servers"), list):
+        raise ValueError(f"{field}.servers: a list is wanted")
+    version = raw.get("version")
+    if not isinstance(version, int):
+        raise ValueError(f"{field}.version: {version!r} is no number")
+    return PoolConfig(version, bool(raw.get("full")), [
+        _read_row(row, f"{field}.servers[{at}]") for at, row in enumerate(raw["servers"])])
+
+
+def _read_row(raw: Any, field: str) -> Row:
+    if not isinstance(raw, dict) or not isinstance(raw.get("id"), str):
+        raise ValueError(f"{field}.id: a text is wanted")
+    state, cell, started = raw.get("state"), raw.get("cell") or 0, raw.get("started_ms") or 0
+    if not isinstance(state, str):
+        raise ValueError(f"{field}.state: {state!r} is no text")
+    if not isinstance(cell, int):
+        raise ValueError(f"{field}.cell: {cell!r} is no number")
+    if not isinstance(started, (int, float)):
+        raise ValueError(f"{field}.started_ms: {started!r} is no number")
+    gone = state == "gone" and raw.get("addr") is None
+    address = ("", 0) if gone else read_address(raw.get("addr"), f"{field}.addr")
+    return Row(number_of(raw["id"]), address, str(raw.get("zone")), cell, state, int(started))
+
+
+class PoolWatch:
+    """Follows the pool config and tells the facade and the destinations what it says."""
+
+    def __init__(self, hub: Hub, facade: Facade, destinations: Destinations, discovery: tuple[str, int],
+                 zones: tuple[str, ...]) -> None:
+        self._hub = hub
+        self._facade = facade
+        self._destinations = destinations
+        self._discovery = discovery
+        self._zones = {name: at for at, name in enumerate(zones)}
+        self._started: dict[tuple[int, int], int] = {}
+        self._known: dict[int, str] = {}        # the known list: what is listed, in which state
+        self._version: int | None = None
+        self._sock: socket.socket | None = None
+        self._parser = Parser(responses=True, most_body=MOST_LIST)
+        self._wanted = Signal(hub)
+
+    @property
+    def usable(self) -> int:
+        """How many destinations are listed as ready."""
+        return sum(state == "ready" for state in self._known.values())
+
+    def start(self, kept: PoolConfig) -> None:
+        """Begin with the list kept over a restart, then watch whenever the module asks for it."""
+        self._take(kept, "kept")
+        self._hub.spawn(self._follow)
+
+    def watch(self) -> None:
+        """The module wants to be told of changes; it paces this after a failure."""
+        self._wanted.set()
+
+    # ------------------------------------------------------------ the list
+
+    def _take(self, pool: PoolConfig, kind: str) -> None:
+        listed = []
+        if kind != "changes":
+            for number in self._known.keys() - {row.number for row in pool.rows}:
+                del self._known[number]         # a full list removes what it lacks
+                self._destinations.close_idle(number)
+        for row in pool.rows:
+            self._known[row.number] = row.state
+            if row.state == "gone":
+                self._destinations.close_idle(row.number)
+            else:
+                self._destinations.place(row.number, row.address)
+            zone = self._zones.setdefault(row.zone, len(self._zones))
+            listed.append(Listed(row.number, zone, row.cell, row.state, self._started_ns(row)))
+        self._version = pool.version
+        self._facade.report(PoolNews(kind, listed))
+
+    def _started_ns(self, row: Row) -> int:
+        """Unix time to the module's clock; 0 stays "long ago".
+
+        Converted once for each start: converting it again after a step of the wall clock would look like
+        another start, and make a warm server cold.
+        """
+        if row.started_ms <= 0:
+            return 0
+        key = row.number, row.started_ms
+        if key not in self._started:
+            offset = self._hub.wall() - self._hub.now()
+            self._started[key] = max(1, row.started_ms * MS - offset)
+        return self._started[key]
+
+    # ------------------------------------------------------------ the watch
+
+    def _follow(self) -> None:
+        while True:
+            self._wanted.wait()
+            try:
+                while True:
+                    self._ask()
+            except (OSError, BadMessage, ValueError) as error:
+                # The list at hand stays in force; the module says when to try again.
+                logger.info("the watch of the pool config ended: {}", error)
+                self._drop()
+                self._facade.report(PoolNews("failed", []))
+
+    def _ask(self) -> None:
+        begun = self._hub.now()
+        target = PATH if self._version is None else f"{PATH}?from={self._version}&hold_ms={HOLD_MS}"
+        answer = self._exchange(target, begun + HOLD_MS * MS + ANSWER_NS)
+        if answer.status != 200:
+            raise ValueError(f"status {answer.status}")
+        pool = read_pool(ujson.loads(answer.body), "pool config")
+        self._take(pool, "whole" if pool.full else "changes")
+        if not pool.rows and self._hub.now() - begun < EMPTY_PAUSE_NS:
+            self._hub.sleep(EMPTY_PAUSE_NS)
+
+    def _exchange(self, target: str, until: int) -> Message:
+        sock = self._sock or self._connect()
+        sock.send(write_get(f"{self._discovery[0]}:{self._discovery[1]}", target))
+        while True:
+            if self._hub.wait(sock.fileno(), READ, until) is not Woken.READY:
+                raise OSError("no answer in time")
+            data = sock.recv(64 * 1024)
+            answer = self._parser.feed(data) if data else self._parser.end()
+            if answer is None and not data:
+                raise OSError("the connection ended")
+            if answer is not None:
+                if not answer.keep or not data:
+                    self._drop()
+                return answer
+
+    def _connect(self) -> socket.socket:
+        family = socket.AF_INET6 if ":" in self._discovery[0] else socket.AF_INET
+        self._sock = sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.connect_ex(self._discovery)
+        if self._hub.wait(sock.fileno(), WRITE, self._hub.now() + CONNECT_NS) is not Woken.READY:
+            raise OSError("no connection in time")
+        if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(code, "no connection")
+        return sock
+
+    def _drop(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = None
+        self._parser = Parser(responses=True, most_body=MOST_LIST)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from lugtally import adapter, api
+from lugtally import adapter, api, settings
 from lugtally.decide import Balancer
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -52,12 +52,12 @@
 
 
 def test_settings_are_read_and_missing_ones_default() -> None:
-    told = adapter.read_settings(OPTIONS)
+    told = settings.read_settings(OPTIONS)
     assert told.classes[0].effect is api.Effect.SAFE and told.max_attempts == 3 and told.ask_for_list
     assert told.cold_from == 0.2 and told.gone_binds and not told.second_copies
-    bare = adapter.read_settings({})
+    bare = settings.read_settings({})
     assert bare == api.Settings()
-    assert not adapter.read_settings({"contract": {"removal_not_binding": True}}).gone_binds
+    assert not settings.read_settings({"contract": {"removal_not_binding": True}}).gone_binds
 
 
 @pytest.mark.parametrize("field, raw", [
@@ -68,7 +68,7 @@
 ])
 def test_impossible_settings_name_the_field(field: str, raw: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match=f"^{field}: "):
-        adapter.read_settings(raw)
+        settings.read_settings(raw)
     status, reply, errors = speak([["mark", 5], ["power_on", 3, 7, raw], ["go"]])
     assert status == 2 and reply == [] and field in errors and "line 2" in errors
 
