--- a/lugtally/net/scheduler.py
+++ b/lugtally/net/scheduler.py
@@ -162,8 +162,10 @@
 
     def run(self, tick: Callable[[], int | None]) -> None:
         """Run until stopped.  ``tick`` is called each turn and says when it wants to be called again."""
-        while not self._stopped:
+        while True:
             self._run_ready()
+            if self._stopped:
+                return      # before the poll, which might last a second longer
             due = tick()
             if self._ready:
                 continue
