--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 
 from loguru import logger
@@ -115,21 +114,22 @@
                 sock, _ = listener.accept()
             except BlockingIOError:
                 return
-            except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    # The backlog stays readable, so without a pause this would spin.
-                    logger.warning("cannot accept: {}", error.strerror)
-                    self._hub.sleep(NO_DESCRIPTOR_PAUSE_NS)
-                    return
+            except ConnectionAbortedError:
                 continue        # that client has gone again
+            except OSError as error:
+                # Most likely no descriptor is free.  The backlog stays readable, so without a pause this
+                # would spin; and it must not raise, or nothing would be accepted any more.
+                logger.warning("cannot accept: {}", error.strerror)
+                self._hub.sleep(NO_DESCRIPTOR_PAUSE_NS)
+                return
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             front = FrontSocket(sock, self._hub)
             self._open.add(front)
             self._hub.spawn(self._serve, front)
 
     def _serve(self, front: FrontSocket) -> None:
         try:
+            front.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while (message := self._read(front)) is not None:
                 answer = self._answer(front, message)
                 if answer is None:
@@ -199,9 +199,12 @@
     def _linger(self, front: FrontSocket) -> None:
         """Let the client read the answer: closing at once over unread bytes would reset the connection."""
         until = self._hub.now() + LINGER_NS
-        front.sock.shutdown(socket.SHUT_WR)
-        while self._hub.wait(front.fd, READ, until) is Woken.READY and front.sock.recv(CHUNK):
-            pass
+        try:
+            front.sock.shutdown(socket.SHUT_WR)
+            while self._hub.wait(front.fd, READ, until) is Woken.READY and front.sock.recv(CHUNK):
+                pass
+        except OSError as error:
+            logger.debug("the client did not wait for the end: {}", error)
 
     # ------------------------------------------------------------ requests
 
--- a/lugtally/net/pool_config.py
+++ b/lugtally/net/pool_config.py
@@ -82,7 +82,7 @@
         raise ValueError(f"{field}.state: {state!r} is no text")
     if not isinstance(cell, int):
         raise ValueError(f"{field}.cell: {cell!r} is no number")
-    if not isinstance(started, (int, float)):
+    if not isinstance(started, (int, float)) or not abs(started) < 2**53:
         raise ValueError(f"{field}.started_ms: {started!r} is no number")
     gone = state == "gone" and raw.get("addr") is None
     address = ("", 0) if gone else read_address(raw.get("addr"), f"{field}.addr")
@@ -162,10 +162,13 @@
                 while True:
                     self._ask()
             except (OSError, BadMessage, ValueError) as error:
-                # The list at hand stays in force; the module says when to try again.
                 logger.info("the watch of the pool config ended: {}", error)
-                self._drop()
-                self._facade.report(PoolNews("failed", []))
+            except Exception:
+                # Whatever discovery sends, the watch goes on: without it the list would grow old unseen.
+                logger.exception("the watch of the pool config failed")
+            # The list at hand stays in force; the module says when to try again.
+            self._drop()
+            self._facade.report(PoolNews("failed", []))
 
     def _ask(self) -> None:
         begun = self._hub.now()
