--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -21,6 +21,7 @@
 STALL_NS = 5_000 * MS       # an answer that the client does not take
 LINGER_NS = 500 * MS
 ACCEPT_AFTER_TERM_NS = 500 * MS     # new connections keep coming that long at a planned restart
+ROOM_NS = 100 * MS          # how often another resting front socket gives way while there is no room
 NO_DESCRIPTOR_PAUSE_NS = 20 * MS
 DRAIN_EXTRA = 64            # front sockets beyond the usual most at the end of a planned restart
 MOST_LEFT_S = 3600.0
@@ -39,13 +40,16 @@
 class FrontSocket:
     """One connection of the application."""
 
-    __slots__ = ("sock", "fd", "parser", "signal")
+    __slots__ = ("sock", "fd", "parser", "signal", "since", "resting", "unwanted")
 
     def __init__(self, sock: socket.socket, hub: Hub) -> None:
         self.sock = sock
         self.fd = sock.fileno()
         self.parser = Parser(responses=False)
         self.signal = Signal(hub)
+        self.since = hub.now()      # when it came to rest, or its present request began
+        self.resting = False        # nothing of a request has come
+        self.unwanted = False       # it is to be closed unless a request has come
 
 
 class _Exchange:
@@ -82,6 +86,7 @@
         self._room = Signal(hub)        # a front socket has been closed
         self._draining = False          # every answer from now on closes its connection
         self._closing = False           # front sockets without a request are closed
+        self._closed_at = 0             # since when
         self.ready = False
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -104,7 +109,8 @@
     def _accept(self, listener: socket.socket) -> None:
         while listener.fileno() >= 0:
             if len(self._open) >= self._most:
-                self._room.wait()       # the others wait in the backlog
+                self._make_room()
+                self._room.wait(self._hub.now() + ROOM_NS)      # the others wait in the backlog
             elif self._hub.wait(listener.fileno(), READ) is Woken.READY:
                 self._accept_all(listener, self._most)
 
@@ -127,6 +133,14 @@
             self._open.add(front)
             self._hub.spawn(self._serve, front)
 
+    def _make_room(self) -> None:
+        """Close the front socket that has rested longest: resting ones must not keep new ones out."""
+        resting = [f for f in self._open if f.resting and not f.unwanted]
+        if resting:
+            front = min(resting, key=lambda f: f.since)
+            front.unwanted = True
+            front.signal.set()
+
     def _serve(self, front: FrontSocket) -> None:
         try:
             front.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -156,29 +170,35 @@
         """The next request; none where the connection is over."""
         message = front.parser.feed(b"")        # one that came together with the last
         told = False
+        front.since, front.resting = self._hub.now(), front.parser.idle
         while message is None:
             pending = front.parser.pending
             if pending is not None and pending.expects and not told:
                 told = True
                 self._write(front, b"HTTP/1.1 100 Continue\r\n\r\n")
-            idle = front.parser.idle
-            span = IDLE_NS if idle else LINGER_NS if self._closing else PARTIAL_NS
-            why = Woken.READY
-            if not (idle and self._closing):
-                self._hub.watch(front.fd, READ, lambda _: front.signal.set())
-                why = front.signal.wait(self._hub.now() + span)
-                self._hub.unwatch(front.fd)
+            # Counted from the request's first byte: a trickle of bytes must not hold the socket for good.
+            span = IDLE_NS if front.resting else LINGER_NS if self._closing else PARTIAL_NS
             try:
                 data = front.sock.recv(CHUNK)
             except BlockingIOError:
-                if why is Woken.READY and not (idle and self._closing):
+                if front.resting and front.unwanted:
+                    return None
+                self._hub.watch(front.fd, READ, lambda _: front.signal.set())
+                why = front.signal.wait(max(front.since, self._closed_at) + span)
+                self._hub.unwatch(front.fd)
+                if why is not Woken.TIMEOUT:
                     continue
-                if not idle:
-                    raise BadMessage(408, "the request did not become whole in time") from None
-                return None
+                if front.resting:
+                    return None
+                raise BadMessage(408, "the request did not become whole in time") from None
             if not data:
                 return None
+            if front.resting:
+                front.since, front.resting = self._hub.now(), False
+            elif self._hub.now() > front.since + PARTIAL_NS:
+                raise BadMessage(408, "the request did not become whole in time")
             message = front.parser.feed(data)
+        front.resting = False
         return message
 
     def _write(self, front: FrontSocket, data: bytes) -> bool:
@@ -286,8 +306,9 @@
             self._accept_all(self._listener, self._most + DRAIN_EXTRA)
             self._hub.unwatch(self._listener.fileno())
             self._listener.close()
-        self._closing = True
+        self._closing, self._closed_at = True, self._hub.now()
         for front in self._open:
+            front.unwanted = True
             front.signal.set()
         while self._open:
             self._room.wait()
--- a/tests/player.py
+++ b/tests/player.py
@@ -5,7 +5,8 @@
 and ``@A`` is the address of A.
 
     known A B       what the program knows at its start (A and B listen, C refuses, S never comes up)
-    files 20        its limit of open files
+    files 20        its limit of open files; ``sockets 64`` what it is told of that
+    crowd 40 CLIENT     as many clients, CLIENT0 on, each with an answer to its health check, stay connected
     serve           start it; it must become ready
     c1 send BYTES   a client, opened by its first step, sends; ``want`` must receive just this, ``closed``
                     must see the end, ``none`` must see nothing; ``shut`` and ``reset`` close, ``pause`` waits
@@ -83,7 +84,7 @@
         self.listen = address(reserve)
         reserve.close()
         self.known: list[str] = ["A"]
-        self.files = 1024
+        self.files = self.sockets = 1024
         self.links: dict[str, socket.socket] = {}
         self.accepted_by: dict[str, str] = {}
         self.program: subprocess.Popen[bytes] | None = None
@@ -95,7 +96,7 @@
             if not line.strip() or line.startswith("#"):
                 continue
             try:
-                if words[0] in ("known", "serve", "term", "exit", "files"):
+                if words[0] in ("known", "serve", "term", "exit", "files", "sockets", "crowd"):
                     getattr(self, f"do_{words[0]}")(*line.split()[1:])
                 else:
                     getattr(self, f"on_{words[1]}")(words[0], words[2] if len(words) > 2 else "")
@@ -118,7 +119,7 @@
         rows = [{"id": f"s-{n}", "addr": self.names[f"@{n}"], "zone": "a", "kind": "m", "cell": 0,
                  "weight": 1.0, "state": "ready", "started_ms": 0} for n in self.known]
         return {"name": "n1", "listen": self.listen, "discovery": address(self.discovery), "seed": "5e",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": SETTINGS,
                 "known": {"version": 1, "full": True, "servers": rows}}
 
     def do_known(self, *names: str) -> None:
@@ -127,6 +128,14 @@
     def do_files(self, most: str) -> None:
         self.files = int(most)
 
+    def do_sockets(self, most: str) -> None:
+        self.sockets = int(most)
+
+    def do_crowd(self, count: str, name: str) -> None:
+        for at in range(int(count)):
+            self.on_send(f"{name}{at}", "GET /_health HTTP/1.1|Host: x||")
+            self.on_want(f"{name}{at}", "HTTP/1.1 200 OK|Content-Length: 3||ok~")
+
     def do_serve(self) -> None:
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config()))
