Never write a route step that is over, and leave keyed repeats time to connect

Found by reading, checked with small tests. Hub._block gave READY to a task interrupted while its wake-up was queued, so Destinations.run could write a request that was over (test without the fix: READY). A connection that came up after the step's time was still written to. And the module's margin before the end of a keyed window was one tick (5 ms) while a connection may take 150 ms: the sidecar's settings now take that as the margin.

--- a/lugtally/config.py
+++ b/lugtally/config.py
@@ -90,10 +90,13 @@
     if not isinstance(told.get("grades"), list) or not told["grades"]:
         raise ValueError("settings.grades: a list of classes is wanted")
     try:
-        # Whatever the settings say of the simulator, a real sidecar learns of changes only by asking.
-        settings = replace(read_settings(told), ask_for_list=True)
         keepalive = _positive(ceilings, "keepalive_ns", 60 * api.SECOND)
         connect = _positive(ceilings, "connect_timeout_ns", 150 * api.MS)
+        # Whatever the settings say of the simulator, a real sidecar learns of changes only by asking, and a
+        # repeat is sent as late after its decision as a connection may take to come up: without that margin
+        # a keyed request could reach a server after the window in which repeats are dropped.
+        settings = read_settings(told)
+        settings = replace(settings, ask_for_list=True, tick_ns=max(settings.tick_ns, connect))
     except (ValueError, TypeError, AttributeError) as error:
         raise ValueError(f"settings: {error}") from error
     sockets = _positive(limits, "sockets", 1024)
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -86,7 +86,10 @@
         written = False
         try:
             link = self._reuse(number) or self._connect(number, until)
-            self._write(link, forward.write(until - self._hub.now()), until)
+            left = until - self._hub.now()
+            if left <= 0:
+                raise _StepOver(Ending.TIMED_OUT_UNSENT)    # the connection came up too late to send
+            self._write(link, forward.write(left), until)
             written = True
             answer = self._read(link, until)
             ending = _judge(answer)
--- a/lugtally/net/scheduler.py
+++ b/lugtally/net/scheduler.py
@@ -118,7 +118,8 @@
             heappush(self._timers, (until, self._count, wait))
         why: Woken = self._main.switch()
         wait.task.wait = None
-        return why
+        # Interrupted while it was about to go on: it must not, say, write a request that is over by now.
+        return Woken.INTERRUPTED if wait.task.interrupted else why
 
     def _starting(self) -> _Wait | None:
         """A wait of the running task, or none where it has been interrupted."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -11,12 +11,13 @@
 
 import pytest
 
-from lugtally import api, facade
+from lugtally import api, config, facade
 from lugtally.net.destination import Destinations, Limits
 from lugtally.net.ending import RESULTS, Ending
+from lugtally.net.http1 import Forward, Message
 from lugtally.net.pool_config import PoolWatch, number_of, read_pool
-from lugtally.net.scheduler import MS, Hub, Woken
-from tests.player import ROOT, Player
+from lugtally.net.scheduler import MS, Hub, Signal, Woken
+from tests.player import ROOT, Player, listener
 
 
 def test_every_ending_has_a_result_and_only_unsent_ones_never_ran() -> None:
@@ -101,6 +102,52 @@
     assert seen == [Woken.INTERRUPTED, Woken.INTERRUPTED]
 
 
+def test_a_task_interrupted_as_it_becomes_ready_is_interrupted() -> None:
+    """A step called off just as its connection came up used to write its request all the same."""
+    hub = Hub()
+    seen: list[Woken] = []
+    signal = Signal(hub)
+
+    def victim() -> None:
+        seen.append(signal.wait())
+        hub.stop()
+
+    def other() -> None:
+        signal.set()
+        hub.interrupt(task)
+
+    task = hub.spawn(victim)
+    hub.spawn(other)
+    hub.run(lambda: None)
+    assert seen == [Woken.INTERRUPTED]
+
+
+def test_a_step_is_not_written_after_its_time() -> None:
+    hub = Hub()
+    server = listener()
+    destinations = Destinations(hub, Limits(1000 * MS, 1000 * MS, 9), ())
+    destinations.place(1, server.getsockname())
+    ends: list[Ending] = []
+
+    def step() -> None:
+        ends.append(destinations.run(1, Forward(Message("GET", "/")), hub.now())[0])
+        hub.stop()
+
+    hub.spawn(step)
+    hub.run(lambda: None)
+    server.close()
+    assert ends == [Ending.TIMED_OUT_UNSENT] and destinations.open == 0
+
+
+def test_repeats_leave_a_connection_time_to_come_up(tmp_path: Path) -> None:
+    """The keyed window is counted from send to send; the module's margin was a tick of the simulator."""
+    player = Player(tmp_path)
+    (tmp_path / "config.json").write_text(json.dumps(player.config()))
+    player.end()
+    told = config.load({}, str(tmp_path / "config.json"))
+    assert told.settings.tick_ns == told.connect_timeout_ns == 150 * MS and told.settings.ask_for_list
+
+
 def test_a_fault_in_one_task_leaves_the_others_running() -> None:
     hub = Hub()
     hub.spawn(int, "no number")
