Answer 500 where the sidecar itself is at fault; test what ends a half-written request

Found by reading Front._serve: an exception in _answer closed the front socket without an answer, so a taken request was lost. Checked by a test that makes _answer raise: an end without bytes before, 500 now.

--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -145,7 +145,12 @@
         try:
             front.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while (message := self._read(front)) is not None:
-                answer = self._answer(front, message)
+                try:
+                    answer = self._answer(front, message)
+                except Exception:
+                    # A fault of ours must not lose a request that has been taken.
+                    logger.exception("answering a request failed")
+                    answer = 500, b"internal error\n", []
                 if answer is None:
                     return
                 close = self._draining or not message.keep
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -14,6 +15,7 @@
 from lugtally import api, config, facade
 from lugtally.net.destination import Destinations, Limits
 from lugtally.net.ending import RESULTS, Ending
+from lugtally.net.front import Front, FrontSocket
 from lugtally.net.http1 import Forward, Message
 from lugtally.net.pool_config import PoolWatch, number_of, read_pool
 from lugtally.net.scheduler import MS, Hub, Signal, Woken
@@ -139,6 +141,41 @@
     assert ends == [Ending.TIMED_OUT_UNSENT] and destinations.open == 0
 
 
+@pytest.mark.parametrize("event, ending", [
+    ("reset", Ending.BROKEN_UNSENT), ("interrupt", Ending.CANCELLED_UNSENT),
+    ("time", Ending.TIMED_OUT_UNSENT)])
+def test_a_request_not_wholly_written_never_ran(event: str, ending: Ending) -> None:
+    """Nobody reads a request that is larger than any socket's buffer, until something ends the writing."""
+    hub = Hub()
+    server = listener()
+    destinations = Destinations(hub, Limits(60_000 * MS, 60_000 * MS, 1), ())
+    destinations.place(1, server.getsockname())
+    forward = Forward(Message("POST", "/", body=bytes(64 * 1024 * 1024)))
+    ends: list[Ending] = []
+
+    def step() -> None:
+        until = hub.now() + (200 if event == "time" else 60_000) * MS
+        ends.append(destinations.run(1, forward, until)[0])
+        hub.stop()
+
+    def other() -> None:
+        peer, _ = server.accept()
+        hub.sleep(50 * MS)
+        ends.append(destinations.run(1, forward, hub.now() + MS)[0])
+        if event == "interrupt":
+            hub.interrupt(task)
+        elif event == "reset":
+            peer.close()        # over unread bytes: a reset
+        hub.sleep(60_000 * MS)
+        peer.close()
+
+    task = hub.spawn(step)
+    hub.spawn(other)
+    hub.run(lambda: None)
+    server.close()
+    assert ends == [Ending.NO_SOCKET, ending] and destinations.open == 0
+
+
 def test_repeats_leave_a_connection_time_to_come_up(tmp_path: Path) -> None:
     """The keyed window is counted from send to send; the module's margin was a tick of the simulator."""
     player = Player(tmp_path)
@@ -155,6 +192,28 @@
     hub.run(lambda: None)
 
 
+def test_a_fault_while_answering_still_gives_one_answer() -> None:
+    """It used to close the front socket without a word: the request was taken and lost."""
+    hub = Hub()
+    front = Front(hub, Any, Any, (), 9)  # type: ignore[arg-type]
+    front._answer = lambda *_: 1 / 0    # type: ignore[method-assign,assignment]
+    server = listener()
+    client = socket.create_connection(server.getsockname())
+    ours, _ = server.accept()
+    ours.setblocking(False)
+    client.sendall(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+
+    def serve() -> None:
+        front._serve(FrontSocket(ours, hub))
+        hub.stop()
+
+    hub.spawn(serve)
+    hub.run(lambda: None)
+    assert client.recv(4096).startswith(b"HTTP/1.1 500 Internal Server Error\r\n")
+    client.close()
+    server.close()
+
+
 def test_start_times_are_converted_once(scripted: Scripted, monkeypatch: pytest.MonkeyPatch) -> None:
     """A step of the wall clock used to look like a restart: a warm server would have turned cold."""
     hub = Hub()
