--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -52,8 +52,10 @@
 def run(hub: Hub, work: Any, front: facade.Facade) -> None:
     """Run ``work`` as a task until it is done."""
     def body() -> None:
-        work()
-        hub.stop()
+        try:
+            work()
+        finally:
+            hub.stop()      # a failed check must fail the test, not hang it
     hub.spawn(body)
     hub.run(front.tick)
 
@@ -204,8 +206,10 @@
     client.sendall(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
 
     def serve() -> None:
-        front._serve(FrontSocket(ours, hub))
-        hub.stop()
+        try:
+            front._serve(FrontSocket(ours, hub))
+        finally:
+            hub.stop()
 
     hub.spawn(serve)
     hub.run(lambda: None)
