Reread the configuration on SIGHUP and move the watch to the new discovery

Checked: __main__._on_signals set handlers for SIGTERM and SIGINT alone, so the default action of SIGHUP ended the process. PROXY_DISCOVERY goes before the file, so rereading alone would have kept the old address.

--- a/lugtally/__main__.py
+++ b/lugtally/__main__.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -45,7 +46,8 @@
     except OSError as error:
         print(f"lugtally: listen: {told.listen[0]}:{told.listen[1]}: {error.strerror}", file=sys.stderr)
         return 1
-    _on_signals(hub, front)
+    _on_signals(hub, {signal.SIGTERM: front.drain, signal.SIGINT: front.drain,
+                      signal.SIGHUP: lambda: _reread(pool)})
     hub.spawn(pool.start, told.known)
     hub.spawn(_keep_house, hub, destinations, pool, front)
     # What lives from the start is never garbage: collections then stay short.
@@ -69,20 +71,31 @@
         hub.latest_ns = 0
 
 
-def _on_signals(hub: Hub, front: Front) -> None:
-    """SIGTERM and SIGINT wake the poll through a socket, as a blocked poll would go on after a handler."""
+def _reread(pool: PoolWatch) -> None:
+    """SIGHUP: move the watch where the configuration now says.  All else in it holds from the next start."""
+    try:
+        told = config.load(os.environ, again=True)
+    except config.ConfigError as error:
+        # A slip in the file must not end the service: all goes on as it was told before.
+        logger.error("the new configuration is not used: {}", error)
+        return
+    logger.info("told to read the configuration again: discovery at {}:{}", *told.discovery)
+    pool.move(told.discovery)
+
+
+def _on_signals(hub: Hub, handlers: dict[signal.Signals, Callable[[], None]]) -> None:
+    """Signals wake the poll through a socket, as a blocked poll would go on after a handler."""
     reader, writer = socket.socketpair()
     reader.setblocking(False)
     writer.setblocking(False)
     signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in handlers:
         signal.signal(number, lambda *_: None)
 
     def told(_: int) -> None:
-        reader.recv(64)
         writer.fileno()     # keeps the other end alive
-        logger.info("told to stop: draining")
-        front.drain()
+        for number in dict.fromkeys(reader.recv(64)):
+            handlers[signal.Signals(number)]()
 
     hub.watch(reader.fileno(), READ, told)
 
--- a/lugtally/config.py
+++ b/lugtally/config.py
@@ -40,8 +40,11 @@
     answers_report: bool    # answers carry load reports
 
 
-def load(environment: Mapping[str, str], path: str | None = None) -> Config:
-    """Read the file that ``PROXY_CONFIG`` names; the other variables go before what it says."""
+def load(environment: Mapping[str, str], path: str | None = None, *, again: bool = False) -> Config:
+    """Read the file that ``PROXY_CONFIG`` names; the other variables go before what it says.
+
+    Where it is read ``again``, its ``discovery`` counts: the variable cannot change while the program runs.
+    """
     path = path or environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG: not set")
@@ -53,6 +56,8 @@
         raise ConfigError(f"PROXY_CONFIG: {path}: no JSON: {error}") from error
     if not isinstance(raw, dict):
         raise ConfigError(f"PROXY_CONFIG: {path}: an object is wanted")
+    if again and raw.get("discovery"):
+        environment = {**environment, "PROXY_DISCOVERY": raw["discovery"]}
     try:
         return _read(raw, environment)
     except ValueError as error:
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -102,6 +102,7 @@
         """Planned restart: go on accepting for a while, answer all that is taken, close, stop the hub."""
         if not self._draining:
             self._draining = True
+            logger.info("told to stop: draining")
             self._hub.spawn(self._drain)
 
     # ------------------------------------------------------------ connections
--- a/tests/player.py
+++ b/tests/player.py
@@ -13,6 +13,7 @@
     d1 want BYTES   the same for the next connection that any destination accepts
     d2 elsewhere d1     accepted by another destination than d1
     p list JSON     the same for the pool config's connections, with answers of that body
+    hup NAME VALUE      a field of the configuration changes, SIGHUP; ``q`` is a second pool config, at @Q
     term            SIGTERM; ``exit 0`` waits for the end
 """
 
@@ -70,8 +71,9 @@
         self.folder = folder
         self.destinations = {name: listener() for name in "AB"}
         refusing = listener()
-        self.discovery = listener()
-        self.names = {f"@{n}": address(s) for n, s in self.destinations.items()} | {"@C": address(refusing)}
+        self.discovery, self.second_discovery = listener(), listener()
+        self.names = {f"@{n}": address(s) for n, s in self.destinations.items()} | {
+            "@C": address(refusing), "@Q": address(self.second_discovery)}
         refusing.close()
         # A listener that accepts nothing and whose backlog is full: connections to it never come up.
         self.stuck = listener(0)
@@ -96,7 +98,7 @@
             if not line.strip() or line.startswith("#"):
                 continue
             try:
-                if words[0] in ("known", "serve", "term", "exit", "files", "sockets", "crowd"):
+                if words[0] in ("known", "serve", "term", "hup", "exit", "files", "sockets", "crowd"):
                     getattr(self, f"do_{words[0]}")(*line.split()[1:])
                 else:
                     getattr(self, f"on_{words[1]}")(words[0], words[2] if len(words) > 2 else "")
@@ -108,7 +110,7 @@
         if self.program is not None:
             self.program.kill()
             self.program.wait()
-        listeners = [*self.destinations.values(), self.discovery, self.stuck]
+        listeners = [*self.destinations.values(), self.discovery, self.second_discovery, self.stuck]
         for sock in [*self.links.values(), *self.fillers, *listeners]:
             sock.close()
 
@@ -142,7 +144,8 @@
         self.program = subprocess.Popen(
             ["sh", "-c", f'ulimit -n {self.files}; exec "$0" -B -m lugtally serve', sys.executable],
             cwd=ROOT, stderr=subprocess.DEVNULL,
-            env={**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": tempfile.gettempdir()})
+            env={**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": tempfile.gettempdir(),
+                 "PROXY_DISCOVERY": address(self.discovery)})
         until = time.monotonic() + PATIENCE_S
         while time.monotonic() < until:
             try:
@@ -154,6 +157,11 @@
                 time.sleep(0.05)
         raise AssertionError("the program did not become ready")
 
+    def do_hup(self, name: str, value: str) -> None:
+        assert self.program is not None
+        (self.folder / "config.json").write_text(json.dumps({**self.config(), name: self.bytes_of(value)}))
+        self.program.send_signal(signal.SIGHUP)
+
     def do_term(self) -> None:
         assert self.program is not None
         self.program.send_signal(signal.SIGTERM)
@@ -174,8 +182,9 @@
     def link(self, who: str) -> socket.socket:
         """The connection of that name, opened or accepted when it is first named."""
         if who not in self.links:
-            if who[0] in "dp":
-                offered = {"p": self.discovery} if who[0] == "p" else self.destinations
+            if who[0] in "dpq":
+                one = {"p": self.discovery, "q": self.second_discovery}.get(who[0])
+                offered = {"": one} if one else self.destinations
                 ready, _, _ = select.select(list(offered.values()), [], [], PATIENCE_S)
                 assert ready, "nothing connected"
                 self.links[who], _ = ready[0].accept()
