End a connection with its first faulty request, and refuse an id that is in progress

Checked with a trace: 4,609 of 4,661 faulty requests were of unknown classes, sent by the hundred down one connection that stayed open; one such turn of the hub held all others up for 32 to 44 ms. Those that reached servers bore ids of requests in progress; each 400 for them got a healthy server ejected. At fault: front._serve kept the connection after a fault and looped without yielding; _check let ids repeat; _accept took a whole flood in one turn; _linger gave up after 500 ms while a client uploaded; half a request had 10 s. Now a fault ends the connection, ids in progress get 409, 16 connections are accepted a turn, a request is whole within 2.5 s, and what a faulty client still sends is read and dropped for up to 4 s. Ruled out: garbage collection and uploads (no other turn of the hub took over 15 ms).

--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -14,14 +14,17 @@
 from lugtally.net.scheduler import LEFT, MS, READ, WRITE, Hub, Signal, Task, Woken
 
 HEALTH = "/_health"
-CHUNK = 64 * 1024
+CHUNK = 16 * 1024          # small, as each front socket may hold that much of what it has not parsed
 BACKLOG = 1024
-# A front socket without a request.  Clients may hold only so many, and some ask once and keep theirs for good:
-# what rests for longer keeps out requests that have come.
+# A front socket without a request.  Clients may hold only so many, and some ask once and keep theirs for
+# good: what rests for longer keeps out requests that have come.
 IDLE_NS = 2_050 * MS
-PARTIAL_NS = 10_000 * MS    # a request that has begun and does not go on
+PARTIAL_NS = 2_500 * MS     # from a request's first byte, or from connecting, until it is whole
 STALL_NS = 5_000 * MS       # an answer that the client does not take
-LINGER_NS = 500 * MS
+LINGER_NS = 1_000 * MS      # of silence, and in all, of a client that was told of its fault and sends on
+LINGER_MOST_NS = 4_000 * MS
+CLOSING_NS = 500 * MS       # half a request at the end of a planned restart
+ACCEPT_MOST = 16            # in one turn of the hub: hundreds at once must not hold up requests in progress
 ACCEPT_AFTER_TERM_NS = 500 * MS     # new connections keep coming that long at a planned restart
 ROOM_NS = 100 * MS          # how often another resting front socket gives way while there is no room
 NO_DESCRIPTOR_PAUSE_NS = 20 * MS
@@ -42,7 +45,7 @@
 class FrontSocket:
     """One connection of the application."""
 
-    __slots__ = ("sock", "fd", "parser", "signal", "since", "resting", "unwanted")
+    __slots__ = ("sock", "fd", "parser", "signal", "since", "asked", "resting", "unwanted")
 
     def __init__(self, sock: socket.socket, hub: Hub) -> None:
         self.sock = sock
@@ -50,6 +53,7 @@
         self.parser = Parser(responses=False)
         self.signal = Signal(hub)
         self.since = hub.now()      # when it came to rest, or its present request began
+        self.asked = False          # a whole request has come on it
         self.resting = False        # nothing of a request has come
         self.unwanted = False       # it is to be closed unless a request has come
 
@@ -84,6 +88,7 @@
         self._classes = {cls.name: (at, cls) for at, cls in enumerate(classes)}
         self._most = most
         self._open: set[FrontSocket] = set()
+        self._ids: set[str] = set()     # of the requests in progress
         self._listener: socket.socket | None = None
         self._room = Signal(hub)        # a front socket has been closed
         self._draining = False          # every answer from now on closes its connection
@@ -115,10 +120,11 @@
                 self._make_room()
                 self._room.wait(self._hub.now() + ROOM_NS)      # the others wait in the backlog
             elif self._hub.wait(listener.fileno(), READ) is Woken.READY:
-                self._accept_all(listener, self._most)
+                self._accept_some(listener, self._most, ACCEPT_MOST)
 
-    def _accept_all(self, listener: socket.socket, most: int) -> None:
-        while listener.fileno() >= 0 and len(self._open) < most:
+    def _accept_some(self, listener: socket.socket, most: int, turn: int) -> None:
+        while listener.fileno() >= 0 and len(self._open) < most and turn > 0:
+            turn -= 1
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
@@ -156,11 +162,13 @@
                     answer = 500, b"internal error\n", []
                 if answer is None:
                     return
-                close = self._draining or not message.keep
+                # A request at fault ends its connection: one may bring hundreds, or repeat itself at once.
+                at_fault = 400 <= answer[0] < 500
+                close = self._draining or not message.keep or at_fault
                 if not self._write(front, write_answer(*answer, close=close)):
                     return
                 if close:
-                    if not front.parser.idle:
+                    if at_fault or not front.parser.idle:
                         self._linger(front)
                     return
         except BadMessage as error:
@@ -176,16 +184,20 @@
 
     def _read(self, front: FrontSocket) -> Message | None:
         """The next request; none where the connection is over."""
-        message = front.parser.feed(b"")        # one that came together with the last
+        if not front.parser.idle:
+            self._hub.sleep(0)      # one that came together with the last lets others go first
+        message = front.parser.feed(b"")
         told = False
-        front.since, front.resting = self._hub.now(), front.parser.idle
+        if front.asked:
+            front.since = self._hub.now()
+        front.resting = front.parser.idle
         while message is None:
             pending = front.parser.pending
             if pending is not None and pending.expects and not told:
                 told = True
                 self._write(front, b"HTTP/1.1 100 Continue\r\n\r\n")
             # Counted from the request's first byte: a trickle of bytes must not hold the socket for good.
-            span = IDLE_NS if front.resting else LINGER_NS if self._closing else PARTIAL_NS
+            span = IDLE_NS if front.resting else CLOSING_NS if self._closing else PARTIAL_NS
             try:
                 data = front.sock.recv(CHUNK)
             except BlockingIOError:
@@ -202,11 +214,11 @@
             if not data:
                 return None
             if front.resting:
-                front.since, front.resting = self._hub.now(), False
+                front.since, front.resting = self._hub.now() if front.asked else front.since, False
             elif self._hub.now() > front.since + PARTIAL_NS:
                 raise BadMessage(408, "the request did not become whole in time")
             message = front.parser.feed(data)
-        front.resting = False
+        front.asked, front.resting = True, False
         return message
 
     def _write(self, front: FrontSocket, data: bytes) -> bool:
@@ -226,11 +238,12 @@
 
     def _linger(self, front: FrontSocket) -> None:
         """Let the client read the answer: closing at once over unread bytes would reset the connection."""
-        until = self._hub.now() + LINGER_NS
+        until = self._hub.now() + LINGER_MOST_NS
         try:
             front.sock.shutdown(socket.SHUT_WR)
-            while self._hub.wait(front.fd, READ, until) is Woken.READY and front.sock.recv(CHUNK):
-                pass
+            while (self._hub.wait(front.fd, READ, min(until, self._hub.now() + LINGER_NS)) is Woken.READY
+                   and self._hub.now() < until and front.sock.recv(CHUNK)):
+                pass        # what it still sends is not kept
         except OSError as error:
             logger.debug("the client did not wait for the end: {}", error)
 
@@ -245,6 +258,14 @@
             cls, left_ns = self._check(message)
         except BadMessage as error:
             return _complaint(error)
+        id = message.names["x-correlation-id"]
+        self._ids.add(id)
+        try:
+            return self._exchange(front, message, cls, left_ns)
+        finally:
+            self._ids.discard(id)
+
+    def _exchange(self, front: FrontSocket, message: Message, cls: int, left_ns: int) -> Answer | None:
         exchange = _Exchange(self._hub, Forward(message), cls, self._hub.now() + left_ns,
                              message.names.get("x-repeat") == "1")
 
@@ -275,6 +296,9 @@
             raise BadMessage(405, "the method is not allowed")
         if not message.names.get("x-correlation-id"):
             raise BadMessage(400, "X-Correlation-Id is missing")
+        if message.names["x-correlation-id"] in self._ids:
+            # A destination tells requests apart by their ids: this one would spoil the first.
+            raise BadMessage(409, "X-Correlation-Id is that of a request in progress")
         path = message.target.partition("?")[0]
         name = message.names.get("x-service-class") or path.lstrip("/").partition("/")[0]
         if name not in self._classes:
@@ -311,7 +335,7 @@
         self._hub.sleep(ACCEPT_AFTER_TERM_NS)
         if self._listener is not None:
             # What waits in the backlog has been taken too: closing the listener would reset it.
-            self._accept_all(self._listener, self._most + DRAIN_EXTRA)
+            self._accept_some(self._listener, self._most + DRAIN_EXTRA, BACKLOG)
             self._hub.unwatch(self._listener.fileno())
             self._listener.close()
         self._closing, self._closed_at = True, self._hub.now()
--- a/tests/player.py
+++ b/tests/player.py
@@ -5,6 +5,7 @@
 and ``@A`` is the address of A.
 
     known A B       what the program knows at its start (A and B listen, C refuses, S never comes up)
+    patience 6      how many seconds each step may take
     files 20        its limit of open files; ``sockets 64`` what it is told of that
     crowd 40 CLIENT     as many clients, CLIENT0 on, each with an answer to its health check, stay connected
     serve           start it; it must become ready
@@ -85,6 +86,7 @@
         reserve = listener()
         self.listen = address(reserve)
         reserve.close()
+        self.patience = PATIENCE_S
         self.known: list[str] = ["A"]
         self.files = self.sockets = 1024
         self.links: dict[str, socket.socket] = {}
@@ -98,7 +100,8 @@
             if not line.strip() or line.startswith("#"):
                 continue
             try:
-                if words[0] in ("known", "serve", "term", "hup", "exit", "files", "sockets", "crowd"):
+                if words[0] in ("known", "serve", "term", "hup", "exit", "files", "sockets", "crowd",
+                                "patience"):
                     getattr(self, f"do_{words[0]}")(*line.split()[1:])
                 else:
                     getattr(self, f"on_{words[1]}")(words[0], words[2] if len(words) > 2 else "")
@@ -127,6 +130,9 @@
     def do_known(self, *names: str) -> None:
         self.known = list(names)
 
+    def do_patience(self, seconds: str) -> None:
+        self.patience = float(seconds)
+
     def do_files(self, most: str) -> None:
         self.files = int(most)
 
@@ -185,14 +191,14 @@
             if who[0] in "dpq":
                 one = {"p": self.discovery, "q": self.second_discovery}.get(who[0])
                 offered = {"": one} if one else self.destinations
-                ready, _, _ = select.select(list(offered.values()), [], [], PATIENCE_S)
+                ready, _, _ = select.select(list(offered.values()), [], [], self.patience)
                 assert ready, "nothing connected"
                 self.links[who], _ = ready[0].accept()
                 self.accepted_by[who] = address(ready[0])
             else:
                 host, port = self.listen.split(":")
-                self.links[who] = socket.create_connection((host, int(port)), PATIENCE_S)
-            self.links[who].settimeout(PATIENCE_S)
+                self.links[who] = socket.create_connection((host, int(port)), self.patience)
+            self.links[who].settimeout(self.patience)
         return self.links[who]
 
     def on_send(self, who: str, text: str) -> None:
