Eject a server only for the second error or reset in a row

Checked with a trace of the module each second: 10 to 19 spoilt answers (RESET) a second, from all servers alike; each ejected its server for a second, so up to half of them were left alone at any time. At fault: _judge called _eject for one ERROR or RESET. Now it takes two in a row without an answer between; a refused connection still ejects at once. Ruled out: memory (19 of 80 MB), the hub (answers go out in 0.3 ms), the sockets (no connect failed).

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -469,8 +469,10 @@
             if peer.strikes:
                 peer.strikes = peer.ejected = 0
                 self.stale = True
-        elif result in (Result.ERROR, Result.NO_CONNECTION, Result.RESET):
+        elif result is Result.NO_CONNECTION:
             self._eject(now, peer)
+        elif result is Result.ERROR or result is Result.RESET:
+            self._eject(now, peer, 2)   # one spoilt answer among good ones says nothing of the server
         if result in (Result.OK, Result.TIMEOUT):
             mean = self._usual(flight.cls, event, flight.idle)
             if result is Result.OK:
@@ -561,7 +563,7 @@
         if self.paced > 4:
             self.window = max(least, WINDOW * self.crowded * self.pace)
 
-    def _eject(self, now: int, peer: Peer) -> None:
+    def _eject(self, now: int, peer: Peer, least: int = 1) -> None:
         """Leave a failing server alone, briefly at first, unless too many are left alone already.
 
         Meant for dead, erring, silent and unreachable servers.  One failure costs a second; only
@@ -570,7 +572,7 @@
         """
         peer.strikes = min(peer.strikes + 1, 5)
         away = sum(p.ejected > now for p in self.members)
-        if peer.ejected > now or away + 1 > EJECT_MOST * len(self.members):
+        if peer.strikes < least or peer.ejected > now or away + 1 > EJECT_MOST * len(self.members):
             return
         peer.ejected = now + int((EJECT_NS << (peer.strikes - 1)) * self.rng.uniform(0.8, 1.2))
         self.stale = True
