Leave a failing server alone for 4 s at most, as trials cost less than its capacity

At fault: _eject doubled up to 16 times. Now up to 4: a trial of one request each 4 s costs next to nothing.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -29,7 +29,7 @@
 WINDOW = 1.8                    # own requests in flight, as a multiple of the crowded state
 RISE = 0.01                     # how fast the usual times may rise, a second
 CROWDED = 3.0                   # answer times, against the usual, at which a server holds too much
-EJECT_NS = 1 * api.SECOND       # ejection after one failure; doubles with each further one up to 16 times
+EJECT_NS = 1 * api.SECOND       # ejection after a failure; doubles with each further one up to four times
 IDLE_DEAD = 3                   # silent attempts on unused connections in a row before such are closed first
 IDLE_TRIAL = 0.06               # part of the requests that try an unused connection all the same
 IDLE_NS = api.SECOND // 2       # a connection unused for longer may have died unseen
@@ -570,7 +570,7 @@
         failures in a row shut it out for long.  It hurts when more than half of the servers are dead (some
         attempts then still go there) or when requests fail by their own fault.
         """
-        peer.strikes = min(peer.strikes + 1, 5)
+        peer.strikes = min(peer.strikes + 1, 3)
         away = sum(p.ejected > now for p in self.members)
         if peer.strikes < least or peer.ejected > now or away + 1 > EJECT_MOST * len(self.members):
             return
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -35,6 +35,16 @@
     assert any(where == 3 for at, where in world.sends if at > world.now - 20 * S)
 
 
+def test_a_server_that_answers_again_is_found_within_seconds() -> None:
+    """After a silence servers were shut out for up to 16 s, while the others carried too much."""
+    world = started(settings(max_attempts=1), lines(10))
+    peer = world.balancer.members[0]
+    for _ in range(9):
+        world.now = max(world.now, peer.ejected)
+        world.balancer._eject(world.now, peer)
+        assert world.now < peer.ejected <= world.now + 5 * S
+
+
 def test_lateness_of_a_whole_fleet_ejects_nobody() -> None:
     """A jam makes every server late; half the fleet used to be ejected for it."""
     world = started(settings(second_copies=False, max_attempts=1), lines(10))
