Pass on answers longer than 64 KiB, and widen the floor of the window in flight

At fault: MOST_BODY (64 KiB) bounded answers as it does requests; and _open's floor of 10 requests in flight for ten servers, of which a few stuck ones took most (650 refusals a second by the window). Changed: answers may have 16 KiB for each MB of memory, 1 MiB at most; the floor is 4 for each server and balancer.

--- a/lugtally/__main__.py
+++ b/lugtally/__main__.py
@@ -18,7 +18,7 @@
 
 from lugtally import __version__, config
 from lugtally.facade import Facade
-from lugtally.net.destination import Destinations, Limits, idle_limit
+from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
 from lugtally.net.front import Front
 from lugtally.net.pool_config import PoolWatch
 from lugtally.net.scheduler import MS, READ, Hub
@@ -35,7 +35,8 @@
     hub = Hub()
     facade = Facade(told.settings, told.seed, hub)
     # Descriptors: half for front sockets, three eighths for destinations, the rest for all else.
-    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), told.sockets * 3 // 8)
+    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), told.sockets * 3 // 8,
+                    answer_limit(told.memory_mb))
     fields = told.settings.load_fields if told.answers_report else ()
     destinations = Destinations(hub, limits, fields)
     pool = PoolWatch(hub, facade, destinations, told.discovery, told.zones)
--- a/lugtally/config.py
+++ b/lugtally/config.py
@@ -32,6 +32,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: int
     known: PoolConfig
     settings: api.Settings
     zones: tuple[str, ...]
@@ -113,6 +114,7 @@
         discovery=read_address(environment.get("PROXY_DISCOVERY") or raw.get("discovery"), "discovery"),
         seed=_seed(raw.get("seed")),
         sockets=sockets,
+        memory_mb=_positive(limits, "memory_mb", 192),
         known=read_pool(raw.get("known") or {"version": 0, "full": True, "servers": []}, "known"),
         settings=settings,
         zones=tuple(str(zone) for zone in _part(told, "zones", list)),
--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -559,7 +559,7 @@
             self.mean[cls] = min(max(recent, self.mean[cls]), self.mean[cls] * (1 + RISE * span / api.SECOND))
         self.room = min((self._class(c).aim_ns / max(1.0, m) for c, m in self.mean.items()), default=9.0)
         self.crowded = min(CROWDED, self.room / 2.5)
-        least = max(4.0, 2 * len(self.members) / self.set.balancers)
+        least = max(4.0, 4 * len(self.members) / self.set.balancers)
         if self.paced > 4:
             self.window = max(least, WINDOW * self.crowded * self.pace)
 
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from lugtally.net.ending import Ending
-from lugtally.net.http1 import BadMessage, Forward, Message, Parser
+from lugtally.net.http1 import MOST_BODY, BadMessage, Forward, Message, Parser
 from lugtally.net.scheduler import MS, READ, WRITE, Hub, Woken
 
 CHUNK = 64 * 1024
@@ -31,11 +31,11 @@
 
     __slots__ = ("sock", "fd", "address", "parser", "idle_since")
 
-    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
+    def __init__(self, sock: socket.socket, address: tuple[str, int], most_answer: int) -> None:
         self.sock = sock
         self.address = address
         self.fd = sock.fileno()
-        self.parser = Parser(responses=True)
+        self.parser = Parser(responses=True, most_body=most_answer)
         self.idle_since = 0
 
 
@@ -54,6 +54,7 @@
     connect_ns: int
     idle_ns: int        # an idle connection is retired after this; the server closes it a little later
     most: int           # connections to all destinations together
+    most_answer: int = MOST_BODY    # the longest body of an answer: it is held whole until it is passed on
 
 
 class Destinations:
@@ -191,7 +192,7 @@
             logger.warning("no socket for a destination: {}", error.strerror)
             raise _StepOver(Ending.NO_SOCKET) from error
         self.open += 1
-        link = Link(sock, address)
+        link = Link(sock, address, self._limits.most_answer)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             code = sock.connect_ex(address)
@@ -255,6 +256,11 @@
     return Ending.ERRORED
 
 
+def answer_limit(memory_mb: int) -> int:
+    """The longest body of an answer: destinations send longer ones than they take, but memory is short."""
+    return max(MOST_BODY, min(memory_mb * 16 * 1024, 1024 * 1024))
+
+
 def idle_limit(keepalive_ns: int) -> int:
     """When to retire an idle connection: early enough that no request crosses the other side's closing."""
     return max(keepalive_ns - 2000 * MS, keepalive_ns // 2)
--- a/lugtally/net/http1.py
+++ b/lugtally/net/http1.py
@@ -178,8 +178,12 @@
     def _grow(self, count: int) -> None:
         if len(self._body) + count > self._most_body:
             raise BadMessage(413, "the body is too large")
-        self._body += self._buffer[:count]
-        del self._buffer[:count]
+        if count == len(self._buffer):      # the usual case: one copy less of a long body
+            self._body += self._buffer
+            self._buffer.clear()
+        else:
+            self._body += self._buffer[:count]
+            del self._buffer[:count]
 
     def _read_told(self) -> bool:
         if self._left < 0:
