Do not use a connection again when it nears its idle time

By reading: idle connections were closed once a second only and _reuse did not look at their age. Kept since it is right by the protocol; the test fails without it.

--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -138,6 +138,9 @@
             calm = sum(link.idle_since <= settled for link in links)    # they stand first
             link = links.pop(max(0, calm - 1))
             self._hub.unwatch(link.fd)
+            if link.idle_since < settled - self._limits.idle_ns:
+                self._close(link)       # the other side closes it about now: a request would end as a reset
+                continue
             try:
                 if link.idle_since > settled:
                     # A new connection would cost the destination more work than this costs time.
@@ -263,6 +266,6 @@
 
 def idle_limit(keepalive_ns: int) -> int:
     """When to retire an idle connection: early enough that no request crosses the other side's closing."""
-    return max(keepalive_ns - 2000 * MS, keepalive_ns // 2)
+    return keepalive_ns - min(2000 * MS, keepalive_ns // 5)
 
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,7 +14,7 @@
 
 from lugtally import api, config, facade
 from lugtally.decide import Balancer
-from lugtally.net.destination import SETTLE_NS, Destinations, Limits
+from lugtally.net.destination import SETTLE_NS, Destinations, Limits, idle_limit
 from lugtally.net.ending import RESULTS, Ending
 from lugtally.net.front import Front, FrontSocket
 from lugtally.net.http1 import Forward, Message
@@ -288,6 +288,35 @@
     assert bodies == [b"1", b"2"]
 
 
+def test_a_connection_near_its_idle_time_is_not_used_again() -> None:
+    """Idle ones were closed once a second only, so that requests crossed the other side's closing."""
+    hub = Hub()
+    server = listener()
+    destinations = Destinations(hub, Limits(1000 * MS, idle_limit(50 * MS), 9), ())
+    destinations.place(1, server.getsockname())
+    accepted: list[socket.socket] = []
+    ends: list[Ending] = []
+
+    def peer() -> None:
+        for _ in range(2):
+            hub.wait(server.fileno(), 1)
+            accepted.append(server.accept()[0])
+            hub.wait(accepted[-1].fileno(), 1)
+            accepted[-1].sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    def step() -> None:
+        for _ in range(2):
+            ends.append(destinations.run(1, Forward(Message("GET", "/")), hub.now() + 5000 * MS)[0])
+            hub.sleep(60 * MS)
+        hub.stop()
+
+    hub.spawn(peer)
+    hub.spawn(step)
+    hub.run(lambda: None)
+    server.close()
+    assert len(accepted) == 2 and ends == [Ending.SERVED] * 2
+
+
 @pytest.mark.parametrize("text", ["", "[]", "{}", '{"queue":"x"}', '{"queue":1e999}', '{"queue":-1}',
                                   '{"queue":' + "9" * 400 + "}", "[" * 5000])
 def test_a_load_report_that_cannot_be_read_is_none(text: str) -> None:
