Count no overdue request as load where later ones are answered soon; close where crowded

Answers lost or connections fallen silent hold a place in flight for 227 to 400 ms where work takes 3 to 24; they lowered limits, the window and the part let in as a queue would. Changed: such a request, overdue while its server has answered later ones within 1.4 usual times, counts neither as load nor as late; the window follows the room that aims leave; with over half of the front sockets taken each answer ends its connection.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -34,6 +34,7 @@
 IDLE_TRIAL = 0.06               # part of the requests that try an unused connection all the same
 IDLE_NS = api.SECOND // 2       # a connection unused for longer may have died unseen
 EJECT_MOST = 0.5                # share of the members that may be ejected at once
+BRISK = 1.4                     # answer times, against the usual, up to which a missing answer is no queue
 SLOW_TIMES = 3.0                # answer times against the median peer that eject
 STRAINED = 0.35                 # part of the answers that may take over half their aim before less is let in
 SHALLOW = -3.0                  # logarithm of the least part let in
@@ -44,16 +45,22 @@
 class Peer:
     """What this balancer knows of one server, nearly all of it from its own requests."""
 
-    __slots__ = ("id", "zone", "cell", "state", "started", "rank", "out", "heard", "used", "load",
+    __slots__ = ("id", "zone", "cell", "state", "started", "rank", "out", "stuck", "heard", "used", "load",
                  "told", "limit", "cut", "slow", "seen", "strikes", "ejected", "tokens", "filled")
 
     def __init__(self, line: api.Server, rank: float, now: int) -> None:
         self.id = line.id
         self.rank = rank
         self.out: dict[tuple[str, int], int] = {}    # own attempts in flight -> when sent, oldest first
+        self.stuck = 0      # how many of these are overdue while later ones are answered soon
         self.relist(line)
         self.renew(now)
 
+    @property
+    def busy(self) -> int:
+        """Own attempts in flight that it seems to work on."""
+        return len(self.out) - self.stuck
+
     def relist(self, line: api.Server) -> None:
         """Take over what the list says."""
         self.zone, self.cell, self.state = line.zone, line.cell, line.state
@@ -78,13 +85,14 @@
 class Flight:
     """An attempt in flight."""
 
-    __slots__ = ("peer", "cls", "sent", "idle", "unused", "overdue")
+    __slots__ = ("peer", "cls", "sent", "idle", "unused", "overdue", "stuck")
 
     def __init__(self, peer: Peer, cls: int, sent: int, unused: int) -> None:
         self.peer, self.cls, self.sent = peer, cls, sent
         self.idle = not peer.out    # nothing else of ours was in flight there
         self.unused = unused        # how long its connection had not been used; 0: a fresh one
         self.overdue = False
+        self.stuck = False
 
 
 class Held:
@@ -122,6 +130,7 @@
         self.flying = 0.0                       # own requests in flight, smoothed
         self.held: dict[str, Held] = {}
         self.out: dict[tuple[str, int], Flight] = {}
+        self.stuck = 0
         self.due: list[tuple[int, str, int]] = []       # heap: when an attempt is overdue, which
         self.wake = 0                           # when the next timer for these comes, 0: none
         self.idle_safe = 0                      # connections unused longer are closed before use; 0: never
@@ -322,27 +331,27 @@
         """Two members at random, the one with fewer own requests in flight."""
         head = self._headroom(held)
         best: Peer | None = None
-        if len(self.out) >= self.window * head:
+        if len(self.out) - self.stuck >= self.window * head:
             return None
         for turn in range(12 if self.table else 0):
             sums = self.sums if turn < 6 else self.flat
             peer = self.table[bisect(sums, self.rng.random() * sums[-1], 0, len(sums) - 1)]
-            if peer is best or len(peer.out) >= max(1.0, peer.limit * head):
+            if peer is best or peer.busy >= max(1.0, peer.limit * head):
                 continue
             if peer.id in held.servers or not self._may_send(now, held, peer):
                 continue
             if best is not None:
                 # Between equals the clearly faster one; a small lead would starve all but the fastest.
-                even = len(peer.out) == len(best.out) and (
+                even = peer.busy == best.busy and (
                     self._expected(now, peer) * 1.25 < self._expected(now, best))
-                return peer if even or len(peer.out) < len(best.out) else best
+                return peer if even or peer.busy < best.busy else best
             if turn >= 6:
                 return peer
             best = peer
         if best is None and held.servers:    # few may take a retry: look at each
             fit = (p for p in self.usable if p.ejected <= now and p.id not in held.servers
-                   and len(p.out) < p.limit and self._may_send(now, held, p))
-            best = min(fit, key=lambda p: (len(p.out), p.slow), default=None)
+                   and p.busy < p.limit and self._may_send(now, held, p))
+            best = min(fit, key=lambda p: (p.busy, p.slow), default=None)
         return best
 
     def _expected(self, now: int, peer: Peer) -> float:
@@ -439,6 +448,8 @@
         held = self.held.get(event.id)
         if flight is not None:
             flight.peer.out.pop(key, None)
+            flight.peer.stuck -= flight.stuck
+            self.stuck -= flight.stuck
             self._weigh(now, flight, event.result, event.took_ns)
             self._judge(now, flight, event)
         if held is None or event.attempt >= len(held.servers):
@@ -473,6 +484,8 @@
             self._eject(now, peer)
         elif result is Result.ERROR or result is Result.RESET:
             self._eject(now, peer, 2)   # one spoilt answer among good ones says nothing of the server
+        if flight.stuck and result is not Result.OK:
+            return
         if result in (Result.OK, Result.TIMEOUT):
             mean = self._usual(flight.cls, event, flight.idle)
             if result is Result.OK:
@@ -506,6 +519,8 @@
 
     def _weigh(self, now: int, flight: Flight, result: Result, took: int) -> None:
         """Let less in while answers are late or turned away, more while they are not; see ``_let_in``."""
+        if flight.stuck:
+            return
         if result is Result.OK or result is Result.REJECTED:
             bad = result is Result.REJECTED
         elif result is Result.TIMEOUT or result is Result.CANCELLED:
@@ -561,7 +576,7 @@
         self.crowded = min(CROWDED, self.room / 2.5)
         least = max(4.0, 4 * len(self.members) / self.set.balancers)
         if self.paced > 4:
-            self.window = max(least, WINDOW * self.crowded * self.pace)
+            self.window = max(least, WINDOW * max(self.crowded, self.room / 6) * self.pace)
 
     def _eject(self, now: int, peer: Peer, least: int = 1) -> None:
         """Leave a failing server alone, briefly at first, unless too many are left alone already.
@@ -628,6 +643,14 @@
             flight = self.out.get((request, attempt))
             if flight is None:
                 continue
+            if flight.peer.heard >= flight.sent and flight.peer.slow < BRISK:
+                # Later requests were answered there, and soon: the answer is lost, or its work is long.
+                # Taken for a queue, answers lost by half a fleet cost all of its capacity.  It hurts where
+                # long work that is not counted crowds a server, until its other answers come later.
+                flight.stuck = True
+                flight.peer.stuck += 1
+                self.stuck += 1
+                continue
             if not flight.overdue:
                 self._weigh(now, flight, Result.TIMEOUT, now - flight.sent)
                 flight.overdue = True
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -164,7 +164,10 @@
                     return
                 # A request at fault ends its connection: one may bring hundreds, or repeat itself at once.
                 at_fault = 400 <= answer[0] < 500
-                close = self._draining or not message.keep or at_fault
+                # Where clients hold many connections, some of which will never ask again, none is worth
+                # keeping: a request that comes could not be sent for want of one.
+                crowded = len(self._open) > self._most // 2
+                close = self._draining or not message.keep or at_fault or crowded
                 if not self._write(front, write_answer(*answer, close=close)):
                     return
                 if close:
