Eject servers that turn all away or refuse connections even beyond half of the fleet

Checked with a trace of each second and of unsent steps: two servers that had just stopped took 310 and 140 requests; five slow ones were being left alone, so the cap of half kept the dead ones in; rejections never ejected at all. At fault: _eject's cap and _judge. Now a refused connection, or two rejections in a row, eject whatever else is out. Open there: servers at a limit of one request each leave cores idle in such a jam.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -481,7 +481,9 @@
                 peer.strikes = peer.ejected = 0
                 self.stale = True
         elif result is Result.NO_CONNECTION:
-            self._eject(now, peer)
+            self._eject(now, peer, sure=True)
+        elif result is Result.REJECTED:
+            self._eject(now, peer, 2, sure=True)
         elif result is Result.ERROR or result is Result.RESET:
             self._eject(now, peer, 2)   # one spoilt answer among good ones says nothing of the server
         if flight.stuck and result is not Result.OK:
@@ -578,7 +580,7 @@
         if self.paced > 4:
             self.window = max(least, WINDOW * max(self.crowded, self.room / 6) * self.pace)
 
-    def _eject(self, now: int, peer: Peer, least: int = 1) -> None:
+    def _eject(self, now: int, peer: Peer, least: int = 1, sure: bool = False) -> None:
         """Leave a failing server alone, briefly at first, unless too many are left alone already.
 
         Meant for dead, erring, silent and unreachable servers.  One failure costs a second; only
@@ -587,7 +589,10 @@
         """
         peer.strikes = min(peer.strikes + 1, 3)
         away = sum(p.ejected > now for p in self.members)
-        if peer.strikes < least or peer.ejected > now or away + 1 > EJECT_MOST * len(self.members):
+        # One that turns all away or accepts nothing has no queue, so the pick favours it: it goes (``sure``)
+        # even where slow ones, which still answer, have taken up the half.
+        if (peer.strikes < least or peer.ejected > now
+                or (not sure and away + 1 > EJECT_MOST * len(self.members))):
             return
         peer.ejected = now + int((EJECT_NS << (peer.strikes - 1)) * self.rng.uniform(0.8, 1.2))
         self.stale = True
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -45,6 +45,21 @@
         assert world.now < peer.ejected <= world.now + 5 * S
 
 
+def test_servers_that_turn_all_away_go_though_half_of_the_fleet_is_out() -> None:
+    """Slow servers had taken up the half, and two that had just stopped took in 450 requests."""
+    for result in api.Result.NO_CONNECTION, api.Result.REJECTED:
+        world = started(settings(max_attempts=1), lines(10))
+        for peer in world.balancer.members[:5]:
+            peer.ejected = world.now + 60 * S
+        dead = world.balancer.members[5].id
+        for n in range(60):
+            world.ask(f"x{n}")
+            world.now += 5 * MS
+            for copy in world.tracks[f"x{n}"].copies:
+                world.end(f"x{n}", 0, result if copy.server == dead else api.Result.OK)
+        assert sum(where == dead for _, where in world.sends) <= 2
+
+
 def test_lateness_of_a_whole_fleet_ejects_nobody() -> None:
     """A jam makes every server late; half the fleet used to be ejected for it."""
     world = started(settings(second_copies=False, max_attempts=1), lines(10))
