--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -168,7 +168,9 @@
                 # keeping: a request that comes could not be sent for want of one.
                 crowded = len(self._open) > self._most // 2
                 close = self._draining or not message.keep or at_fault or crowded
-                if not self._write(front, write_answer(*answer, close=close)):
+                data = write_answer(*answer, close=close)
+                answer = None       # a slow client takes long: its answer is then held once, not twice
+                if not self._write(front, data):
                     return
                 if close:
                     if at_fault or not front.parser.idle:
