Move the hub, the endings and the list's types below the facade

Need: the facade imported from net/, an arrow running up, and the virtual clock and the rehearsal kit need the hub and the configuration without the network code. No behaviour changes.

--- a/lugtally/__main__.py
+++ b/lugtally/__main__.py
@@ -16,12 +16,13 @@
 
 from loguru import logger
 
-from lugtally import __version__, config
+from lugtally import __version__
+from lugtally.config import sidecar as config
 from lugtally.facade import Facade
+from lugtally.hub.scheduler import MS, READ, Hub
 from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
 from lugtally.net.front import Front
 from lugtally.net.pool_config import PoolWatch
-from lugtally.net.scheduler import MS, READ, Hub
 
 RETIRE_EVERY_NS = 1000 * MS
 LATE_NS = 50 * MS
--- a/lugtally/config.py
+++ b/lugtally/config/sidecar.py
@@ -13,7 +13,7 @@
 import ujson
 
 from lugtally import api
-from lugtally.net.pool_config import PoolConfig, read_address, read_pool
+from lugtally.config.pool import PoolConfig, read_address, read_pool
 from lugtally.settings import read_settings
 
 LEAST_SOCKETS = 64
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -15,8 +15,8 @@
 
 from lugtally import api
 from lugtally.decide import Balancer
-from lugtally.net.ending import RESULTS, Ending
-from lugtally.net.scheduler import Hub, Signal
+from lugtally.ending import RESULTS, Ending
+from lugtally.hub.scheduler import Hub, Signal
 
 BACKSTOP_NS = 20 * api.MS
 
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -15,9 +15,9 @@
 import ujson
 from loguru import logger
 
-from lugtally.net.ending import Ending
+from lugtally.ending import Ending
+from lugtally.hub.scheduler import MS, READ, WRITE, Hub, Woken
 from lugtally.net.http1 import MOST_BODY, BadMessage, Forward, Message, Parser
-from lugtally.net.scheduler import MS, READ, WRITE, Hub, Woken
 
 CHUNK = 64 * 1024
 # An answer may bring more than belongs to it right behind.  A connection is used again only after this long
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -7,11 +7,11 @@
 from loguru import logger
 
 from lugtally import api
+from lugtally.ending import Ending
 from lugtally.facade import Ask, BusyReply, ClientGone, Facade, RouteStep, StepEnded
+from lugtally.hub.scheduler import LEFT, MS, READ, WRITE, Hub, Signal, Task, Woken
 from lugtally.net.destination import Destinations
-from lugtally.net.ending import Ending
 from lugtally.net.http1 import METHODS, BadMessage, Forward, Message, Parser, write_answer
-from lugtally.net.scheduler import LEFT, MS, READ, WRITE, Hub, Signal, Task, Woken
 
 HEALTH = "/_health"
 CHUNK = 16 * 1024          # small, as each front socket may hold that much of what it has not parsed
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -12,14 +12,16 @@
 
 import pytest
 
-from lugtally import api, config, facade
+from lugtally import api, facade
+from lugtally.config import sidecar as config
+from lugtally.config.pool import number_of, read_pool
 from lugtally.decide import Balancer
+from lugtally.ending import RESULTS, Ending
+from lugtally.hub.scheduler import MS, Hub, Signal, Woken
 from lugtally.net.destination import SETTLE_NS, Destinations, Limits, idle_limit
-from lugtally.net.ending import RESULTS, Ending
 from lugtally.net.front import Front, FrontSocket
 from lugtally.net.http1 import Forward, Message
-from lugtally.net.pool_config import PoolWatch, number_of, read_pool
-from lugtally.net.scheduler import MS, Hub, Signal, Woken
+from lugtally.net.pool_config import PoolWatch
 from tests.player import ROOT, Player, listener
 
 
