Add the rehearsal kit's model, stand-ins, load tool, judge and runner; commands on click

Need: only an outside bench could say whether lugtally is any good. Change: lugtally/rehearsal holds scenarios (16 shipped), named random streams, the pledge server's model, stand-ins on loopback (uvloop, httptools), an open-loop load tool, the judge of the four rules, baselines and the runner; the building of the sidecar moved to service/, the command line to click in cli/, with 'serve' loading its own command alone. Not yet: commands, reports as pages, tests and pages of the kit.

--- a/lugtally/__main__.py
+++ b/lugtally/__main__.py
@@ -1,130 +1,40 @@
-"""The command line of the sidecar.
+"""``python -m lugtally``: the command line.
 
 Exit status: 0 after a planned stop, 1 where the address cannot be listened on, 2 for a bad command line or
-configuration.
+configuration; the rehearsal commands have more, see ``lugtally rehearse --help``.
 """
 
 from __future__ import annotations
 
-import argparse
-import gc
-import os
-import signal
-import socket
 import sys
-from collections.abc import Callable
 
-from loguru import logger
-
-from lugtally import __version__
-from lugtally.config import sidecar as config
-from lugtally.facade import Facade
-from lugtally.hub.scheduler import MS, READ, Hub
-from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
-from lugtally.net.front import Front
-from lugtally.net.pool_config import PoolWatch
-
-RETIRE_EVERY_NS = 1000 * MS
-LATE_NS = 50 * MS
-LOG_FORMAT = "{time:HH:mm:ss.SSS} {level: <7} {message}"
-
-
-def serve(told: config.Config, level: str) -> int:
-    """Run the sidecar until it is told to stop."""
-    logger.remove()
-    logger.add(sys.stderr, level=level, format=LOG_FORMAT, backtrace=False, diagnose=False)
-    hub = Hub()
-    facade = Facade(told.settings, told.seed, hub)
-    # Descriptors: half for front sockets, three eighths for destinations, the rest for all else.
-    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), told.sockets * 3 // 8,
-                    answer_limit(told.memory_mb))
-    fields = told.settings.load_fields if told.answers_report else ()
-    destinations = Destinations(hub, limits, fields)
-    pool = PoolWatch(hub, facade, destinations, told.discovery, told.zones)
-    facade.register(destinations.close_idle, pool.watch)
-    front = Front(hub, facade, destinations, told.settings.classes, told.sockets // 2)
-    try:
-        front.listen(told.listen)
-    except OSError as error:
-        print(f"lugtally: listen: {told.listen[0]}:{told.listen[1]}: {error.strerror}", file=sys.stderr)
-        return 1
-    _on_signals(hub, {signal.SIGTERM: front.drain, signal.SIGINT: front.drain,
-                      signal.SIGHUP: lambda: _reread(pool)})
-    hub.spawn(pool.start, told.known)
-    hub.spawn(_keep_house, hub, destinations, pool, front)
-    # What lives from the start is never garbage: collections then stay short.
-    gc.collect()
-    gc.freeze()
-    logger.info("{} serves at {}:{}", told.name, *told.listen)
-    hub.run(facade.tick)
-    logger.info("{} has stopped", told.name)
-    return 0
-
-
-def _keep_house(hub: Hub, destinations: Destinations, pool: PoolWatch, front: Front) -> None:
-    """Retire idle connections; be ready once there is somewhere to send to."""
-    while True:
-        front.ready = front.ready or pool.usable > 0
-        hub.sleep(RETIRE_EVERY_NS if front.ready else 10 * MS)
-        destinations.retire()
-        if hub.latest_ns > LATE_NS:
-            # The machine or a collection held the process up: look here before blaming a decision.
-            logger.warning("timers ran {:.0f} ms late", hub.latest_ns / MS)
-        hub.latest_ns = 0
-
-
-def _reread(pool: PoolWatch) -> None:
-    """SIGHUP: move the watch where the configuration now says.  All else in it holds from the next start."""
-    try:
-        told = config.load(os.environ, again=True)
-    except config.ConfigError as error:
-        # A slip in the file must not end the service: all goes on as it was told before.
-        logger.error("the new configuration is not used: {}", error)
-        return
-    logger.info("told to read the configuration again: discovery at {}:{}", *told.discovery)
-    pool.move(told.discovery)
 
+def main(arguments: list[str] | None = None) -> int:
+    """Run one command; returns the exit status."""
+    told = sys.argv[1:] if arguments is None else arguments
+    if told[:1] == ["serve"]:
+        # The daemon has days of 32 MB: it loads its own command and none of the groups round it.
+        from lugtally.cli.daemon import serve
 
-def _on_signals(hub: Hub, handlers: dict[signal.Signals, Callable[[], None]]) -> None:
-    """Signals wake the poll through a socket, as a blocked poll would go on after a handler."""
-    reader, writer = socket.socketpair()
-    reader.setblocking(False)
-    writer.setblocking(False)
-    signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-    for number in handlers:
-        signal.signal(number, lambda *_: None)
+        return run(serve, told[1:], "lugtally serve")
+    from lugtally.cli.root import root
 
-    def told(_: int) -> None:
-        writer.fileno()     # keeps the other end alive
-        for number in dict.fromkeys(reader.recv(64)):
-            handlers[signal.Signals(number)]()
+    return run(root, told, "lugtally")
 
-    hub.watch(reader.fileno(), READ, told)
 
+def run(command: object, arguments: list[str], name: str) -> int:
+    """A click command to an exit status: ours where it returns one, 2 for a bad command line."""
+    import click
 
-def main(arguments: list[str] | None = None) -> int:
-    """Parse the command line and run one sub-command."""
-    parser = argparse.ArgumentParser(prog="lugtally", description="A load-balancing sidecar.")
-    commands = parser.add_subparsers(dest="command", required=True)
-    run = commands.add_parser("serve", help="run the sidecar, as the PROXY_* variables say")
-    run.add_argument("--log-level", default="INFO", choices=["DEBUG", "INFO", "WARNING", "ERROR"])
-    check = commands.add_parser("check-config", help="check the configuration and say what it holds")
-    check.add_argument("file", nargs="?", help="config.json; default: what PROXY_CONFIG names")
-    commands.add_parser("version", help="print the version")
-    chosen = parser.parse_args(arguments)
-    if chosen.command == "version":
-        print(f"lugtally {__version__}")
-        return 0
+    assert isinstance(command, click.Command)
     try:
-        told = config.load(os.environ, getattr(chosen, "file", None))
-    except config.ConfigError as error:
-        print(f"lugtally: {error}", file=sys.stderr)
-        return 2
-    if chosen.command == "check-config":
-        print(f"{told.name}: {len(told.settings.classes)} classes, {len(told.known.rows)} known destinations,"
-              f" listens at {told.listen[0]}:{told.listen[1]}")
-        return 0
-    return serve(told, chosen.log_level)
+        status = command.main(args=arguments, prog_name=name, standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except click.Abort:
+        return 130
+    return status if isinstance(status, int) else 0
 
 
 if __name__ == "__main__":
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from heapq import heappop, heappush
+from typing import Protocol
 
 from loguru import logger
 
@@ -108,12 +109,22 @@
 STATES = {"ready": api.State.UP, "draining": api.State.DRAINING}
 
 
+class Decider(Protocol):
+    """What decides: the shipped :class:`Balancer`, or what the rehearsal kit compares it with."""
+
+    def handle(self, now: int, event: api.Event, /) -> list[api.Action]:
+        """What to do about an event at ``now`` (nanoseconds)."""
+
+
+Decisions = Callable[[api.Settings, int], Decider]
+
+
 class Facade:
     """One sidecar's decisions, called from its tasks."""
 
-    def __init__(self, settings: api.Settings, seed: int, hub: Hub) -> None:
+    def __init__(self, settings: api.Settings, seed: int, hub: Hub, decisions: Decisions | None = None) -> None:
         self._hub = hub
-        self._balancer = Balancer(settings, seed)
+        self._balancer = (decisions or Balancer)(settings, seed)
         self._asks: dict[str, Ask] = {}
         self._count = 0
         self._timers: list[tuple[int, int, str]] = []
--- /dev/null
+++ b/lugtally/rehearsal/report.py
@@ -0,0 +1,168 @@
+"""A report: everything that a run showed, as one JSON document with a versioned schema."""
+
+from __future__ import annotations
+
+import os
+import platform
+from collections import Counter, defaultdict
+from pathlib import Path
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from lugtally import __version__
+from lugtally.rehearsal.judge import Books, Breach, ClassService, Findings
+from lugtally.rehearsal.ledger import Late
+from lugtally.rehearsal.plan import Plan
+from lugtally.rehearsal.scenario import Expect
+
+SCHEMA = 1
+MOST_BREACHES = 200     # listed; all are counted
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+PASSED, FAILED, BROKEN, VOID = "passed", "failed", "broken", "void"
+EXIT = {PASSED: 0, FAILED: 1, BROKEN: 1, VOID: 3}
+
+
+class ReportError(Exception):
+    """A file is no report, or one of a schema that this program does not know."""
+
+
+class Latency(Struct):
+    """Served requests of a class: milliseconds from the intended time of the first try, by percentile."""
+
+    name: str
+    count: int
+    percentiles: dict[str, float]
+
+
+class Noted(Struct):
+    """A trouble as it was played."""
+
+    kind: str
+    begun_s: float
+    ended_s: float | None
+    servers: list[str]
+
+
+class Sidecar(Struct):
+    """What a sidecar used."""
+
+    cpu_s: float
+    rss_mb: float
+
+
+class Report(Struct):
+    """One run."""
+
+    schema: int
+    scenario: str
+    seed: int
+    policy: str
+    version: str
+    machine: str
+    cores: int
+    length_s: float
+    rate_per_s: float
+    servers: int
+    verdict: str
+    reasons: list[str]
+    breaches_by_name: dict[str, int]
+    findings: Findings
+    latencies: list[Latency]
+    in_flight: dict[str, list[tuple[float, int]]]       # by server: seconds, requests held
+    attempts_per_try: dict[str, int]
+    troubles: list[Noted]
+    late: list[Late]
+    sidecars: list[Sidecar]
+
+
+def verdict(findings: Findings, expect: Expect) -> tuple[str, list[str]]:
+    """The one word on a run, and why.  A run whose kit ran late is void, whatever it shows."""
+    if findings.void:
+        return VOID, list(findings.void)
+    if findings.breaches:
+        counted = Counter(b.name for b in findings.breaches)
+        return BROKEN, [f"rule {min(b.rule for b in findings.breaches if b.name == name)} broken: {name} {count} x"
+                        for name, count in counted.most_common()]
+    floors = [("service", findings.service, expect.service), ("worst class", findings.worst_class, expect.worst_class),
+              ("worst 10 s", findings.worst_10s, expect.worst_10s)]
+    missed = [f"{name} {value:.3f}, expected {floor:g} or more" for name, value, floor in floors if value < floor]
+    return (FAILED, missed) if missed else (PASSED, [])
+
+
+def build(plan: Plan, policy: str, findings: Findings, books: Books, start: float,
+          used: list[tuple[float, float]]) -> Report:
+    """Put a report together."""
+    scenario = plan.scenario
+    word, reasons = verdict(findings, scenario.expect)
+    names = Counter(b.name for b in findings.breaches)
+    kept = Findings(**{name: getattr(findings, name) for name in findings.__struct_fields__})
+    kept.breaches = findings.breaches[:MOST_BREACHES]
+    in_flight: dict[str, list[tuple[float, int]]] = defaultdict(list)
+    for load in books.loads:
+        if start <= load.at:
+            in_flight[load.server].append((round(load.at - start, 2), load.held))
+    by_try = Counter(attempt.id for attempt in books.attempts)
+    tries = [t for t in books.tries if t.ending != "extra"]
+    spread = Counter(min(by_try.get(t.id, 0), 9) for t in tries)
+    return Report(
+        SCHEMA, scenario.name, plan.seed, policy, __version__, f"{platform.system()} {platform.machine()}",
+        os.cpu_count() or 1, scenario.length_s, plan.rate, scenario.fleet.servers, word, reasons, dict(names), kept,
+        _latencies(plan, books), dict(in_flight), {str(n): spread[n] for n in sorted(spread)}, _noted(plan),
+        books.late, [Sidecar(round(cpu, 3), round(rss, 2)) for cpu, rss in used])
+
+
+def _latencies(plan: Plan, books: Books) -> list[Latency]:
+    begun: dict[str, float] = {}
+    ended: dict[str, tuple[float, int]] = {}
+    for one in books.tries:
+        begun[one.first] = min(begun.get(one.first, one.intended), one.intended)
+        if one.ending == "served" and one.ended < ended.get(one.first, (float("inf"), 0))[0]:
+            ended[one.first] = (one.ended, one.cls)
+    found = []
+    for at, cls in enumerate(plan.scenario.classes):
+        histogram = HdrHistogram(1, 120_000_000, 3)
+        for first, (when, number) in ended.items():
+            if number == at:
+                histogram.record_value(max(1, int((when - begun[first]) * 1e6)))
+        found.append(Latency(cls.name, histogram.get_total_count(), {
+            f"{p:g}": round(histogram.get_value_at_percentile(p) / 1000, 3) for p in PERCENTILES}))
+    return found
+
+
+def _noted(plan: Plan) -> list[Noted]:
+    found = []
+    for event in plan.events:
+        if event.begins:
+            end = next((e.at for e in plan.events if not e.begins and e.trouble is event.trouble
+                        and e.at >= event.at and set(e.servers) == set(event.servers)), None)
+            machines = plan.machines
+            found.append(Noted(event.trouble.kind, event.at, end, [
+                machines[at].id for at in event.servers] if len(event.servers) < plan.scenario.fleet.servers else []))
+    return found
+
+
+def save(report: Report, path: Path) -> None:
+    """Write it whole or not at all."""
+    temporary = path.with_suffix(path.suffix + ".part")
+    temporary.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1))
+    temporary.replace(path)
+
+
+def load(path: Path) -> Report:
+    """Read one back; a :class:`ReportError` says in one line what is wrong with it."""
+    try:
+        raw = path.read_bytes()
+        head = msgspec.json.decode(raw)
+        if not isinstance(head, dict) or head.get("schema") != SCHEMA:
+            found = head.get("schema") if isinstance(head, dict) else None
+            raise ReportError(f"{path}: schema {found!r}; this program reads {SCHEMA}")
+        return msgspec.json.decode(raw, type=Report)
+    except OSError as error:
+        raise ReportError(f"{path}: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise ReportError(f"{path}: {error}") from error
+
+
+__all__ = ["Breach", "ClassService", "EXIT", "Report", "ReportError", "build", "load", "save", "verdict"]
--- /dev/null
+++ b/lugtally/rehearsal/runner.py
@@ -0,0 +1,323 @@
+"""Plays one run: starts the stand-ins, the real sidecars and the load tool, and hands their books to the judge.
+
+Every process is a child of this one in a session of its own, and is ended by its id whatever happens here: Ctrl-C
+leaves none of them and still gives a report on what was seen so far.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import psutil
+
+from lugtally.rehearsal import baselines, judge, ledger, places, plan
+from lugtally.rehearsal.ledger import Book, Life
+from lugtally.rehearsal.plan import Event, Plan
+from lugtally.rehearsal.report import Report, build
+from lugtally.rehearsal.scenario import TAKES_EFFECT, Scenario
+from lugtally.rehearsal.streams import stream
+from lugtally.rehearsal.world import Specification
+
+READY_S = 20.0          # for each process to come up
+AHEAD_S = 0.4           # between the word ``go`` and the first arrival
+STOP_S = 8.0            # for a sidecar to end after SIGTERM, beyond the longest deadline
+TURN_S = 0.05
+SAMPLE_S = 0.5
+MODULE = "module"       # the decisions that the daemon ships
+
+
+class RunError(Exception):
+    """The run could not be played."""
+
+
+@dataclass(slots=True)
+class Usage:
+    """What one sidecar used; summed over its restarts."""
+
+    cpu_s: float = 0.0
+    rss_mb: float = 0.0     # the most seen
+    ended_cpu_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """One sidecar process, and what is to become of it."""
+
+    number: int
+    process: subprocess.Popen[bytes] | None = None
+    watch: psutil.Process | None = None
+    ready: bool = False
+    told: str = ""              # kill or term, until it has ended
+    back_at: float | None = None    # when it is to be started again
+    usage: Usage = field(default_factory=Usage)
+
+
+def settings(scenario: Scenario, sidecar: int) -> dict[str, Any]:
+    """What a sidecar is told of the deployment, in the words of the platform's wire."""
+    grades = [{"name": c.name, "effect": TAKES_EFFECT[c.effect], "gain": c.worth, "late_worth": c.late_worth,
+               "slo_ns": int(c.aim_ms * 1e6), "hard_limit_ns": int(c.deadline_ms * 1e6), "key_scope": c.key_scope,
+               "key_ttl_ns": int(c.key_ttl_ms * 1e6), "stream": False} for c in scenario.classes]
+    fleet, zones = scenario.fleet, list(scenario.fleet.zones)
+    return {
+        "grades": grades, "instances": fleet.sidecars, "me": sidecar, "zones": zones,
+        "locality": sidecar % len(zones), "kinds": ["std"], "membership_mode": "subscribe", "step_ns": 5_000_000,
+        "ceilings": {"most_tries": 4, "cancel": True, "second_copies": True, "retry_after": True,
+                     "max_retry_after_ns": 2_000_000_000, "may_probe": True, "peers": False,
+                     "keepalive_ns": int(scenario.network.idle_s * 1e9), "connect_timeout_ns": 150_000_000},
+        "contract": {"answer_slack_ns": int(judge.ANSWER_SLACK_S * 1e9),
+                     "ask_within_ns": int(scenario.discovery.ask_within_s * 1e9),
+                     "cold_from": fleet.cold_from, "warm_within_ns": int(fleet.cold_s * 1e9),
+                     "drain_grace_ns": int(judge.DRAIN_GRACE_S * 1e9), "fall_multiple": fleet.fall_multiple,
+                     "tip_after_ns": int(fleet.fall_after_s * 1e9)},
+        "prices": {"cross_zone": 0.03}, "report": {"how": "probe", "columns": ["inflight", "queue", "qps"]},
+    }
+
+
+class Run:
+    """One scenario under one seed with one policy.  ``watch`` is told the seconds played and what goes on."""
+
+    def __init__(self, scenario: Scenario, seed: int, *, policy: str = MODULE, folder: Path | None = None,
+                 watch: Callable[[float, str], None] = lambda _seconds, _what: None,
+                 command: list[str] | None = None) -> None:
+        self.scenario, self.seed, self.policy, self.watch = scenario, seed, policy, watch
+        self.plan: Plan = plan.make(scenario, seed)
+        self._keep = folder is not None
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="lugtally-rehearsal-"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.command = command or self._command()
+        self.base = time.monotonic()
+        self.start = 0.0
+        self.sidecars = [Sidecar(at) for at in range(scenario.fleet.sidecars)]
+        self._children: list[subprocess.Popen[bytes]] = []
+        self._book = Book(self.folder / "runner.jsonl")
+        self._sampled = 0.0
+
+    def _command(self) -> list[str]:
+        if self.policy == MODULE:
+            return [sys.executable, "-B", "-m", "lugtally", "serve", "--log-level", "WARNING"]
+        if self.policy not in baselines.NAMES:
+            raise RunError(f"{self.policy}: no policy; there are {MODULE}, {', '.join(baselines.NAMES)}")
+        return [sys.executable, "-B", "-m", "lugtally.rehearsal.baselines", self.policy]
+
+    def clock(self) -> float:
+        """Seconds since the base."""
+        return time.monotonic() - self.base
+
+    # ------------------------------------------------------------ the whole
+
+    def play(self) -> Report:
+        """Play it to the end, or to Ctrl-C, and judge what the books hold."""
+        block = places.Block()
+        cut_short = ""
+        try:
+            self.block = block.number
+            self._play()
+        except KeyboardInterrupt:
+            cut_short = "interrupted"
+        finally:
+            # From here on a second Ctrl-C must not leave processes behind either.
+            before = signal.signal(signal.SIGINT, signal.SIG_IGN)
+            try:
+                self._end()
+                self._book.close()
+                block.close()
+            finally:
+                signal.signal(signal.SIGINT, before)
+        books = judge.sort(ledger.read(self.folder / name for name in
+                                       ("world.jsonl", "load.jsonl", "runner.jsonl")))
+        findings = judge.judge(books, self.plan, self.start)
+        if cut_short:
+            findings.void.insert(0, f"{cut_short} after {max(0.0, self.clock() - self.start):.1f} s")
+        report = build(self.plan, self.policy, findings, books, self.start,
+                       [(s.usage.cpu_s, s.usage.rss_mb) for s in self.sidecars])
+        if not self._keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        return report
+
+    def _play(self) -> None:
+        self.watch(0.0, "starting")
+        world = self._part("world")
+        self._await_word(world, "ready")
+        for sidecar in self.sidecars:
+            self._configure(sidecar)
+            self._start(sidecar)
+        load = self._part("load")
+        self._await_word(load, "ready")
+        until = self.clock() + READY_S
+        while not all(sidecar.ready for sidecar in self.sidecars):
+            self._look_at_sidecars()
+            if self.clock() > until:
+                raise RunError(f"a sidecar was not ready after {READY_S:g} s; its log is in {self.folder}")
+            if any(s.process is not None and s.process.poll() is not None for s in self.sidecars):
+                raise RunError(f"a sidecar ended before it was ready; its log is in {self.folder}")
+            time.sleep(0.02)
+        self.start = self.clock() + AHEAD_S
+        for part in (world, load):
+            self._tell(part, f"go {self.start!r}")
+        script = [event for event in self.plan.events if event.trouble.kind.startswith("sidecar-") and event.begins]
+        assert load.stdout is not None
+        while True:
+            ready, _, _ = select.select([load.stdout], [], [], TURN_S)
+            if ready:
+                break       # done, or ended
+            now = self.clock()
+            while script and now >= self.start + script[0].at:
+                self._strike(script.pop(0))
+            self._look_at_sidecars()
+            if world.poll() is not None:
+                raise RunError(f"the stand-ins ended; their log is in {self.folder}")
+            self.watch(min(self.scenario.length_s, max(0.0, now - self.start)), "playing")
+        self.watch(self.scenario.length_s, "stopping")
+
+    def _end(self) -> None:
+        """Stop everything: the sidecars as planned, then the rest; none is left behind."""
+        self._sample(force=True)
+        for sidecar in self.sidecars:
+            sidecar.back_at = None
+            if sidecar.process is not None and sidecar.process.poll() is None and not sidecar.told:
+                self._signal(sidecar, "term", signal.SIGTERM)
+        longest = max(cls.deadline_ms for cls in self.scenario.classes) / 1000
+        until = self.clock() + longest + STOP_S
+        while self.clock() < until and any(s.process is not None for s in self.sidecars):
+            self._look_at_sidecars()
+            time.sleep(0.01)
+        for child in self._children:
+            if child.stdin is not None and child.poll() is None:
+                try:
+                    child.stdin.write(b"stop\n")
+                    child.stdin.close()
+                except OSError:
+                    pass        # it has ended meanwhile
+        until = time.monotonic() + 5
+        for child in self._children:
+            try:
+                child.wait(max(0.1, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                child.kill()
+                child.wait()
+
+    # ------------------------------------------------------------ processes
+
+    def _spawn(self, command: list[str], log: str, **more: Any) -> subprocess.Popen[bytes]:
+        with (self.folder / log).open("ab") as stderr:
+            child = subprocess.Popen(command, stderr=stderr, start_new_session=True, **more)
+        self._children.append(child)
+        return child
+
+    def _part(self, name: str) -> subprocess.Popen[bytes]:
+        told = Specification(self.scenario, self.seed, self.block, self.base, str(self.folder / f"{name}.jsonl"))
+        path = self.folder / f"{name}.spec.json"
+        path.write_bytes(msgspec.json.encode(told))
+        return self._spawn([sys.executable, "-B", "-m", f"lugtally.rehearsal.{name}", str(path)], f"{name}.log",
+                           stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+
+    def _await_word(self, child: subprocess.Popen[bytes], word: str) -> None:
+        assert child.stdout is not None
+        ready, _, _ = select.select([child.stdout], [], [], READY_S)
+        if not ready or child.stdout.readline().strip() != word.encode():
+            raise RunError(f"a part of the kit did not come up; its log is in {self.folder}")
+
+    def _tell(self, child: subprocess.Popen[bytes], line: str) -> None:
+        assert child.stdin is not None
+        child.stdin.write(line.encode() + b"\n")
+        child.stdin.flush()
+
+    def _configure(self, sidecar: Sidecar) -> None:
+        rows = [{"id": m.id, "addr": f"{places.server(self.block, at, sidecar.number)}:{places.PORT}", "zone": m.zone,
+                 "kind": "std", "cell": self.scenario.fleet.zones.index(m.zone), "state": "ready", "weight": 1.0,
+                 "started_ms": 0} for at, m in enumerate(self.plan.machines[:self.scenario.fleet.servers])]
+        told = {"name": f"n{sidecar.number}", "listen": f"{places.front(self.block, sidecar.number)}:{places.PORT}",
+                "discovery": f"{places.discovery(self.block, sidecar.number)}:{places.PORT}",
+                "seed": f"{stream(self.seed, 'sidecar', sidecar.number).integers(2**62):x}",
+                "limits": {"cores": 1.0, "memory_mb": self.scenario.memory_mb, "sockets": self.scenario.sockets},
+                "known": {"version": 1, "full": True, "servers": rows},
+                "settings": settings(self.scenario, sidecar.number)}
+        (self.folder / f"sidecar-{sidecar.number}.json").write_text(json.dumps(told))
+
+    def _start(self, sidecar: Sidecar) -> None:
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+        environment["PROXY_CONFIG"] = str(self.folder / f"sidecar-{sidecar.number}.json")
+        sidecar.process = self._spawn(self.command, f"sidecar-{sidecar.number}.log", env=environment,
+                                      stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+        sidecar.watch = psutil.Process(sidecar.process.pid)
+        sidecar.ready = False
+
+    def _write(self, sidecar: Sidecar, what: str, status: int = 0) -> None:
+        self._book.write(Life(self.clock(), sidecar.number, what, status))
+        self._book.flush()
+
+    def _strike(self, event: Event) -> None:
+        """A trouble of a sidecar itself."""
+        sidecar = self.sidecars[event.trouble.sidecar]
+        if sidecar.process is None or sidecar.told:
+            return
+        what = event.trouble.kind.removeprefix("sidecar-")
+        if what == "hup":
+            self._signal(sidecar, "hup", signal.SIGHUP)
+            return
+        sidecar.back_at = self.clock() + event.trouble.takes_s
+        self._signal(sidecar, what, signal.SIGKILL if what == "kill" else signal.SIGTERM)
+
+    def _signal(self, sidecar: Sidecar, what: str, number: signal.Signals) -> None:
+        assert sidecar.process is not None
+        self._write(sidecar, what)
+        if what != "hup":
+            sidecar.told = what
+        sidecar.process.send_signal(number)
+
+    def _look_at_sidecars(self) -> None:
+        """Note who is ready, who has ended and who is to come back."""
+        self._sample()
+        for sidecar in self.sidecars:
+            if sidecar.process is not None:
+                status = sidecar.process.poll()
+                if status is not None:
+                    sidecar.usage.ended_cpu_s = sidecar.usage.cpu_s
+                    sidecar.process, sidecar.watch = None, None
+                    self._write(sidecar, "ended", status)
+                    sidecar.told = ""
+                elif not sidecar.ready and self._healthy(sidecar):
+                    sidecar.ready = True
+                    self._write(sidecar, "ready")
+            elif sidecar.back_at is not None and self.clock() >= sidecar.back_at:
+                sidecar.back_at = None
+                self._start(sidecar)
+
+    def _healthy(self, sidecar: Sidecar) -> bool:
+        try:
+            with socket.create_connection((places.front(self.block, sidecar.number), places.PORT), 0.2) as sock:
+                sock.settimeout(0.2)
+                sock.sendall(b"GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                return sock.recv(64).startswith(b"HTTP/1.1 200")
+        except OSError:
+            return False
+
+    def _sample(self, *, force: bool = False) -> None:
+        now = self.clock()
+        if not force and now - self._sampled < SAMPLE_S:
+            return
+        self._sampled = now
+        for sidecar in self.sidecars:
+            if sidecar.watch is None:
+                continue
+            try:
+                times, memory = sidecar.watch.cpu_times(), sidecar.watch.memory_info()
+            except psutil.Error:
+                continue        # it has just ended
+            usage = sidecar.usage
+            usage.cpu_s = usage.ended_cpu_s + times.user + times.system
+            usage.rss_mb = max(usage.rss_mb, memory.rss / 2**20)
