--- a/lugtally/cli/root.py
+++ b/lugtally/cli/root.py
@@ -10,6 +10,8 @@
     "serve": "daemon.serve",
     "check-config": "daemon.check_config",
     "version": "daemon.version",
+    "rehearse": "rehearse.rehearse",
+    "experiment": "experiment.experiment",
 }
 
 
--- /dev/null
+++ b/lugtally/config/operator.py
@@ -0,0 +1,47 @@
+"""The operator's own file: what the platform's configuration has no place for.  TOML, every part off by default.
+
+Without the file the daemon is as the platform's pages describe it.  Only ``serve --operator`` and ``check-config``
+import this module, as its decoder takes 1.2 MB of memory.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+from msgspec import Struct
+
+
+class OperatorError(ValueError):
+    """The file cannot be used; the text is one line that names the field."""
+
+
+class Log(Struct, frozen=True, forbid_unknown_fields=True):
+    """``[log]``: what is written to standard error."""
+
+    format: Literal["text", "json"] = "text"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class Operator(Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole file."""
+
+    log: Log = Log()
+
+
+def load(path: str) -> Operator:
+    """Read and check the file at ``path``; :class:`OperatorError` says what is wrong with it."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise OperatorError(f"operator file: {path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise OperatorError(f"operator file: {path}: no TOML: {error}") from error
+    try:
+        return msgspec.convert(raw, Operator)
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        field = place.rstrip("`").lstrip(".")
+        raise OperatorError(f"operator file: {path}: {field + ': ' if field else ''}{text}") from error
--- a/lugtally/config/sidecar.py
+++ b/lugtally/config/sidecar.py
@@ -19,7 +19,7 @@
 LEAST_SOCKETS = 64
 
 
-class ConfigError(Exception):
+class ConfigError(ValueError):
     """The configuration cannot be used."""
 
 
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -148,7 +148,7 @@
             ask.signal.wait(ask.deadline + BACKSTOP_NS)
             if not ask.verdicts and self._hub.now() >= ask.deadline + BACKSTOP_NS:
                 # Guards the one final answer against a fault: each step has timed out by now.
-                logger.error("no verdict by the deadline of a request")
+                logger.error("no verdict by the deadline of a request", event="decisions.no-verdict")
                 self._end(ask, Failed())
         return ask.verdicts.popleft()
 
@@ -199,7 +199,7 @@
             actions = self._balancer.handle(now, event)
         except Exception:
             # The request concerned still gets its answer from the backstop in ``pick``.
-            logger.exception("the decision module failed on {}", type(event).__name__)
+            logger.exception("the decision module failed on {news}", event="decisions.fault", news=type(event).__name__)
             return
         for action in actions:
             self._act(now, action)
--- a/lugtally/hub/scheduler.py
+++ b/lugtally/hub/scheduler.py
@@ -90,7 +90,7 @@
                 work(*values)
             except Exception:
                 # A fault in the handling of one connection must never end the process.
-                logger.exception("a task failed")
+                logger.exception("a task failed", event="hub.task-failed")
 
         task.greenlet = greenlet.greenlet(body, self._main)
         self._resume(self._begin(task), Woken.READY)
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -192,7 +192,7 @@
         try:
             sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         except OSError as error:
-            logger.warning("no socket for a destination: {}", error.strerror)
+            logger.warning("no socket for a destination: {why}", event="destination.no-socket", why=error.strerror)
             raise _StepOver(Ending.NO_SOCKET) from error
         self.open += 1
         link = Link(sock, address, self._limits.most_answer)
@@ -205,7 +205,8 @@
                 self._await(link, WRITE, min(limit, until), late, Ending.CANCELLED_UNSENT)
                 code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
-                logger.debug("connecting to {}: {}", address, os.strerror(code))
+                logger.debug("connecting to {host}:{port}: {why}", event="destination.refused", host=address[0],
+                             port=address[1], why=os.strerror(code))
                 raise _StepOver(Ending.REFUSED)
         except BaseException:
             self._close(link)
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -109,7 +109,7 @@
         """Planned restart: go on accepting for a while, answer all that is taken, close, stop the hub."""
         if not self._draining:
             self._draining = True
-            logger.info("told to stop: draining")
+            logger.info("told to stop: draining", event="sidecar.draining")
             self._hub.spawn(self._drain)
 
     # ------------------------------------------------------------ connections
@@ -134,7 +134,7 @@
             except OSError as error:
                 # Most likely no descriptor is free.  The backlog stays readable, so without a pause this
                 # would spin; and it must not raise, or nothing would be accepted any more.
-                logger.warning("cannot accept: {}", error.strerror)
+                logger.warning("cannot accept: {why}", event="front.cannot-accept", why=error.strerror)
                 self._hub.sleep(NO_DESCRIPTOR_PAUSE_NS)
                 return
             sock.setblocking(False)
@@ -158,7 +158,7 @@
                     answer = self._answer(front, message)
                 except Exception:
                     # A fault of ours must not lose a request that has been taken.
-                    logger.exception("answering a request failed")
+                    logger.exception("answering a request failed", event="front.fault")
                     answer = 500, b"internal error\n", []
                 if answer is None:
                     return
@@ -180,7 +180,7 @@
             if self._write(front, write_answer(*_complaint(error), close=True)):
                 self._linger(front)
         except OSError as error:
-            logger.debug("a front socket broke: {}", error)
+            logger.debug("a front socket broke: {why}", event="front.broke", why=str(error))
         finally:
             self._hub.unwatch(front.fd)
             front.sock.close()
@@ -250,7 +250,7 @@
                    and self._hub.now() < until and front.sock.recv(CHUNK)):
                 pass        # what it still sends is not kept
         except OSError as error:
-            logger.debug("the client did not wait for the end: {}", error)
+            logger.debug("the client did not wait for the end: {why}", event="front.left-early", why=str(error))
 
     # ------------------------------------------------------------ requests
 
@@ -327,11 +327,12 @@
                 ending, answer = self._destinations.run(step.destination, exchange.forward, step.until)
             except Exception:
                 # Every step must report its end, or the module would wait for it.
-                logger.exception("a route step failed")
+                logger.exception("a route step failed", event="step.fault")
                 ending = Ending.BROKEN
         if ending is Ending.SERVED and exchange.answer is None:
             exchange.answer = answer
-        logger.debug("step {} to {}: {}", step.number, step.destination, ending.name)
+        logger.debug("step {number} to {destination}: {ending}", event="step.ended", number=step.number,
+                     destination=step.destination, ending=ending.name)
         self._facade.report(StepEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
 
     # ------------------------------------------------------------ planned restart
--- a/lugtally/net/pool_config.py
+++ b/lugtally/net/pool_config.py
@@ -168,10 +168,10 @@
                 while discovery is self._discovery:
                     self._ask(discovery)
             except (OSError, BadMessage, ValueError) as error:
-                logger.info("the watch of the pool config ended: {}", error)
+                logger.info("the watch of the pool config ended: {why}", event="pool.watch-ended", why=str(error))
             except Exception:
                 # Whatever discovery sends, the watch goes on: without it the list would grow old unseen.
-                logger.exception("the watch of the pool config failed")
+                logger.exception("the watch of the pool config failed", event="pool.fault")
             discovery.drop()
             if discovery is self._discovery:
                 # The list at hand stays in force; the module says when to try again.
--- a/lugtally/rehearsal/load.py
+++ b/lugtally/rehearsal/load.py
@@ -31,6 +31,7 @@
 WATCHED_S = 0.4         # beyond a client's patience, to see whether an answer comes late or never
 BODY = b"v" * 200       # of a POST
 CONNECT_S = 2.0
+TAIL_S = 0.3            # after the last answer, for bytes that come behind it
 
 
 class Link(asyncio.Protocol):
@@ -80,16 +81,29 @@
     def data_received(self, data: bytes) -> None:
         """Bytes of an answer, or of something else."""
         if self._whole or self._parser is None:
-            if self.extra is not None:
-                self.extra()
-            self.keep = False
-            self._transport.abort()
+            self._superfluous()
             return
         self._bytes = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._transport.abort()
+            if self._whole:
+                self._superfluous()
+            else:
+                self._transport.abort()
+
+    def _superfluous(self) -> None:
+        """Bytes that belong to no request: the connection is of no further use."""
+        self.keep = False
+        if self.extra is not None:
+            extra, self.extra = self.extra, None
+            extra()
+        self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        """A head begins; behind a whole answer, in the same segment, it is one too many."""
+        if self._whole:
+            self._superfluous()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """One header."""
@@ -108,14 +122,10 @@
 
     def on_message_complete(self) -> None:
         """The answer is whole."""
-        if self._whole or self.answered is None:
-            self._whole = True
-            return
-        self._whole, self.used = True, True
         status = self._parser.get_status_code()
-        if status == 100:
-            self._whole = False
+        if self._whole or self.answered is None or status < 200:
             return
+        self._whole, self.used = True, True
         answered, self.answered, self.broke = self.answered, None, None
         answered(status, self._body, self._advice)
 
@@ -210,6 +220,7 @@
         number, self.number = self.number, self.number + 1
         one = Try(self.id(number), self.first, number, self.arrival.sidecar, self.arrival.cls, intended,
                   intended, intended + left)
+        tool.pending += 1
         _Sending(self, one, cls.name, METHODS[cls.effect], cls.effect == "keyed").go()
 
     def ended(self, one: Try, gave_up: bool) -> None:
@@ -232,9 +243,11 @@
         again = tool.clock() + wait
         if not (harmless or wide) or self.number > clients.retries or again >= end - 0.005:
             return
+        tool.pending += 1
         asyncio.get_running_loop().call_later(wait, self._again, again)
 
     def _again(self, intended: float) -> None:
+        self.tool.pending -= 1
         if not self.over:
             self.tool.lateness.add(self.tool.clock() - intended)
             self.begin(intended)
@@ -361,6 +374,7 @@
         tool, one = self.client.tool, self.one
         one.ending, one.ended = ending, tool.clock()
         tool.book.write(one)
+        tool.pending -= 1
         if not self.told:
             self.client.ended(one, False)
 
@@ -377,6 +391,7 @@
         self.lateness = Lateness("load")
         self.applications = [Application(self, at) for at in range(told.scenario.fleet.sidecars)]
         self.start = 0.0
+        self.pending = 0    # tries on their way or watched, and retries to come
 
     def clock(self) -> float:
         """Seconds since the base."""
@@ -416,8 +431,9 @@
                 self.book.flush()
             elif wait < -0.01:
                 await asyncio.sleep(0)      # behind: answers must be read all the same
-        longest = max(cls.deadline_ms for cls in self.classes) / 1000
-        await asyncio.sleep(longest + WATCHED_S + 0.3)
+        while self.pending:     # each has an end of its own: its client's patience and the watch after it
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(TAIL_S)
         for application in self.applications:
             application.close()
 
--- a/lugtally/rehearsal/model.py
+++ b/lugtally/rehearsal/model.py
@@ -82,6 +82,7 @@
         self.born = now if cold else -inf
         self.running: list[Job] = []
         self.waiting: deque[Job] = deque()
+        self._ended: list[Job] = []     # not yet returned: a slot is also filled between two calls of ``advance``
         self.draining = False
         self.silent = False             # takes everything, works on nothing
         self.taken_away = 0.0           # share of the machine that a neighbour has
@@ -192,7 +193,7 @@
 
     def advance(self, now: float) -> list[Job]:
         """Work until ``now``; returns what has ended, in order: done, or ``expired`` as its turn came too late."""
-        ended: list[Job] = []
+        self._fill(self.now)        # it may have found its voice since
         while self.now < now:
             step = min(now, self._next(self.now)) - self.now
             each = self._each()
@@ -206,14 +207,17 @@
             for job in done:
                 job.ended = self.now
                 self.running.remove(job)
-            ended += done
-            ended += self._fill(self.now)
+            self._ended += done
+            self._fill(self.now)
             self._look(self.now)
         self.now = max(self.now, now)
+        ended, self._ended = self._ended, []
         return ended
 
     def due(self) -> float:
         """When to call :meth:`advance` next; infinite where nothing will happen by itself."""
+        if self._ended:
+            return self.now
         if not self.running and self.overhead <= 0 and self.choked_at < 0:
             return inf
         return self._next(self.now)
@@ -231,18 +235,16 @@
             due = min(due, now + STEP_S)
         return due
 
-    def _fill(self, now: float) -> list[Job]:
-        """Free slots take those that wait longest; returns those whose time was up."""
-        dropped = []
+    def _fill(self, now: float) -> None:
+        """Free slots take those that wait longest; those whose time is up end unworked."""
         while self.waiting and len(self.running) < self.traits.slots and not self.silent:
             job = self.waiting.popleft()
             if now >= job.deadline and self.traits.drops_expired:
                 job.expired, job.ended = True, now
-                dropped.append(job)
+                self._ended.append(job)
                 continue
             job.started = now
             self.running.append(job)
-        return dropped
 
     def _look(self, now: float) -> None:
         """The choke: crowded for a while starts it; idle for a while, or its longest time, ends it."""
--- a/lugtally/rehearsal/report.py
+++ b/lugtally/rehearsal/report.py
@@ -21,6 +21,7 @@
 MOST_BREACHES = 200     # listed; all are counted
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 PASSED, FAILED, BROKEN, VOID = "passed", "failed", "broken", "void"
+INTERRUPTED = "interrupted"
 EXIT = {PASSED: 0, FAILED: 1, BROKEN: 1, VOID: 3}
 
 
@@ -143,26 +144,44 @@
     return found
 
 
-def save(report: Report, path: Path) -> None:
-    """Write it whole or not at all."""
+class Document(Struct):
+    """A file of reports."""
+
+    schema: int
+    reports: list[Report]
+
+
+def save(reports: list[Report], path: Path) -> None:
+    """Write them whole or not at all."""
     temporary = path.with_suffix(path.suffix + ".part")
-    temporary.write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1))
+    temporary.write_bytes(msgspec.json.encode(Document(SCHEMA, reports)) + b"\n")
     temporary.replace(path)
 
 
-def load(path: Path) -> Report:
-    """Read one back; a :class:`ReportError` says in one line what is wrong with it."""
+def load(path: Path) -> list[Report]:
+    """Read them back; a :class:`ReportError` says in one line what is wrong with it."""
     try:
         raw = path.read_bytes()
         head = msgspec.json.decode(raw)
         if not isinstance(head, dict) or head.get("schema") != SCHEMA:
             found = head.get("schema") if isinstance(head, dict) else None
             raise ReportError(f"{path}: schema {found!r}; this program reads {SCHEMA}")
-        return msgspec.json.decode(raw, type=Report)
+        return msgspec.json.decode(raw, type=Document).reports
     except OSError as error:
         raise ReportError(f"{path}: {error.strerror}") from error
     except msgspec.DecodeError as error:
         raise ReportError(f"{path}: {error}") from error
 
 
+def load_all(path: Path) -> list[Report]:
+    """The reports of a file, or of all files of a folder."""
+    if not path.is_dir():
+        return load(path)
+    found = [one for file in sorted(path.glob("*.json")) if not file.name.endswith(".scenario.json")
+             for one in load(file)]
+    if not found:
+        raise ReportError(f"{path}: no reports in it")
+    return found
+
+
 __all__ = ["Breach", "ClassService", "EXIT", "Report", "ReportError", "build", "load", "save", "verdict"]
--- a/lugtally/rehearsal/runner.py
+++ b/lugtally/rehearsal/runner.py
@@ -15,8 +15,10 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -27,7 +29,7 @@
 from lugtally.rehearsal import baselines, judge, ledger, places, plan
 from lugtally.rehearsal.ledger import Book, Life
 from lugtally.rehearsal.plan import Event, Plan
-from lugtally.rehearsal.report import Report, build
+from lugtally.rehearsal.report import INTERRUPTED, Report, build
 from lugtally.rehearsal.scenario import TAKES_EFFECT, Scenario
 from lugtally.rehearsal.streams import stream
 from lugtally.rehearsal.world import Specification
@@ -87,6 +89,20 @@
     }
 
 
+@contextmanager
+def _undisturbed() -> Iterator[None]:
+    """Without the signals that end a run; only the main thread can be told of them at all."""
+    if threading.current_thread() is not threading.main_thread():
+        yield
+        return
+    before = {number: signal.signal(number, signal.SIG_IGN) for number in (signal.SIGINT, signal.SIGTERM)}
+    try:
+        yield
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
 class Run:
     """One scenario under one seed with one policy.  ``watch`` is told the seconds played and what goes on."""
 
@@ -127,16 +143,13 @@
             self.block = block.number
             self._play()
         except KeyboardInterrupt:
-            cut_short = "interrupted"
+            cut_short = INTERRUPTED
         finally:
             # From here on a second Ctrl-C must not leave processes behind either.
-            before = signal.signal(signal.SIGINT, signal.SIG_IGN)
-            try:
+            with _undisturbed():
                 self._end()
                 self._book.close()
                 block.close()
-            finally:
-                signal.signal(signal.SIGINT, before)
         books = judge.sort(ledger.read(self.folder / name for name in
                                        ("world.jsonl", "load.jsonl", "runner.jsonl")))
         findings = judge.judge(books, self.plan, self.start)
--- a/lugtally/rehearsal/scenario.py
+++ b/lugtally/rehearsal/scenario.py
@@ -9,7 +9,7 @@
 import tomllib
 from importlib import resources
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct
@@ -188,6 +188,11 @@
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise ScenarioError(f"{name}: no TOML: {error}") from error
+    return checked(raw, name)
+
+
+def checked(raw: dict[str, Any], name: str) -> Scenario:
+    """The same from the tree of values that a file holds."""
     try:
         told = msgspec.convert(raw, Scenario)
     except msgspec.ValidationError as error:
@@ -252,10 +257,12 @@
     if name in shipped:
         return decode(shipped[name], f"{name}.toml")
     path = Path(name)
-    if path.suffix != ".toml":
+    if path.suffix not in (".toml", ".json"):
         raise ScenarioError(f"{name}: no shipped scenario of that name, and no .toml file")
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise ScenarioError(f"{name}: {error.strerror}") from error
+    if path.suffix == ".json":      # as experiments write them
+        return checked(msgspec.json.decode(text), path.name)
     return decode(text, path.name)
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from lugtally import logs
 from lugtally.config import sidecar as config
 from lugtally.facade import Decisions, Facade
 from lugtally.hub.scheduler import MS, READ, Hub
@@ -20,16 +21,14 @@
 
 RETIRE_EVERY_NS = 1000 * MS
 LATE_NS = 50 * MS
-LOG_FORMAT = "{time:HH:mm:ss.SSS} {level: <7} {message}"
 
 
-def serve(told: config.Config, level: str, *, decisions: Decisions | None = None) -> int:
+def serve(told: config.Config, level: str, form: logs.Format = "text", *, decisions: Decisions | None = None) -> int:
     """Run the sidecar until it is told to stop; returns the exit status.
 
     ``decisions`` makes what decides in the place of the shipped module: for comparisons by the rehearsal kit alone.
     """
-    logger.remove()
-    logger.add(sys.stderr, level=level, format=LOG_FORMAT, backtrace=False, diagnose=False)
+    logs.start(level, form)
     hub = Hub()
     facade = Facade(told.settings, told.seed, hub, decisions)
     # Descriptors: half for front sockets, three eighths for destinations, the rest for all else.
@@ -52,9 +51,10 @@
     # What lives from the start is never garbage: collections then stay short.
     gc.collect()
     gc.freeze()
-    logger.info("{} serves at {}:{}", told.name, *told.listen)
+    logger.info("{sidecar} serves at {host}:{port}", event="sidecar.serving", sidecar=told.name,
+                host=told.listen[0], port=told.listen[1])
     hub.run(facade.tick)
-    logger.info("{} has stopped", told.name)
+    logger.info("{sidecar} has stopped", event="sidecar.stopped", sidecar=told.name)
     return 0
 
 
@@ -66,7 +66,7 @@
         destinations.retire()
         if hub.latest_ns > LATE_NS:
             # The machine or a collection held the process up: look here before blaming a decision.
-            logger.warning("timers ran {:.0f} ms late", hub.latest_ns / MS)
+            logger.warning("timers ran {late_ms:.0f} ms late", event="sidecar.late", late_ms=hub.latest_ns / MS)
         hub.latest_ns = 0
 
 
@@ -76,9 +76,10 @@
         told = config.load(os.environ, again=True)
     except config.ConfigError as error:
         # A slip in the file must not end the service: all goes on as it was told before.
-        logger.error("the new configuration is not used: {}", error)
+        logger.error("the new configuration is not used: {why}", event="config.refused", why=str(error))
         return
-    logger.info("told to read the configuration again: discovery at {}:{}", *told.discovery)
+    logger.info("told to read the configuration again: discovery at {host}:{port}", event="config.reread",
+                host=told.discovery[0], port=told.discovery[1])
     pool.move(told.discovery)
 
 
