--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 # Plays a short rehearsal with the real sidecar; the first word printed is its verdict.
 rehearse: .venv/kit.txt
-	@.venv/bin/lugtally rehearse run short --html rehearsal.html
+	@.venv/bin/python -m lugtally rehearse run short --html rehearsal.html
 
 # Lint, types, the decision module's size, and all tests.
 test: .venv/kit.txt
--- a/lugtally/cli/rehearse.py
+++ b/lugtally/cli/rehearse.py
@@ -155,8 +155,6 @@
         keep: Path | None, progress: bool | None) -> int:
     """Play scenarios, shipped ones by name or files, and judge each run."""
     need_kit()
-    from rich.console import Console
-
     from lugtally.rehearsal import render, runner, scenario
     from lugtally.rehearsal import report as reports
 
@@ -165,7 +163,7 @@
     except scenario.ScenarioError as error:
         return complain(error)
     signal.signal(signal.SIGTERM, _terminate)
-    console = Console()
+    console = render.wide()
     shown = sys.stderr.isatty() if progress is None else progress
     done: list[Report] = []
     interrupted = False
@@ -215,8 +213,6 @@
 
 def play(told: Any, out: Path, at_once: int | None, *, table: bool = False) -> int:
     """Play an experiment and print its table: also the ``experiment`` command's."""
-    from rich.console import Console
-
     from lugtally.rehearsal import experiment, render
     from lugtally.rehearsal import table as tables
 
@@ -229,7 +225,7 @@
         except KeyboardInterrupt:
             print(f"lugtally: interrupted; the same command goes on from {out}", file=sys.stderr)
             return INTERRUPTED
-    console = Console()
+    console = render.wide()
     if table:
         tables.print_table(told, todo, found, console)
         tables.plot(told, todo, found, out / f"{told.name}.svg")
@@ -247,8 +243,6 @@
 def report(file: Path, html_file: Path | None) -> int:
     """Show the reports of a file once more."""
     need_kit()
-    from rich.console import Console
-
     from lugtally.rehearsal import render
     from lugtally.rehearsal import report as reports
 
@@ -257,7 +251,7 @@
     except reports.ReportError as error:
         return complain(error)
     for one in found:
-        render.terminal(one, Console())
+        render.terminal(one, render.wide())
     if html_file:
         render.page(found[-1], html_file)
     return status_of(found)
@@ -269,10 +263,10 @@
 def compare(a: Path, b: Path) -> int:
     """Compare two sets of reports, paired by scenario and seed.  A, B: files or folders of them."""
     need_kit()
-    from rich.console import Console
     from rich.table import Table
 
     from lugtally.rehearsal import compare as comparing
+    from lugtally.rehearsal import render
     from lugtally.rehearsal import report as reports
 
     try:
@@ -287,5 +281,5 @@
     for one in differences:
         table.add_row(one.measure, str(one.pairs), f"{one.a:.4f}", f"{one.b:.4f}", f"{one.mean:+.4f}",
                       f"{one.low:+.4f} to {one.high:+.4f}", one.word)
-    Console().print(table)
+    render.wide().print(table)
     return 0
--- a/lugtally/rehearsal/render.py
+++ b/lugtally/rehearsal/render.py
@@ -15,9 +15,16 @@
 
 COLOURS = {PASSED: "green", FAILED: "yellow", BROKEN: "red", VOID: "magenta"}
 NO_METADATA = {"Date": None, "Creator": None, "Format": None, "Type": None}
+WIDTH = 118
 SHOWN = 12      # breaches on the terminal
 
 
+def wide() -> Console:
+    """The terminal, or lines long enough for our tables where there is none."""
+    console = Console()
+    return console if console.is_terminal and console.width >= WIDTH else Console(width=WIDTH)
+
+
 def terminal(report: Report, console: Console) -> None:
     """Verdict first, then service by class, latencies, prices and what the kit itself used."""
     found = report.findings
@@ -47,7 +54,7 @@
 
 def _classes(report: Report) -> Table:
     table = Table(box=None, pad_edge=False)
-    table.add_column("class")
+    table.add_column("class", no_wrap=True)
     for name in ("asked", "served", "late", "refused", "failed", "service", "p50 ms", "p99 ms", "max ms"):
         table.add_column(name, justify="right")
     latency = {one.name: one.percentiles for one in report.latencies}
