Add a guard against the sidecar's own overload, off by default

Need: a full core makes every rule a risk at once; what is refused should be the cheapest, early and clearly.

--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -9,7 +9,9 @@
 import click
 
 if TYPE_CHECKING:
-    from lugtally.config.operator import Operator
+    from lugtally.api import Settings
+    from lugtally.config.operator import Operator, Overload
+    from lugtally.overload.gate import Bounds
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 FORMATS = ("text", "json")
@@ -28,13 +30,26 @@
     form: Literal["text", "json"] = "text"
     try:
         told = sidecar.load(os.environ)
+        bounds = None
         if operator is not None:
-            log = _operator(operator).log
-            level, form = log.level, log.format
+            own = _operator(operator)
+            level, form = own.log.level, own.log.format
+            bounds = _bounds(own.overload, told.settings)
     except ValueError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return 2
-    return run(told, log_level or level, log_format or form)
+    return run(told, log_level or level, log_format or form, overload=bounds)
+
+
+def _bounds(own: Overload, settings: Settings) -> Bounds | None:
+    """The operator's words on own overload in the units of the gate; none where it is off."""
+    from lugtally.overload.gate import MOST_ADVICE_NS, Bounds
+
+    if not own.enabled:
+        return None
+    advice = min(settings.max_advice_ns, MOST_ADVICE_NS) if settings.advice else 0
+    return Bounds(target_ns=int(own.target_ms * 1e6), memory=own.memory, descriptors=own.descriptors,
+                  first=own.refuse_first, advice_ns=advice)
 
 
 def _operator(path: str) -> Operator:
@@ -53,8 +68,9 @@
 
     try:
         if operator is not None:
-            log = _operator(operator).log
-            print(f"{operator}: log {log.format} from {log.level} on")
+            own = _operator(operator)
+            print(f"{operator}: log {own.log.format} from {own.log.level} on, "
+                  f"own overload {'guarded' if own.overload.enabled else 'not guarded'}")
             if file is None and "PROXY_CONFIG" not in os.environ:
                 return 0
         told = sidecar.load(os.environ, file)
--- a/lugtally/config/operator.py
+++ b/lugtally/config/operator.py
@@ -8,10 +8,10 @@
 
 import tomllib
 from pathlib import Path
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 
 class OperatorError(ValueError):
@@ -25,10 +25,21 @@
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
+class Overload(Struct, frozen=True, forbid_unknown_fields=True):
+    """``[overload]``: refuse by worth before this sidecar itself falls behind."""
+
+    enabled: bool = False
+    target_ms: Annotated[float, Meta(gt=0, le=1000)] = 10.0
+    memory: Annotated[float, Meta(gt=0, le=1)] = 0.9
+    descriptors: Annotated[float, Meta(gt=0, le=1)] = 0.9
+    refuse_first: tuple[str, ...] = ()
+
+
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     log: Log = Log()
+    overload: Overload = Overload()
 
 
 def load(path: str) -> Operator:
--- a/lugtally/config/sidecar.py
+++ b/lugtally/config/sidecar.py
@@ -33,6 +33,7 @@
     seed: int
     sockets: int
     memory_mb: int
+    cores: float
     known: PoolConfig
     settings: api.Settings
     zones: tuple[str, ...]
@@ -90,6 +91,14 @@
         raise ValueError(f"seed: {text!r} is no hexadecimal number") from error
 
 
+def _cores(value: Any) -> float:
+    if value is None:
+        return 1.0
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 < value < 4096:
+        raise ValueError(f"limits.cores: {value!r} is no positive number")
+    return float(value)
+
+
 def _read(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
     told, limits = _part(raw, "settings", dict), _part(raw, "limits", dict)
     ceilings, report = _part(told, "ceilings", dict), _part(told, "report", dict)
@@ -115,6 +124,7 @@
         seed=_seed(raw.get("seed")),
         sockets=sockets,
         memory_mb=_positive(limits, "memory_mb", 192),
+        cores=_cores(limits.get("cores")),
         known=read_pool(raw.get("known") or {"version": 0, "full": True, "servers": []}, "known"),
         settings=settings,
         zones=tuple(str(zone) for zone in _part(told, "zones", list)),
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -18,6 +18,7 @@
 from lugtally.decide import Balancer
 from lugtally.ending import RESULTS, Ending
 from lugtally.hub.scheduler import Hub, Signal
+from lugtally.overload.gate import Gate
 
 BACKSTOP_NS = 20 * api.MS
 
@@ -128,6 +129,8 @@
         self._asks: dict[str, Ask] = {}
         self._count = 0
         self._timers: list[tuple[int, int, str]] = []
+        self._gate: Gate | None = None
+        self._usual: dict[int, float] = {}      # class -> how long an answer usually takes, nanoseconds
         self._close_idle: Callable[[int], None] = lambda _: None
         self._watch: Callable[[], None] = lambda: None
 
@@ -135,6 +138,21 @@
         """Who closes idle connections to a destination, and who watches the pool config."""
         self._close_idle, self._watch = close_idle, watch
 
+    def guard(self, gate: Gate) -> None:
+        """Ask this gate before anything is done for a request."""
+        self._gate = gate
+
+    def refused(self, cls: int, left_ns: int) -> BusyReply | None:
+        """The busy reply of a request that must not come in now: this sidecar itself is overloaded.
+
+        Called with nothing done for the request but its head read, so that nothing of it has been sent.
+        """
+        gate = self._gate
+        if gate is None:
+            return None
+        why = gate.ask(self._hub.now(), cls, left_ns, self._hub.delay(), self._usual.get(cls, 0.0))
+        return None if why is None else BusyReply(gate.advice())
+
     def pick(self, ask: Ask) -> Verdict:
         """Block until the next verdict on a request; the first call hands it to the module."""
         if not ask.begun:
@@ -177,9 +195,12 @@
         ask.out.discard(news.number)
         destination, sent = ask.sent[news.number]
         won = news.ending is Ending.SERVED and not ask.over
-        self._feed(api.Outcome(ask.id, news.number, destination, RESULTS[news.ending], won or ask.over,
-                               self._hub.now() - sent, news.load))
+        took = self._hub.now() - sent
+        self._feed(api.Outcome(ask.id, news.number, destination, RESULTS[news.ending], won or ask.over, took,
+                               news.load))
         if won:
+            usual = self._usual.setdefault(ask.cls, float(took))
+            self._usual[ask.cls] = usual + 0.1 * (took - usual)
             self._end(ask, Over())
 
     def _end(self, ask: Ask, verdict: Verdict) -> None:
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -42,6 +42,11 @@
     return error.status, f"{error}\n".encode(), [("Content-Type", "text/plain")]
 
 
+def _busy(verdict: BusyReply) -> Answer:
+    wait = verdict.retry_in_ns / api.SECOND
+    return 503, b"busy\n", [("Retry-After", f"{wait:.3f}")] if wait else []
+
+
 class FrontSocket:
     """One connection of the application."""
 
@@ -112,6 +117,11 @@
             logger.info("told to stop: draining", event="sidecar.draining")
             self._hub.spawn(self._drain)
 
+    @property
+    def open(self) -> int:
+        """Front sockets that are open."""
+        return len(self._open)
+
     # ------------------------------------------------------------ connections
 
     def _accept(self, listener: socket.socket) -> None:
@@ -263,6 +273,8 @@
             cls, left_ns = self._check(message)
         except BadMessage as error:
             return _complaint(error)
+        if (busy := self._facade.refused(cls, left_ns)) is not None:
+            return _busy(busy)
         id = message.names["x-correlation-id"]
         self._ids.add(id)
         try:
@@ -288,8 +300,7 @@
         if exchange.gone:
             return None
         if isinstance(verdict, BusyReply):
-            wait = verdict.retry_in_ns / api.SECOND
-            return 503, b"busy\n", [("Retry-After", f"{wait:.3f}")] if wait else []
+            return _busy(verdict)
         if exchange.answer is not None:
             return 200, exchange.answer.body, [
                 (name, value) for name, value in exchange.answer.headers if name.lower() not in _OWN]
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -18,14 +18,19 @@
 from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
 from lugtally.net.front import Front
 from lugtally.net.pool_config import PoolWatch
+from lugtally.overload.gate import Bounds, Gate
+from lugtally.overload.probe import Probe, Told
 
 RETIRE_EVERY_NS = 1000 * MS
 LATE_NS = 50 * MS
+READ_EVERY_NS = 250 * MS
 
 
-def serve(told: config.Config, level: str, form: logs.Format = "text", *, decisions: Decisions | None = None) -> int:
+def serve(told: config.Config, level: str, form: logs.Format = "text", *, overload: Bounds | None = None,
+          decisions: Decisions | None = None) -> int:
     """Run the sidecar until it is told to stop; returns the exit status.
 
+    ``overload`` has it refuse by worth before it falls behind itself; without, all is let in that the module lets in.
     ``decisions`` makes what decides in the place of the shipped module: for comparisons by the rehearsal kit alone.
     """
     logs.start(level, form)
@@ -39,6 +44,15 @@
     pool = PoolWatch(hub, facade, destinations, told.discovery, told.zones)
     facade.register(destinations.close_idle, pool.watch)
     front = Front(hub, facade, destinations, told.settings.classes, told.sockets // 2)
+    if overload is not None:
+        try:
+            gate = Gate(told.settings.classes, overload, told.seed, hub.now())
+        except ValueError as error:
+            print(f"lugtally: operator file: overload.refuse_first: {error}", file=sys.stderr)
+            return 2
+        facade.guard(gate)
+        probe = Probe(Told(told.cores, told.memory_mb << 20, told.sockets), lambda: front.open + destinations.open)
+        hub.spawn(_watch_self, hub, gate, probe)
     try:
         front.listen(told.listen)
     except OSError as error:
@@ -70,6 +84,23 @@
         hub.latest_ns = 0
 
 
+def _watch_self(hub: Hub, gate: Gate, probe: Probe) -> None:
+    """Read the machine now and then; say when refusing begins and ends, with what was seen."""
+    refusing = False
+    while True:
+        hub.sleep(READ_EVERY_NS)
+        gate.read(probe.read())
+        gate.idle(hub.now())
+        reading = gate.meter.reading
+        if refusing != gate.refusing:
+            refusing = gate.refusing
+            logger.warning("{what} for own overload: {refused:.0%} of the requests, delay {delay_ms:.1f} ms, "
+                           "{cpu:.0%} of the cores, {memory:.0%} of the memory, {descriptors:.0%} of the descriptors",
+                           event="overload.refusing", what="refusing" if refusing else "no longer refusing",
+                           begun=refusing, refused=gate.cut, delay_ms=gate.meter.delay_ns / MS, cpu=reading.cpu_share,
+                           memory=reading.memory_share, descriptors=reading.descriptors_share)
+
+
 def _reread(pool: PoolWatch) -> None:
     """SIGHUP: move the watch where the configuration now says.  All else in it holds from the next start."""
     try:
