Read each head of an answer once; wait first on a front socket just answered

Need: a busy sidecar's time per request. Destinations send the same few heads again and again, and after each answer the front socket was read once in vain. Change: heads of answers up to 512 bytes are kept with what they mean (128 at most); a front socket that was just answered and has nothing pending waits for the poll before it is read.

--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -206,6 +206,7 @@
         if front.asked:
             front.since = self._hub.now()
         front.resting = front.parser.idle
+        calm = front.resting and front.asked
         while message is None:
             pending = front.parser.pending
             if pending is not None and pending.expects and not told:
@@ -214,8 +215,11 @@
             # Counted from the request's first byte: a trickle of bytes must not hold the socket for good.
             span = IDLE_NS if front.resting else CLOSING_NS if self._closing else PARTIAL_NS
             try:
+                if calm and not front.unwanted:
+                    raise BlockingIOError       # just answered: most likely nothing is there yet, so wait first
                 data = front.sock.recv(CHUNK)
             except BlockingIOError:
+                calm = False
                 if front.resting and front.unwanted:
                     return None
                 self._hub.watch(front.fd, READ, lambda _: front.signal.set())
--- a/lugtally/net/http1.py
+++ b/lugtally/net/http1.py
@@ -26,6 +26,10 @@
 # All header lines of a head at once: one match costs a third of one a line.
 _HEADERS = re.compile(rb"(?:\r\n[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*)*")
 _ONCE = frozenset({"connection", "transfer-encoding", "content-length"})
+# Heads of answers that were read before: the message, whether it is chunked, how long its body is.
+LONGEST_KNOWN = 512
+MOST_KNOWN = 128        # at most 128 KiB; beyond, all are forgotten
+_KNOWN: dict[bytes, tuple[Message, bool, int]] = {}
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
 _NUMBER = re.compile(r"[0-9]{1,10}")
 
@@ -121,6 +125,31 @@
             if self._buffer.find(b"\n\n") >= 0 or self._buffer.startswith(b"\x16\x03"):
                 raise BadMessage(400, "the head is malformed")      # it would never become whole
             return None
+        if self._responses and end <= LONGEST_KNOWN:
+            return self._known_head(end)
+        return self._new_head(end)
+
+    def _known_head(self, end: int) -> Message:
+        """The head of an answer: destinations send the same few again and again, so each is read once."""
+        head = bytes(self._buffer[:end])
+        known = _KNOWN.get(head)
+        if known is not None and known[2] <= self._most_body:
+            del self._buffer[:end + 4]
+            seen, self._chunked, self._left = known
+            self._phase = "size"
+            # Headers are shared between messages of the same head: nothing may change them.
+            return Message(status=seen.status, headers=seen.headers, names=seen.names, keep=seen.keep,
+                           expects=seen.expects)
+        message = self._new_head(end)
+        if 0 <= self._left <= self._most_body:
+            if len(_KNOWN) >= MOST_KNOWN:
+                _KNOWN.clear()
+            copy = Message(status=message.status, headers=message.headers, names=message.names, keep=message.keep,
+                           expects=message.expects)
+            _KNOWN[head] = copy, self._chunked, self._left
+        return message
+
+    def _new_head(self, end: int) -> Message:
         first = self._buffer.find(b"\r\n")
         sound = _HEADERS.fullmatch(self._buffer, first, end) is not None
         lines = self._buffer[:end].decode("latin-1").split("\r\n")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -71,3 +71,19 @@
     whole = messages(data)
     assert len(whole) == 2 and whole[0][2] in (b"hello", b"abcde")
     assert all(messages(data[:at], data[at:]) == whole for at in range(len(data) + 1))
+
+
+def test_a_head_that_was_read_before_is_held_against_each_readers_own_limit() -> None:
+    head = b"HTTP/1.1 200 OK\r\nX-Marked: 1\r\nContent-Length: 100\r\n\r\n"
+    message = None
+    for _ in range(3):
+        message = Parser(responses=True).feed(head + b"x" * 100)
+        assert message is not None and message.names["x-marked"] == "1" and len(message.body) == 100
+        with pytest.raises(BadMessage):
+            Parser(responses=True, most_body=99).feed(head)
+        interim = Parser(responses=True).feed(b"HTTP/1.1 100 Continue\r\n\r\n" + head + b"y" * 100)
+        assert interim is not None and interim.status == 200 and interim.body[:1] == b"y"
+    assert message is not None
+    message.keep = False
+    again = Parser(responses=True).feed(head + b"x" * 100)
+    assert again is not None and again.keep, "what one connection learns is not another's"
