Add a control socket with 'lugtally status', pinned and starved sidecars in rehearsals

Need: what the guard against own overload measures must be seen while it runs, and rehearsals could not take its core away.

--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -30,15 +30,15 @@
     form: Literal["text", "json"] = "text"
     try:
         told = sidecar.load(os.environ)
-        bounds = None
+        bounds, control = None, ""
         if operator is not None:
             own = _operator(operator)
             level, form = own.log.level, own.log.format
-            bounds = _bounds(own.overload, told.settings)
+            bounds, control = _bounds(own.overload, told.settings), own.control.socket
     except ValueError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return 2
-    return run(told, log_level or level, log_format or form, overload=bounds)
+    return run(told, log_level or level, log_format or form, overload=bounds, control=control)
 
 
 def _bounds(own: Overload, settings: Settings) -> Bounds | None:
@@ -82,6 +82,34 @@
     return 0
 
 
+@click.command()
+@click.argument("socket")
+@click.option("--json", "as_json", is_flag=True, help="the object as it came")
+def status(socket: str, as_json: bool) -> int:
+    """Say how a running sidecar is.  SOCKET: the path that its operator's file names under [control]."""
+    import socket as sockets
+
+    import ujson
+
+    try:
+        with sockets.socket(sockets.AF_UNIX, sockets.SOCK_STREAM) as link:
+            link.settimeout(5)
+            link.connect(socket)
+            text = b"".join(iter(lambda: link.recv(65536), b""))
+        told = ujson.loads(text)
+    except (OSError, ValueError) as error:
+        print(f"lugtally: {socket}: {getattr(error, 'strerror', None) or error}", file=sys.stderr)
+        return 1
+    if as_json:
+        print(text.decode().rstrip())
+        return 0
+    for name, value in told.items():
+        if isinstance(value, dict):
+            value = ", ".join(f"{k} {v}" for k, v in value.items() if not isinstance(v, dict))
+        print(f"{name:14} {value}")
+    return 0
+
+
 @click.command()
 def version() -> int:
     """Print the version."""
--- a/lugtally/cli/rehearse.py
+++ b/lugtally/cli/rehearse.py
@@ -147,12 +147,13 @@
 @click.option("--seed", "--seeds", "seeds", default="1", show_default=True, callback=seeds_of,
               help="3, 1-5 or 1,4,9")
 @click.option("--policy", default="module", show_default=True, help="module, or a baseline of the kit")
+@click.option("--operator", type=click.Path(path_type=Path, exists=True), help="an operator's file for the sidecars")
 @click.option("--json", "json_file", type=click.Path(path_type=Path), help="write the reports there")
 @click.option("--html", "html_file", type=click.Path(path_type=Path), help="write a page on the last run there")
 @click.option("--keep", type=click.Path(path_type=Path), help="keep books, logs and configurations in this folder")
 @click.option("--progress/--no-progress", default=None, help="a bar on the terminal")
-def run(names: tuple[str, ...], seeds: tuple[int, ...], policy: str, json_file: Path | None, html_file: Path | None,
-        keep: Path | None, progress: bool | None) -> int:
+def run(names: tuple[str, ...], seeds: tuple[int, ...], policy: str, operator: Path | None, json_file: Path | None,
+        html_file: Path | None, keep: Path | None, progress: bool | None) -> int:
     """Play scenarios, shipped ones by name or files, and judge each run."""
     need_kit()
     from lugtally.rehearsal import render, runner, scenario
@@ -171,7 +172,7 @@
         for seed in seeds:
             folder = keep / f"{one.name}.{policy}.{seed}" if keep else None
             try:
-                done.append(_play(one, seed, policy, folder, shown))
+                done.append(_play(one, seed, policy, operator, folder, shown))
             except runner.RunError as error:
                 return complain(error)
             interrupted = any(reason.startswith(reports.INTERRUPTED) for reason in done[-1].reasons)
@@ -189,11 +190,12 @@
     return INTERRUPTED if interrupted else status_of(done)
 
 
-def _play(told: Scenario, seed: int, policy: str, folder: Path | None, shown: bool) -> Report:
+def _play(told: Scenario, seed: int, policy: str, operator: Path | None, folder: Path | None,
+          shown: bool) -> Report:
     from lugtally.rehearsal.runner import Run
 
     with _progress(shown, f"{told.name} {seed}", told.length_s) as watch:
-        return Run(told, seed, policy=policy, folder=folder, watch=watch).play()
+        return Run(told, seed, policy=policy, operator=operator, folder=folder, watch=watch).play()
 
 
 @rehearse.command("all")
--- a/lugtally/cli/root.py
+++ b/lugtally/cli/root.py
@@ -9,6 +9,7 @@
 COMMANDS = {
     "serve": "daemon.serve",
     "check-config": "daemon.check_config",
+    "status": "daemon.status",
     "version": "daemon.version",
     "rehearse": "rehearse.rehearse",
     "experiment": "experiment.experiment",
--- a/lugtally/config/operator.py
+++ b/lugtally/config/operator.py
@@ -35,11 +35,18 @@
     refuse_first: tuple[str, ...] = ()
 
 
+class Control(Struct, frozen=True, forbid_unknown_fields=True):
+    """``[control]``: a Unix socket that says how the sidecar is."""
+
+    socket: str = ""        # its path; empty: none
+
+
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     log: Log = Log()
     overload: Overload = Overload()
+    control: Control = Control()
 
 
 def load(path: str) -> Operator:
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -130,6 +130,7 @@
         self._count = 0
         self._timers: list[tuple[int, int, str]] = []
         self._gate: Gate | None = None
+        self._ends = {"served": 0, "busy": 0, "failed": 0, "left": 0, "own_overload": 0}
         self._usual: dict[int, float] = {}      # class -> how long an answer usually takes, nanoseconds
         self._close_idle: Callable[[int], None] = lambda _: None
         self._watch: Callable[[], None] = lambda: None
@@ -151,7 +152,14 @@
         if gate is None:
             return None
         why = gate.ask(self._hub.now(), cls, left_ns, self._hub.delay(), self._usual.get(cls, 0.0))
-        return None if why is None else BusyReply(gate.advice())
+        if why is None:
+            return None
+        self._ends["own_overload"] += 1
+        return BusyReply(gate.advice())
+
+    def counted(self) -> dict[str, int]:
+        """Requests by how they ended so far, and those in progress."""
+        return {"in_progress": len(self._asks), **self._ends}
 
     def pick(self, ask: Ask) -> Verdict:
         """Block until the next verdict on a request; the first call hands it to the module."""
@@ -177,6 +185,7 @@
         elif isinstance(news, ClientGone):
             if not news.ask.over:
                 self._feed(api.ClientLeft(news.ask.id))
+                self._ends["left"] += 1
                 self._end(news.ask, Over())
         else:
             self._feed(api.ServerList(api.ListKind(news.kind), [
@@ -201,6 +210,7 @@
         if won:
             usual = self._usual.setdefault(ask.cls, float(took))
             self._usual[ask.cls] = usual + 0.1 * (took - usual)
+            self._ends["served"] += 1
             self._end(ask, Over())
 
     def _end(self, ask: Ask, verdict: Verdict) -> None:
@@ -208,6 +218,10 @@
         if ask.over:
             return
         ask.over = True
+        if isinstance(verdict, BusyReply):
+            self._ends["busy"] += 1
+        elif isinstance(verdict, Failed):
+            self._ends["failed"] += 1
         self._asks.pop(ask.id, None)
         ask.verdicts.append(verdict)
         ask.signal.set()
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -117,6 +117,11 @@
             logger.info("told to stop: draining", event="sidecar.draining")
             self._hub.spawn(self._drain)
 
+    @property
+    def draining(self) -> bool:
+        """Whether a planned restart has begun."""
+        return self._draining
+
     @property
     def open(self) -> int:
         """Front sockets that are open."""
--- a/lugtally/overload/gate.py
+++ b/lugtally/overload/gate.py
@@ -84,6 +84,15 @@
                 return Why.DELAY
         return None
 
+    def shown(self) -> dict[str, object]:
+        """How it is, for people."""
+        reading = self.meter.reading
+        return {"refusing": self.refusing, "share": round(self.cut, 4), "let_in": self.let_in,
+                "refused": {why.name.lower(): count for why, count in self.refused.items()},
+                "delay_ms": round(self.meter.delay_ns / MS, 3), "worst_ms": round(self.meter.worst_ns / MS, 3),
+                "cpu": round(reading.cpu_share, 3), "memory": round(reading.memory_share, 3),
+                "descriptors": round(reading.descriptors_share, 3)}
+
     @property
     def refusing(self) -> bool:
         """Whether requests are refused for delay or for want of memory or descriptors."""
--- a/lugtally/rehearsal/experiment.py
+++ b/lugtally/rehearsal/experiment.py
@@ -33,6 +33,7 @@
 
     name: str
     set: dict[str, Any] = {}
+    operator: str = ""      # an operator's file for the sidecars, beside the experiment's own or by its path
 
 
 class Experiment(Struct, frozen=True, forbid_unknown_fields=True):
@@ -70,6 +71,15 @@
         raise ScenarioError(f"{path}: {error.strerror}") from error
     except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
         raise ScenarioError(f"{path.name}: {error}") from error
+    settings = []
+    for setting in told.settings:
+        operator = Path(setting.operator)
+        if setting.operator and not operator.is_absolute():
+            setting = msgspec.structs.replace(setting, operator=str(path.parent / operator))
+        if setting.operator and not Path(setting.operator).is_file():
+            raise ScenarioError(f"{path.name}: settings.{setting.name}: operator: {setting.operator}: no such file")
+        settings.append(setting)
+    told = msgspec.structs.replace(told, settings=tuple(settings))
     for policy in told.policies:
         if policy != "module" and policy not in NAMES:
             raise ScenarioError(f"{path.name}: policies: {policy!r} is none of module, {', '.join(NAMES)}")
@@ -140,7 +150,8 @@
     with (folder / f"{cell.name}.log").open("ab") as log:
         return subprocess.Popen(
             [sys.executable, "-B", "-m", "lugtally", "rehearse", "run", str(path), "--seed", str(cell.seed), "--policy",
-             cell.policy, "--json", str(folder / f"{cell.name}.json"), "--no-progress"],
+             cell.policy, "--json", str(folder / f"{cell.name}.json"), "--no-progress",
+             *(["--operator", cell.setting.operator] if cell.setting.operator else [])],
             stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
 
 
--- a/lugtally/rehearsal/runner.py
+++ b/lugtally/rehearsal/runner.py
@@ -108,9 +108,10 @@
 
     def __init__(self, scenario: Scenario, seed: int, *, policy: str = MODULE, folder: Path | None = None,
                  watch: Callable[[float, str], None] = lambda _seconds, _what: None,
-                 command: list[str] | None = None) -> None:
+                 command: list[str] | None = None, operator: Path | None = None) -> None:
         self.scenario, self.seed, self.policy, self.watch = scenario, seed, policy, watch
         self.plan: Plan = plan.make(scenario, seed)
+        self.operator = operator
         self._keep = folder is not None
         self.folder = folder or Path(tempfile.mkdtemp(prefix="lugtally-rehearsal-"))
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -121,10 +122,12 @@
         self._children: list[subprocess.Popen[bytes]] = []
         self._book = Book(self.folder / "runner.jsonl")
         self._sampled = 0.0
+        self._spinners: dict[int, list[subprocess.Popen[bytes]]] = {}
 
     def _command(self) -> list[str]:
         if self.policy == MODULE:
-            return [sys.executable, "-B", "-m", "lugtally", "serve", "--log-level", "WARNING"]
+            more = ["--operator", str(self.operator.resolve())] if self.operator is not None else []
+            return [sys.executable, "-B", "-m", "lugtally", "serve", "--log-level", "WARNING", *more]
         if self.policy not in baselines.NAMES:
             raise RunError(f"{self.policy}: no policy; there are {MODULE}, {', '.join(baselines.NAMES)}")
         return [sys.executable, "-B", "-m", "lugtally.rehearsal.baselines", self.policy]
@@ -181,7 +184,7 @@
         self.start = self.clock() + AHEAD_S
         for part in (world, load):
             self._tell(part, f"go {self.start!r}")
-        script = [event for event in self.plan.events if event.trouble.kind.startswith("sidecar-") and event.begins]
+        script = [event for event in self.plan.events if event.trouble.kind.startswith("sidecar-")]
         assert load.stdout is not None
         while True:
             ready, _, _ = select.select([load.stdout], [], [], TURN_S)
@@ -199,6 +202,8 @@
     def _end(self) -> None:
         """Stop everything: the sidecars as planned, then the rest; none is left behind."""
         self._sample(force=True)
+        for child in [child for spinners in self._spinners.values() for child in spinners]:
+            child.kill()
         for sidecar in self.sidecars:
             sidecar.back_at = None
             if sidecar.process is not None and sidecar.process.poll() is None and not sidecar.told:
@@ -271,16 +276,40 @@
         sidecar.process = self._spawn(self.command, f"sidecar-{sidecar.number}.log", env=environment,
                                       stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
         sidecar.watch = psutil.Process(sidecar.process.pid)
+        if self.scenario.fleet.pinned:
+            os.sched_setaffinity(sidecar.process.pid, {self._core(sidecar)})
         sidecar.ready = False
 
+    def _core(self, sidecar: Sidecar) -> int:
+        """The core of a pinned sidecar: from the last one down, as the kit's own processes begin at the first."""
+        every = sorted(os.sched_getaffinity(0))
+        return every[-1 - sidecar.number % len(every)]
+
+    def _starve(self, event: Event) -> None:
+        """Other programs take a share of a sidecar's core: as many that spin as leave it the rest, by fair shares."""
+        sidecar = self.sidecars[event.trouble.sidecar]
+        if not event.begins:
+            for child in self._spinners.pop(sidecar.number, []):
+                child.kill()
+                child.wait()
+            return
+        count = max(1, round(event.trouble.size / (1 - event.trouble.size)))
+        self._spinners[sidecar.number] = [self._spawn([sys.executable, "-c", "while True: pass"], "spin.log")
+                                          for _ in range(count)]
+        for child in self._spinners[sidecar.number]:
+            os.sched_setaffinity(child.pid, {self._core(sidecar)})
+
     def _write(self, sidecar: Sidecar, what: str, status: int = 0) -> None:
         self._book.write(Life(self.clock(), sidecar.number, what, status))
         self._book.flush()
 
     def _strike(self, event: Event) -> None:
         """A trouble of a sidecar itself."""
+        if event.trouble.kind == "sidecar-starved":
+            self._starve(event)
+            return
         sidecar = self.sidecars[event.trouble.sidecar]
-        if sidecar.process is None or sidecar.told:
+        if not event.begins or sidecar.process is None or sidecar.told:
             return
         what = event.trouble.kind.removeprefix("sidecar-")
         if what == "hup":
--- a/lugtally/rehearsal/scenario.py
+++ b/lugtally/rehearsal/scenario.py
@@ -23,7 +23,7 @@
 TROUBLES = Literal[
     "silent", "neighbour", "shared-slow", "burst", "drain", "restart", "replace", "crash", "vanish", "refuse",
     "never-up", "reset", "slow-bytes", "spoilt", "errors", "join", "discovery-down", "discovery-slow",
-    "sidecar-kill", "sidecar-term", "sidecar-hup"]
+    "sidecar-kill", "sidecar-term", "sidecar-hup", "sidecar-starved"]
 TAKES_EFFECT = {"safe": "idempotent", "keyed": "deduplicated", "unsafe": "at_most_once"}
 
 
@@ -74,6 +74,7 @@
     fall_multiple: Positive = 2.5       # times its present capacity that push a cold server over
     fall_after_s: Positive = 1.0
     error_rate: Share = 0.0002
+    pinned: bool = False                # each sidecar has a core of the machine for itself, as far as they go
     drops_expired: bool = True          # a request that is over when its turn comes is turned away
 
 
@@ -238,6 +239,8 @@
             raise wrong(f"{field}.zone", f"{trouble.zone!r} is no zone of the fleet")
         if trouble.same_as is not None and trouble.same_as >= at:
             raise wrong(f"{field}.same_as", "names no earlier trouble")
+        if trouble.kind == "sidecar-starved" and not (told.fleet.pinned and trouble.size < 1):
+            raise wrong(field, "sidecar-starved needs fleet.pinned and a size, the share taken, under 1")
         if trouble.kind.startswith("sidecar-") and trouble.sidecar >= told.fleet.sidecars:
             raise wrong(f"{field}.sidecar", f"there are {told.fleet.sidecars} sidecars")
         if trouble.servers is not None and trouble.servers > told.fleet.servers and trouble.kind != "join":
--- /dev/null
+++ b/lugtally/service/control.py
@@ -0,0 +1,92 @@
+"""The control socket: a Unix socket that tells whoever connects how the sidecar is, as one JSON object.
+
+It takes no orders: what can be read there changes nothing.  The socket is open to the sidecar's own user alone.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import stat
+from collections.abc import Callable
+from typing import Any
+
+import ujson
+from loguru import logger
+
+from lugtally.hub.scheduler import MS, READ, WRITE, Hub, Woken
+
+WRITE_NS = 1000 * MS
+BACKLOG = 4
+Snapshot = Callable[[], dict[str, Any]]
+
+
+class ControlError(Exception):
+    """The socket cannot be opened; the text is one line."""
+
+
+class Control:
+    """One listening socket; each connection gets a snapshot and an end."""
+
+    def __init__(self, hub: Hub, path: str, snapshot: Snapshot) -> None:
+        """Listen at ``path``; a :class:`ControlError` says why that cannot be."""
+        self._hub = hub
+        self._path = path
+        self._snapshot = snapshot
+        try:
+            _clear(path)
+            self._listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            before = os.umask(0o177)
+            try:
+                self._listener.bind(path)
+            finally:
+                os.umask(before)
+            self._listener.listen(BACKLOG)
+        except OSError as error:
+            raise ControlError(f"control.socket: {path}: {error.strerror or error}") from error
+        hub.spawn(self._serve)
+
+    def close(self) -> None:
+        """Stop listening and take the file away."""
+        self._listener.close()
+        try:
+            os.unlink(self._path)
+        except OSError:
+            pass        # somebody took it away before
+
+    def _serve(self) -> None:
+        # One at a time: a reader that does not read must not pile up others, and this is for people.
+        while self._listener.fileno() >= 0:
+            if self._hub.wait(self._listener.fileno(), READ) is not Woken.READY:
+                continue
+            try:
+                link, _ = self._listener.accept()
+            except OSError:
+                continue
+            with link:
+                link.setblocking(False)
+                try:
+                    self._tell(link)
+                except OSError as error:
+                    logger.debug("a reader of the status went away: {why}", event="control.left", why=str(error))
+
+    def _tell(self, link: socket.socket) -> None:
+        view = memoryview(ujson.dumps(self._snapshot(), escape_forward_slashes=False).encode() + b"\n")
+        until = self._hub.now() + WRITE_NS
+        while view:
+            try:
+                view = view[link.send(view):]
+            except BlockingIOError:
+                if self._hub.wait(link.fileno(), WRITE, until) is not Woken.READY:
+                    return
+
+
+def _clear(path: str) -> None:
+    """Take away the socket of an earlier life; anything else at that place is somebody's file."""
+    try:
+        mode = os.lstat(path).st_mode
+    except FileNotFoundError:
+        return
+    if not stat.S_ISSOCK(mode):
+        raise OSError(f"{path} is there and is no socket")
+    os.unlink(path)
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -8,10 +8,11 @@
 import socket
 import sys
 from collections.abc import Callable
+from typing import Any
 
 from loguru import logger
 
-from lugtally import logs
+from lugtally import __version__, logs
 from lugtally.config import sidecar as config
 from lugtally.facade import Decisions, Facade
 from lugtally.hub.scheduler import MS, READ, Hub
@@ -20,6 +21,7 @@
 from lugtally.net.pool_config import PoolWatch
 from lugtally.overload.gate import Bounds, Gate
 from lugtally.overload.probe import Probe, Told
+from lugtally.service.control import Control, ControlError
 
 RETIRE_EVERY_NS = 1000 * MS
 LATE_NS = 50 * MS
@@ -27,10 +29,11 @@
 
 
 def serve(told: config.Config, level: str, form: logs.Format = "text", *, overload: Bounds | None = None,
-          decisions: Decisions | None = None) -> int:
+          control: str = "", decisions: Decisions | None = None) -> int:
     """Run the sidecar until it is told to stop; returns the exit status.
 
     ``overload`` has it refuse by worth before it falls behind itself; without, all is let in that the module lets in.
+    ``control`` is the path of a Unix socket for ``lugtally status``.
     ``decisions`` makes what decides in the place of the shipped module: for comparisons by the rehearsal kit alone.
     """
     logs.start(level, form)
@@ -44,6 +47,7 @@
     pool = PoolWatch(hub, facade, destinations, told.discovery, told.zones)
     facade.register(destinations.close_idle, pool.watch)
     front = Front(hub, facade, destinations, told.settings.classes, told.sockets // 2)
+    gate: Gate | None = None
     if overload is not None:
         try:
             gate = Gate(told.settings.classes, overload, told.seed, hub.now())
@@ -53,8 +57,21 @@
         facade.guard(gate)
         probe = Probe(Told(told.cores, told.memory_mb << 20, told.sockets), lambda: front.open + destinations.open)
         hub.spawn(_watch_self, hub, gate, probe)
+    started = hub.now()
+
+    def snapshot() -> dict[str, Any]:
+        return {"sidecar": told.name, "version": __version__, "ready": front.ready, "draining": front.draining,
+                "up_s": (hub.now() - started) / 1e9, "front_sockets": front.open, "connections": destinations.open,
+                "destinations": pool.usable, "requests": facade.counted(), "overload": gate and gate.shown()}
+
+    told_by = None
     try:
+        if control:
+            told_by = Control(hub, control, snapshot)
         front.listen(told.listen)
+    except ControlError as error:
+        print(f"lugtally: operator file: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"lugtally: listen: {told.listen[0]}:{told.listen[1]}: {error.strerror}", file=sys.stderr)
         return 1
@@ -68,6 +85,8 @@
     logger.info("{sidecar} serves at {host}:{port}", event="sidecar.serving", sidecar=told.name,
                 host=told.listen[0], port=told.listen[1])
     hub.run(facade.tick)
+    if told_by is not None:
+        told_by.close()
     logger.info("{sidecar} has stopped", event="sidecar.stopped", sidecar=told.name)
     return 0
 
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -6,6 +6,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -79,3 +80,39 @@
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, env=environment)
     assert done.stdout.split(maxsplit=1) == ["2", "[]\n"], done.stdout
     assert done.stderr == "lugtally: PROXY_CONFIG: not set\n"
+
+
+def test_status_tells_how_a_sidecar_is_and_a_file_in_its_place_is_left_alone(tmp_path: Path) -> None:
+    player = Player(tmp_path)
+    config, told, path = tmp_path / "config.json", tmp_path / "operator.toml", tmp_path / "control"
+    config.write_text(json.dumps(player.config()))
+    told.write_text(f"[control]\nsocket = '{path}'\n[overload]\nenabled = true\n[log]\nformat = 'json'\n")
+    command = [sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(told)]
+    environment = {**os.environ, "PROXY_CONFIG": str(config)}
+    path.write_text("somebody's")
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, env=environment)
+    assert done.returncode == 2 and "operator file: control.socket: " in done.stderr and path.read_text()
+    path.unlink()
+    stale = socket.socket(socket.AF_UNIX)
+    stale.bind(str(path))
+    stale.close()
+    child = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True, env=environment)
+    try:
+        assert child.stderr is not None and "sidecar.serving" in child.stderr.readline()
+        assert path.stat().st_mode & 0o777 == 0o600
+        silent = socket.socket(socket.AF_UNIX)      # one that reads nothing must not keep others waiting
+        silent.connect(str(path))
+        shown = subprocess.run([sys.executable, "-m", "lugtally", "status", str(path), "--json"], cwd=ROOT,
+                               capture_output=True, text=True)
+        seen = json.loads(shown.stdout)
+        assert seen["sidecar"] == "n1" and seen["requests"]["in_progress"] == 0
+        assert seen["overload"]["refusing"] is False and seen["draining"] is False
+        child.send_signal(signal.SIGTERM)
+        assert child.wait(10) == 0 and not path.exists()
+        silent.close()
+    finally:
+        child.kill()
+        player.end()
+    gone = subprocess.run([sys.executable, "-m", "lugtally", "status", str(path)], cwd=ROOT, capture_output=True,
+                          text=True)
+    assert gone.returncode == 1 and gone.stderr.count("\n") == 1
