Let go of each request's ring of objects at its end

Cause: an exchange holds its ask, which holds the exchange's method to call a step off: a ring of 13 objects a request that only the collector could free, 65,000 objects a second on a busy sidecar. Change: the last verdict lets go of the tasks and of that method.

--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -82,6 +82,19 @@
             self.hub.interrupt(task)
 
 
+    def release(self) -> None:
+        """The last verdict has come, and all steps are called off: let go of what would hold itself in a ring.
+
+        A ring waits for the collector: 13 objects a request were 65,000 a second on a busy sidecar.
+        """
+        self.tasks.clear()
+        self.ask.cancel = _nothing
+
+
+def _nothing(_: int) -> None:
+    """Calls off a step of a request that is over: there is none."""
+
+
 class Front:
     """All front sockets of this sidecar."""
 
@@ -306,6 +319,7 @@
             exchange.tasks[verdict.number] = self._hub.spawn(self._step, exchange, verdict)
             verdict = self._facade.pick(exchange.ask)
         self._hub.unwatch(front.fd)
+        exchange.release()
         if exchange.gone:
             return None
         if isinstance(verdict, BusyReply):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import socket
 import subprocess
@@ -380,3 +381,49 @@
     hub.run(lambda: None)
     assert woken == [Woken.TIMEOUT], "a timer that counts was cleared as well"
     assert len(hub._timers) < 1000
+
+
+def test_requests_leave_nothing_for_the_collector() -> None:
+    """Each request held itself in a ring of 13 objects: memory and pauses grew with the rate."""
+    hub = Hub()
+    cls = api.RequestClass("campaign-read", api.Effect.SAFE, api.Group.ALL, 0, 2 * api.SECOND, 8 * api.SECOND)
+    front_facade = facade.Facade(api.Settings((cls,), max_attempts=4), 1, hub)
+    destinations = Destinations(hub, Limits(1000 * MS, 60_000 * MS, 9), ())
+    pool = PoolWatch(hub, front_facade, destinations, ("127.0.0.1", 9), ("a",))
+    front_facade.register(destinations.close_idle, lambda: None)
+    front = Front(hub, front_facade, destinations, (cls,), 9)
+    front.listen(("127.0.0.1", 0))
+    assert front._listener is not None
+    where = front._listener.getsockname()
+    server = listener()
+    host, port = server.getsockname()
+    pool.start(read_pool({"version": 1, "full": True, "servers": [
+        {"id": "s", "addr": f"{host}:{port}", "zone": "a", "state": "ready"}]}, "known"))
+    left: list[int] = []
+
+    def serve() -> None:
+        hub.wait(server.fileno(), 1)
+        link, _ = server.accept()
+        while hub.wait(link.fileno(), 1) is Woken.READY and link.recv(4096):
+            link.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+
+    def ask() -> None:
+        with socket.create_connection(where) as link:
+            for turn in range(120):
+                link.sendall(b"GET /campaign-read HTTP/1.1\r\nX-Correlation-Id: r%d\r\n\r\n" % turn)
+                hub.wait(link.fileno(), 1)
+                assert b"200 OK" in link.recv(4096)
+                if turn == 19:
+                    gc.collect()
+                    gc.disable()
+        left.append(gc.collect())
+        hub.stop()
+
+    hub.spawn(serve)
+    hub.spawn(ask)
+    try:
+        hub.run(front_facade.tick)
+    finally:
+        gc.enable()
+        server.close()
+    assert left and left[0] < 100, "100 requests"
