--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -30,6 +30,8 @@
 NO_DESCRIPTOR_PAUSE_NS = 20 * MS
 DRAIN_EXTRA = 64            # front sockets beyond the usual most at the end of a planned restart
 MOST_LEFT_S = 3600.0
+MOST_HEALTH = 200           # health calls a second that are answered at once, of all front sockets together
+HEALTH_PAUSE_NS = 50 * MS   # each further one waits that long: a tight loop of them must not eat the core
 
 # Of a destination's answer, what concerns the connection to it alone.
 _OWN = frozenset({"connection", "keep-alive", "content-length", "transfer-encoding", "trailer", "upgrade",
@@ -112,6 +114,7 @@
         self._draining = False          # every answer from now on closes its connection
         self._closing = False           # front sockets without a request are closed
         self._closed_at = 0             # since when
+        self._health_since = self._health_calls = 0
         self.ready = False
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -289,6 +292,7 @@
     def _answer(self, front: FrontSocket, message: Message) -> Answer | None:
         """The final answer to one request; none where the client has gone."""
         if message.target.partition("?")[0] == HEALTH:
+            self._pace_health()
             able = self.ready and not self._draining
             return (200, b"ok\n", []) if able else (503, b"not ready\n", [])
         try:
@@ -304,6 +308,15 @@
         finally:
             self._ids.discard(id)
 
+    def _pace_health(self) -> None:
+        """Health calls are always answered, but beyond a rate only after a pause."""
+        now = self._hub.now()
+        if now - self._health_since >= api.SECOND:
+            self._health_since, self._health_calls = now, 0
+        self._health_calls += 1
+        if self._health_calls > MOST_HEALTH:
+            self._hub.sleep(HEALTH_PAUSE_NS)
+
     def _exchange(self, front: FrontSocket, message: Message, cls: int, left_ns: int) -> Answer | None:
         exchange = _Exchange(self._hub, Forward(message), cls, self._hub.now() + left_ns,
                              message.names.get("x-repeat") == "1")
