Move the guard's units from the command line to the service; drop dead code

Cause: cli/ turned the operator's words into the gate's units, which a floor 7 must not know; two constants, a method and a parameter had no user. Change: service.serve.guard_of; a test that the file's defaults are the gate's own. No behaviour changes.

--- a/benchmarks/saturate.py
+++ b/benchmarks/saturate.py
@@ -19,7 +19,6 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -195,8 +194,7 @@
     uvloop.run(run())
 
 
-def measure(connections: int, seconds: float, pause: float, memory_mb: int,
-            watch: Callable[[float], None] = lambda _mb: None) -> dict[str, float]:
+def measure(connections: int, seconds: float, pause: float, memory_mb: int) -> dict[str, float]:
     """One run of one sidecar on core 0."""
     block = places.Block()
     folder = Path(tempfile.mkdtemp(prefix="lugtally-saturate-"))
--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -9,9 +9,7 @@
 import click
 
 if TYPE_CHECKING:
-    from lugtally.api import Settings
-    from lugtally.config.operator import Operator, Overload
-    from lugtally.overload.gate import Bounds
+    from lugtally.config.operator import Operator
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 FORMATS = ("text", "json")
@@ -24,6 +22,7 @@
 def serve(log_level: str | None, log_format: Literal["text", "json"] | None, operator: str | None) -> int:
     """Run the sidecar in the foreground, as the PROXY_* variables say."""
     from lugtally.config import sidecar
+    from lugtally.service.serve import guard_of
     from lugtally.service.serve import serve as run
 
     level: str = "INFO"
@@ -34,24 +33,13 @@
         if operator is not None:
             own = _operator(operator)
             level, form = own.log.level, own.log.format
-            bounds, control = _bounds(own.overload, told.settings), own.control.socket
+            bounds, control = guard_of(own.overload, told.settings), own.control.socket
     except ValueError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return 2
     return run(told, log_level or level, log_format or form, overload=bounds, control=control)
 
 
-def _bounds(own: Overload, settings: Settings) -> Bounds | None:
-    """The operator's words on own overload in the units of the gate; none where it is off."""
-    from lugtally.overload.gate import MOST_ADVICE_NS, Bounds
-
-    if not own.enabled:
-        return None
-    advice = min(settings.max_advice_ns, MOST_ADVICE_NS) if settings.advice else 0
-    return Bounds(target_ns=int(own.target_ms * 1e6), memory=own.memory, descriptors=own.descriptors,
-                  first=own.refuse_first, advice_ns=advice)
-
-
 def _operator(path: str) -> Operator:
     """The operator's file; its decoder is loaded where there is one."""
     from lugtally.config import operator
--- a/lugtally/overload/order.py
+++ b/lugtally/overload/order.py
@@ -11,7 +11,6 @@
 
 RANK = {Effect.SAFE: 0, Effect.KEYED: 1, Effect.UNSAFE: 2}
 SHARE_S = 2.0       # over which the shares of the traffic are smoothed
-REPEATS = 1.0       # a client's marked repeats count as first tries: see docs/overload-design.md
 
 
 class Order:
--- a/lugtally/rehearsal/catalog.py
+++ b/lugtally/rehearsal/catalog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 KEPT = 512      # changes remembered; who is further behind gets the whole list
 
@@ -38,11 +38,6 @@
         self._changes = [*self._changes[-KEPT:], (self.version, row)]
         return True
 
-    def mark(self, id: str, state: str) -> Row | None:
-        """The present row with another state; none where it is not listed."""
-        row = self.rows.get(id)
-        return None if row is None else replace(row, state=state)
-
     def since(self, version: int | None) -> tuple[bool, list[Row]]:
         """Whether this is the whole list, and its rows: the last of each server that changed after a version."""
         behind = version is None or version > self.version or (
--- a/lugtally/rehearsal/plan.py
+++ b/lugtally/rehearsal/plan.py
@@ -14,8 +14,6 @@
 from lugtally.rehearsal.scenario import Class, Scenario, Trouble
 from lugtally.rehearsal.streams import between, stream
 
-FULL = 1.0
-
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -8,21 +8,24 @@
 import socket
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
-from lugtally import __version__, logs
+from lugtally import __version__, api, logs
 from lugtally.config import sidecar as config
 from lugtally.facade import Decisions, Facade
 from lugtally.hub.scheduler import MS, READ, Hub
 from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
 from lugtally.net.front import Front
 from lugtally.net.pool_config import PoolWatch
-from lugtally.overload.gate import Bounds, Gate
+from lugtally.overload.gate import MOST_ADVICE_NS, Bounds, Gate
 from lugtally.overload.probe import Probe, Told
 from lugtally.service.control import Control, ControlError
 
+if TYPE_CHECKING:
+    from lugtally.config.operator import Overload
+
 RETIRE_EVERY_NS = 1000 * MS
 LATE_NS = 50 * MS
 READ_EVERY_NS = 250 * MS
@@ -91,6 +94,15 @@
     return 0
 
 
+def guard_of(own: Overload, settings: api.Settings) -> Bounds | None:
+    """The operator's words on own overload in the units of the gate; none where it is off."""
+    if not own.enabled:
+        return None
+    advice = min(settings.max_advice_ns, MOST_ADVICE_NS) if settings.advice else 0
+    return Bounds(target_ns=int(own.target_ms * MS), memory=own.memory, descriptors=own.descriptors,
+                  first=own.refuse_first, advice_ns=advice)
+
+
 def _keep_house(hub: Hub, destinations: Destinations, pool: PoolWatch, front: Front) -> None:
     """Retire idle connections; be ready once there is somewhere to send to."""
     while True:
--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -92,8 +92,8 @@
     rows = [catalog.Row(f"s{n}", "z", 0, "ready", 0) for n in range(3)]
     book = catalog.Catalog(list(rows))
     assert book.since(None) == (True, rows) and book.since(1) == (False, [])
-    draining = book.mark("s1", "draining")
-    assert draining is not None and book.put(draining) and not book.put(draining)
+    draining = catalog.Row("s1", "z", 0, "draining", 0)
+    assert book.put(draining) and not book.put(draining)
     assert book.since(1) == (False, [draining]) and book.since(2) == (False, [])
     gone = catalog.Row("s1", "z", 0, "gone", 0)
     assert book.put(gone) and not book.put(gone), "what has left cannot leave again"
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -13,7 +13,10 @@
 
 import pytest
 
+from lugtally import api
 from lugtally.config import operator
+from lugtally.overload.gate import Bounds
+from lugtally.service.serve import guard_of
 from tests.player import ROOT, Player
 
 KIT = ("numpy", "rich", "matplotlib", "jinja2", "httptools", "uvloop", "hdrh", "psutil", "xxhash",
@@ -42,6 +45,11 @@
     assert operator.load(str(ROOT / "deploy" / "operator.example.toml")) == operator.Operator()
 
 
+def test_the_files_defaults_are_the_gates_own() -> None:
+    assert guard_of(operator.Overload(), api.Settings()) is None
+    assert guard_of(operator.Overload(enabled=True), api.Settings()) == Bounds()
+
+
 def test_json_lines_have_the_documented_events(tmp_path: Path) -> None:
     player = Player(tmp_path)
     config, told = tmp_path / "config.json", tmp_path / "operator.toml"
