--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -610,7 +610,8 @@
         a neighbour on the machine, and hurts by up to half of the capacity where no rest cures the slowness.
         """
         known = sorted(p.slow for p in self.members if p.seen >= 8 and p.ejected <= now)
-        bound = max(self.brisk, SLOW_TIMES * known[len(known) // 2]) if len(known) > 2 else float("inf")
+        middle = known[len(known) // 2] if len(known) > 2 else float("inf")
+        bound = max(self.brisk, SLOW_TIMES * middle)
         for peer in [p for p in self.members if p.seen >= 8 and p.slow > bound]:
             self._rest(now, peer)
         worn = [p for p in self.members if p.limit <= 1 and p.seen >= 6 and p.slow > max(CROWDED, self.crowded)]
