--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -614,7 +614,8 @@
         bound = max(self.brisk, SLOW_TIMES * middle)
         for peer in [p for p in self.members if p.seen >= 8 and p.slow > bound]:
             self._rest(now, peer)
-        worn = [p for p in self.members if p.limit <= 1 and p.seen >= 6 and p.slow > max(CROWDED, self.crowded)]
+        worn_at = max(CROWDED, self.crowded)
+        worn = [p for p in self.members if p.limit <= 1 and p.seen >= 6 and p.slow > worn_at]
         for peer in sorted(worn, key=lambda p: p.id):
             self._rest(now, peer)
 
