Let servers that start in by a sidecar's share at its own members

Counted over all sidecars' events: the 18 servers that had just started got about 2 requests a second each, where a warm one got 15; the warm ones carried the rest.

To blame: Balancer._settle and _cold_room. The bucket of a cold member was filled by the own rate over all usable servers, while a sidecar only ever sends to its own members: one server in six. With ten servers the two are the same. And an empty first bucket keeps quiet sidecars, hundreds of them, away until the server is warm.

Change: the rate over the members, and a random part of a first send in a new bucket. The fleet together then sends a cold server its equal share times the told ramp, whatever the size.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -79,7 +79,9 @@
         self.seen = 0
         self.strikes = 0            # failures in a row
         self.ejected = 0            # until when
-        self.tokens = 0.0           # sends that slow start still allows
+        # Sends that slow start still allows.  A random part of one: in a fleet of hundreds each sends so
+        # rarely that a server would be warm before anyone had a whole one.
+        self.tokens = self.rank * 1e6 % 1
         self.filled = now
 
 
@@ -127,7 +129,7 @@
         self.table: list[Peer] = []             # members worth drawing, with cumulated weights
         self.sums: list[float] = []
         self.flat: list[float] = []             # the same without the leaning to the own zone
-        self.warm = 1
+        self.warm = 1                           # members that count as warm
         self.flying = 0.0                       # own requests in flight, smoothed
         self.held: dict[str, Held] = {}
         self.out: dict[tuple[str, int], Flight] = {}
@@ -317,9 +319,10 @@
         return self.set.cold_from + (1 - self.set.cold_from) * age
 
     def _cold_room(self, now: int, peer: Peer) -> bool:
-        """Slow start: a bucket filled at a part of the told multiple of our mean rate per server.
+        """Slow start: a bucket filled at a part of the told multiple of our mean rate per member.
 
-        The rate is that of the whole window: a balancer just started sends next to nothing to it.
+        Per member, not per server: most of a large fleet never hears of us.  The rate is that of the whole
+        window: a balancer just started sends next to nothing to it.
         """
         rate = sum(self.requests) / (BUDGET_SECONDS * api.SECOND) / self.warm
         grown = (now - peer.filled) * rate * COLD_SHARE * self.set.fall_multiple * self._ramp(now, peer)
@@ -413,7 +416,7 @@
             # After our own restart the pace is unknown and the clients of the pause come all at once.
             self.window = 2.0 * max(4, len(self.members))
         warm = sum(not self._is_cold(now, p) for p in self.members) / max(1, len(self.members))
-        self.warm = max(1, round(max(0.5, warm) * len(self.usable)))
+        self.warm = max(1, round(max(0.5, warm) * len(self.members)))
         self._eject_slow(now)
         fit = [p for p in self.members if p.ejected <= now] or self.members
         self._lean(fit)
