Give the last places by worth for work, and leave the window room for chance

Change: three deviations of chance on top of the multiple; places by worth for usual time, from two fifths up.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -27,6 +27,7 @@
 SILENT_AFTER = 3.0              # usual times of a server without a word from it
 PATIENCE = 0.5                  # part of the aim after which an attempt without an answer is overdue
 WINDOW = 1.8                    # own requests in flight, as a multiple of the crowded state
+CHANCE = 3.0                    # deviations of chance in flight that the window leaves room for
 RISE = 0.01                     # how fast the usual times may rise, a second
 CROWDED = 3.0                   # answer times, against the usual, at which a server holds too much
 EJECT_NS = 1 * api.SECOND       # ejection after a failure; doubles with each further one up to four times
@@ -40,6 +41,7 @@
 STRAINED = 0.35                 # part of the answers that may take over half their aim before less is let in
 SHALLOW = -3.0                  # logarithm of the least part let in
 SPARE = 0.7                     # logarithm of what good answers save up: one bad answer sheds nothing
+LAST_PLACES = 0.4               # part of the places that any class may take
 COLD_SHARE = 0.4                # part of the told multiple that this balancer uses of its own mean rate
 
 
@@ -143,6 +145,7 @@
         self.report_column = next((told.index(f) for f in ("inflight", "queue", "util") if f in told), -1)
         self.level = SPARE                      # logarithm of the part of requests let in
         self.yields: dict[int, float] = {}      # class -> how much it yields to others when room is short
+        self.dear: dict[int, float] = {}        # class -> its worth for its usual time, against the most
         self.last_outcome = 0
         self.settled = 0
         self.stale = False
@@ -162,7 +165,6 @@
         self.room = 9.0                         # usual times in the tightest aim
         self.crowded = CROWDED     # answer times, against the usual, that show too long a queue
         self.brisk = BRISK
-        self.most_worth = max((c.worth for c in settings.classes), default=1.0) or 1.0
         self.actions: list[api.Action] = []
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -365,8 +367,11 @@
         return peer.slow * (1 + self.waiting + (peer.load - self.waiting) * fresh)
 
     def _headroom(self, held: Held) -> float:
-        """Cheap classes leave the last places at a server to dear ones."""
-        return 0.8 + 0.2 * self._class(held.cls).worth / self.most_worth
+        """Classes of little worth for their work leave the last places to those of more.
+
+        By worth alone short reads stood back behind long work: of forty balancers' refusals most were reads.
+        """
+        return LAST_PLACES + (1 - LAST_PLACES) * self.dear.get(held.cls, 1.0)
 
     # ------------------------------------------------------------ list
 
@@ -577,6 +582,8 @@
         self.level = min(SPARE, self.level + 0.05 * span / api.SECOND)      # so that no silence is for good
         dear = {c: self._class(c).worth / max(1.0, mean) for c, mean in self.mean.items()}
         self.yields = {c: min(dear.values()) / d if d else 1.0 for c, d in dear.items()}
+        most = max(dear.values(), default=0.0) or 1.0
+        self.dear = {c: d / most for c, d in dear.items()}
         for cls, recent in self.recent.items():
             self.mean[cls] = min(max(recent, self.mean[cls]), self.mean[cls] * (1 + RISE * span / api.SECOND))
         self.room = min((self._class(c).aim_ns / max(1.0, m) for c, m in self.mean.items()), default=9.0)
@@ -586,7 +593,10 @@
         self.crowded, self.brisk = max(min(CROWDED, self.room / 2.5), ample), max(BRISK, ample)
         least = max(4.0, 4 * len(self.members) / self.set.balancers)
         if self.paced > 4:
-            self.window = max(least, WINDOW * max(self.crowded, self.room / 6) * self.pace)
+            # Few requests in flight scatter by as much as their number: without room for that, forty quiet
+            # balancers refused every third request while all servers were half idle.
+            often = WINDOW * max(self.crowded, self.room / 6) * self.pace
+            self.window = max(least, often + CHANCE * self.pace ** 0.5)
 
     def _eject(self, now: int, peer: Peer, least: int = 1, sure: bool = False) -> None:
         """Leave a failing server alone, briefly at first, unless too many are left alone already.
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -40,6 +40,7 @@
 class Asked:
     """One request of one instance."""
 
+    cls: int
     work: float
     deadline: int
     where: list[int] = field(default_factory=list)
@@ -50,11 +51,12 @@
 class Fleet:
     """Sidecars, servers, and the events between them."""
 
-    def __init__(self, told: api.Settings, sidecars: int, servers: int, *, rate: float, work: float,
-                 seed: int = 1) -> None:
+    def __init__(self, told: api.Settings, sidecars: int, servers: int, *, rate: float, work: tuple[float, ...],
+                 shares: tuple[float, ...] = (1.0,), seed: int = 1) -> None:
+        """``work`` in seconds of a core and ``shares`` of the requests are by class."""
         self.told, self.rng, self.now = told, Random(seed), 1000 * S
         self.machines = {n: Machine(api.Server(n, zone=n % 2)) for n in range(1, servers + 1)}
-        self.work = work
+        self.work, self.shares = work, shares
         self.asked: dict[tuple[int, str], Asked] = {}
         self.tally: dict[str, int] = defaultdict(int)
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -101,10 +103,11 @@
         self._after(self._gap(at), lambda: self._arrive(at))
         self._count += 1
         name = f"r{self._count}"
-        cls = self.told.classes[0]
-        self.asked[at, name] = Asked(self.rng.gammavariate(0.5, 2) * self.work, self.now + cls.deadline_ns)
-        self.tally["asked"] += 1
-        self._feed(at, api.Request(name, 0, 0, cls.deadline_ns))
+        number = self.rng.choices(range(len(self.shares)), self.shares)[0]
+        left = self.told.classes[number].deadline_ns
+        self.asked[at, name] = Asked(number, self.rng.gammavariate(0.5, 2) * self.work[number], self.now + left)
+        self.tally[f"asked {number}"] += 1
+        self._feed(at, api.Request(name, number, 0, left))
 
     def _feed(self, at: int, event: api.Event) -> None:
         for action in self.balancers[at].handle(self.now, event):
@@ -157,12 +160,12 @@
         won = result is api.Result.OK and not asked.ended
         self._feed(at, api.Outcome(name, attempt, asked.where[attempt], result, won or bool(asked.ended), took))
         if won:
-            self._end(at, name, "late" if took > self.told.classes[0].aim_ns else "served")
+            self._end(at, name, "late" if took > self.told.classes[asked.cls].aim_ns else "served")
 
     def _end(self, at: int, name: str, how: str) -> None:
         asked = self.asked[at, name]
         if not asked.ended:
             asked.ended = how
-            self.tally[how] += 1
+            self.tally[f"{how} {asked.cls}"] += 1
             for attempt in list(asked.out):
                 self._answer(at, name, attempt, api.Result.CANCELLED)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from statistics import mean
 
 import pytest
 
+from lugtally import api
 from tests.fleet import COLD_FROM, CORES, WARM_NS, Fleet
-from tests.world import MS, SAFE, S, settings
+from tests.world import MS, SAFE, S, lines, sent, settings, started
 
 WORK = 0.08     # seconds of a core
 
@@ -15,7 +17,7 @@
 def fleet(sidecars: int, servers: int, load: float = 0.6, seed: int = 1) -> Fleet:
     """A fleet whose servers are loaded to that part of their cores."""
     told = settings(SAFE, balancers=sidecars, warm_within_ns=WARM_NS, cold_from=COLD_FROM, fall_multiple=2.5)
-    return Fleet(told, sidecars, servers, rate=servers * CORES * load / WORK, work=WORK, seed=seed)
+    return Fleet(told, sidecars, servers, rate=servers * CORES * load / WORK, work=(WORK,), seed=seed)
 
 
 @pytest.mark.parametrize(("sidecars", "servers"), [(4, 12), (40, 60), (200, 60)])
@@ -39,3 +41,29 @@
             window = sum(work for when, work in machine.sends if at <= when < at + S)
             bound = 2.5 * CORES * machine.speed(at) + 1.0       # some slack for one long request
             assert window < bound, f"{window:.1f} s of work in one second, {(at - begun) // MS} ms after its start"
+
+
+def test_a_small_burst_at_a_quiet_sidecar_does_not_pass_for_a_jam() -> None:
+    """The window on requests in flight was a multiple of their mean.  A quiet sidecar's few scatter by as much as that:
+    on a calm day forty of them refused every third request for it, with two in flight at each server of two cores."""
+    world = started(settings(SAFE, balancers=40, max_attempts=1), lines(60))
+    for n in range(80):     # twenty a second, each answered after 100 ms: two in flight
+        world.ask(f"calm{n}")
+        world.pass_time(50 * MS)
+        if n:
+            world.end(f"calm{n - 1}", 0, api.Result.OK)
+    burst = sum(bool(sent(world.ask(f"burst{n}"))) for n in range(7))
+    assert burst == 7
+
+
+def test_in_a_jam_long_work_of_little_worth_leaves_room_for_short_reads() -> None:
+    """The last places went by worth a request alone: reads were refused first, though long work brings least."""
+    read = replace(SAFE, name="read", worth=1.0, aim_ns=300 * MS, deadline_ns=800 * MS)
+    long = replace(SAFE, name="long", worth=2.0, aim_ns=1000 * MS, deadline_ns=3 * S)
+    told = settings(read, long, balancers=40, warm_within_ns=WARM_NS, cold_from=COLD_FROM, fall_multiple=2.5)
+    work, shares = (0.04, 0.24), (0.7, 0.3)
+    rate = 60 * CORES * 1.1 / sum(w * s for w, s in zip(work, shares, strict=True))
+    world = Fleet(told, 40, 60, rate=rate, work=work, shares=shares)
+    world.run(12 * S)
+    refused = [world.tally[f"refused {n}"] / world.tally[f"asked {n}"] for n in (0, 1)]
+    assert refused[0] < 0.8 * refused[1], refused
