--- a/lugtally/api.py
+++ b/lugtally/api.py
@@ -111,6 +111,7 @@
     max_advice_ns: int = 0
     ask_for_list: bool = False
     gone_binds: bool = True
+    ask_within_ns: int = 0      # how long the list may go unasked; 0: not told
     cold_from: float = 0.1
     warm_within_ns: int = 30 * SECOND
     fall_multiple: float = 2.0
--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -378,7 +378,9 @@
     def _on_list(self, now: int, event: api.ServerList) -> None:
         if event.kind is ListKind.FAILED:
             self.watch_tries = min(self.watch_tries + 1, 5)
-            wait = self.rng.uniform(0.2, 1) * min(8 * api.SECOND, api.SECOND << self.watch_tries)
+            # Never beyond what the settings allow between two calls, or a drain is overlooked in an outage.
+            most = min(8 * api.SECOND, api.SECOND << self.watch_tries)
+            wait = self.rng.uniform(0.2, 1) * min(most, self.set.ask_within_ns or most)
             self.actions.append(api.Wake(int(wait), "watch"))
             return
         if event.kind is ListKind.KEPT and self.set.ask_for_list:
--- a/lugtally/settings.py
+++ b/lugtally/settings.py
@@ -61,6 +61,7 @@
         "max_retry_after_ns": "max_advice_ns", "cold_from": "cold_from",
         "warm_within_ns": "warm_within_ns", "fall_multiple": "fall_multiple",
         "cross_zone": "cross_zone_price", "step_ns": "tick_ns",
+        "ask_within_ns": "ask_within_ns",
     }
     built: api.Settings = _fill(
         api.Settings, flat, names,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -58,6 +58,7 @@
     bare = settings.read_settings({})
     assert bare == api.Settings()
     assert not settings.read_settings({"contract": {"removal_not_binding": True}}).gone_binds
+    assert settings.read_settings({"contract": {"ask_within_ns": 7}}).ask_within_ns == 7
 
 
 @pytest.mark.parametrize("field, raw", [
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -126,6 +126,20 @@
     assert api.Watch() in world.log
 
 
+def test_in_an_outage_the_list_is_asked_for_as_often_as_the_settings_want() -> None:
+    """Between two failed calls up to 8 s went by: where a second is told, a drain was overlooked."""
+    for told, most in ((S, S), (0, 8 * S), (60 * S, 8 * S)):
+        world = started(settings(ask_for_list=True, ask_within_ns=told), lines(4))
+        waits = []
+        for _ in range(60):
+            world.wakes.clear()
+            world.feed(api.ServerList(api.ListKind.FAILED, []))
+            waits += [at - world.now for at, token in world.wakes if token == "watch"]
+        assert len(waits) == 60
+        assert 0.7 * most < max(waits) <= most
+        assert len(set(waits)) > 50, "forty sidecars must not ask in step"
+
+
 @pytest.mark.parametrize("field, make", [
     ("window_ns", lambda: api.RequestClass(window_ns=-1)),
     ("aim_ns", lambda: api.RequestClass(aim_ns=0)),
