Play the fleet tests on the kit's model of servers, and derive what classes yield

Need: read again, the fleet world of the tests had a server of its own, though the rehearsal kit has a model that is free of I/O; and the module kept two tables of worth for work, one of which follows from the other. The bound on cold servers in the test could not fail: with ten times the told part let in it still passed.

Change: tests/fleet.py offers, cancels and advances the model's servers, whose fall is the fourth rule's; the share of cold servers is bounded from above as well, which fails with ten times the part; yields go, dear and its least stay. Comments and tests say what was counted: a quarter refused by the window, not a third of all with idle servers.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -144,8 +144,8 @@
         told = settings.load_fields             # the column of the reports that is used, -1: none
         self.report_column = next((told.index(f) for f in ("inflight", "queue", "util") if f in told), -1)
         self.level = SPARE                      # logarithm of the part of requests let in
-        self.yields: dict[int, float] = {}      # class -> how much it yields to others when room is short
         self.dear: dict[int, float] = {}        # class -> its worth for its usual time, against the most
+        self.least = 1.0                        # the smallest of these
         self.last_outcome = 0
         self.settled = 0
         self.stale = False
@@ -369,7 +369,7 @@
     def _headroom(self, held: Held) -> float:
         """Classes of little worth for their work leave the last places to those of more.
 
-        By worth alone short reads stood back behind long work: of forty balancers' refusals most were reads.
+        By worth alone short reads were refused as often as work five times as long, of twice their worth.
         """
         return LAST_PLACES + (1 - LAST_PLACES) * self.dear.get(held.cls, 1.0)
 
@@ -557,7 +557,8 @@
         Hundreds of quiet balancers never fill a window: their sum kept whole fleets jammed.  It also meets
         bursts, lost capacity, costly work.  It hurts where less load cures nothing: a class that waits.
         """
-        return exp(min(0.0, self.level) * self.yields.get(cls, 1.0))
+        dear = self.dear.get(cls)
+        return exp(min(0.0, self.level) * (self.least / dear if dear else 1.0))
 
     def _usual(self, cls: int, event: api.Outcome, idle: bool) -> float:
         """The usual time of a good answer of a class; a jam must not pass for usual, so it rises slowly."""
@@ -583,9 +584,9 @@
         self.done = 0.0
         self.level = min(SPARE, self.level + 0.05 * span / api.SECOND)      # so that no silence is for good
         dear = {c: self._class(c).worth / max(1.0, mean) for c, mean in self.mean.items()}
-        self.yields = {c: min(dear.values()) / d if d else 1.0 for c, d in dear.items()}
         most = max(dear.values(), default=0.0) or 1.0
         self.dear = {c: d / most for c, d in dear.items()}
+        self.least = min(self.dear.values(), default=1.0)
         for cls, recent in self.recent.items():
             self.mean[cls] = min(max(recent, self.mean[cls]), self.mean[cls] * (1 + RISE * span / api.SECOND))
         self.room = min((self._class(c).aim_ns / max(1.0, m) for c, m in self.mean.items()), default=9.0)
@@ -596,7 +597,7 @@
         least = max(4.0, 4 * len(self.members) / self.set.balancers)
         if self.paced > 4:
             # Few requests in flight scatter by as much as their number: without room for that, forty quiet
-            # balancers refused every third request while all servers were half idle.
+            # balancers refused a quarter of all requests in calm seconds.
             often = WINDOW * max(self.crowded, self.room / 6) * self.pace
             self.window = max(least, often + CHANCE * self.pace ** 0.5)
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,7 @@
-"""A plain world of many sidecars: many instances of the module, and servers that work through queues, without sockets.
+"""A plain world of many sidecars: many instances of the module, and the kit's model of pledge servers, without sockets.
 
-It is deterministic: one heap of events, one random source, fixed seeds.  Servers have two cores and a queue; one that
-started a while ago is cold and grows warm evenly.  The instances share nothing but these servers and their list.
+It is deterministic: one heap of events, one random source, fixed seeds.  The instances share nothing but the servers
+and their list.
 """
 
 from __future__ import annotations
@@ -10,30 +10,25 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from math import inf
 from random import Random
 
 from lugtally import Balancer, api
+from lugtally.rehearsal.model import Job, Server, Taken, Traits
 from tests.world import MS, S
 
-CORES = 2
-COLD_FROM = 0.3
-WARM_NS = 8 * S
+TRAITS = Traits(cold_from=0.3, cold_s=8.0)
 
 
 @dataclass
 class Machine:
-    """One server: its cores, its queue, and what has been sent to it."""
+    """One server, and when something was sent to it."""
 
     line: api.Server
-    busy: int = 0
-    queue: list[tuple[int, str, int]] = field(default_factory=list)     # instance, request, attempt
-    sends: list[tuple[int, float]] = field(default_factory=list)        # when, work in seconds
-
-    def speed(self, now: int) -> float:
-        """The part of its full speed that it has by now."""
-        if not self.line.started_ns:
-            return 1.0
-        return min(1.0, COLD_FROM + (1 - COLD_FROM) * (now - self.line.started_ns) / WARM_NS)
+    server: Server
+    sends: list[int] = field(default_factory=list)
+    jobs: dict[Job, tuple[int, str, int]] = field(default_factory=dict)     # instance, request, attempt
+    due: float = inf        # the turn that is called for
 
 
 @dataclass
@@ -42,9 +37,8 @@
 
     cls: int
     work: float
-    deadline: int
     where: list[int] = field(default_factory=list)
-    out: dict[int, int] = field(default_factory=dict)   # attempt -> when sent
+    out: dict[int, tuple[int, Job | None]] = field(default_factory=dict)    # attempt -> when sent, its job
     ended: str = ""
 
 
@@ -55,7 +49,7 @@
                  shares: tuple[float, ...] = (1.0,), seed: int = 1) -> None:
         """``work`` in seconds of a core and ``shares`` of the requests are by class."""
         self.told, self.rng, self.now = told, Random(seed), 1000 * S
-        self.machines = {n: Machine(api.Server(n, zone=n % 2)) for n in range(1, servers + 1)}
+        self.machines = {n: self._machine(n) for n in range(1, servers + 1)}
         self.work, self.shares = work, shares
         self.asked: dict[tuple[int, str], Asked] = {}
         self.tally: dict[str, int] = defaultdict(int)
@@ -82,10 +76,14 @@
         for number in old:
             del self.machines[number]
         for number in new:
-            self.machines[number] = Machine(api.Server(number, zone=number % 2, started_ns=self.now))
+            self.machines[number] = self._machine(number, self.now)
         for at in range(len(self.balancers)):
             self.tell(at, api.ListKind.WHOLE)
 
+    def _machine(self, number: int, started: int = 0) -> Machine:
+        line = api.Server(number, zone=number % 2, started_ns=started)
+        return Machine(line, Server(TRAITS, self.now / S, cold=started > 0))
+
     def tell(self, at: int, kind: api.ListKind) -> None:
         """Give one instance the list."""
         self._feed(at, api.ServerList(kind, [m.line for m in self.machines.values()]))
@@ -105,7 +103,7 @@
         name = f"r{self._count}"
         number = self.rng.choices(range(len(self.shares)), self.shares)[0]
         left = self.told.classes[number].deadline_ns
-        self.asked[at, name] = Asked(number, self.rng.gammavariate(0.5, 2) * self.work[number], self.now + left)
+        self.asked[at, name] = Asked(number, self.rng.gammavariate(0.5, 2) * self.work[number])
         self.tally[f"asked {number}"] += 1
         self._feed(at, api.Request(name, number, 0, left))
 
@@ -125,42 +123,59 @@
         asked = self.asked[at, action.id]
         attempt = len(asked.where)
         asked.where.append(action.server)
-        asked.out[attempt] = self.now
         self.tally["sends"] += 1
-        self.tally["repeats"] += attempt > 0
         machine = self.machines.get(action.server)
-        if machine is None:
+        job = Job(f"{at} {action.id} {attempt}", asked.work, sidecar=at) if machine else None
+        asked.out[attempt] = self.now, job
+        if machine is None or job is None:
             self._after(MS, lambda: self._answer(at, action.id, attempt, api.Result.NO_CONNECTION))
             return
-        machine.sends.append((self.now, asked.work))
-        machine.queue.append((at, action.id, attempt))
+        machine.sends.append(self.now)
+        self._turn(machine)
+        if machine.server.offer(self.now / S, job) is not Taken.TAKEN:
+            self._after(MS, lambda: self._answer(at, action.id, attempt, api.Result.REJECTED))
+            return
+        machine.jobs[job] = at, action.id, attempt
         self._after(action.timeout_ns, lambda: self._answer(at, action.id, attempt, api.Result.TIMEOUT))
-        self._serve(machine)
-
-    def _serve(self, machine: Machine) -> None:
-        while machine.busy < CORES and machine.queue:
-            at, name, attempt = machine.queue.pop(0)
-            asked = self.asked[at, name]
-            if attempt not in asked.out:
-                continue        # called off while it waited
-            machine.busy += 1
+        self._call(machine)
+
+    def _turn(self, machine: Machine) -> None:
+        """Let a server work until now, and answer what has ended."""
+        for job in machine.server.advance(self.now / S):
+            if job in machine.jobs:     # else it was called off in the same moment
+                self._answer(*machine.jobs.pop(job), api.Result.OK)
+
+    def _call(self, machine: Machine) -> None:
+        """Come back when something ends at a server."""
+        due = machine.server.due()
+        if due == inf or machine.due <= due:
+            return
+        machine.due = due
 
-            def done(at: int = at, name: str = name, attempt: int = attempt) -> None:
-                machine.busy -= 1
-                self._answer(at, name, attempt, api.Result.OK)
-                self._serve(machine)
+        def turn() -> None:
+            if machine.due == due:
+                machine.due = inf
+            self._turn(machine)
+            self._call(machine)
 
-            self._after(int(asked.work / machine.speed(self.now) * S), done)
+        self._after(max(0, int((due - self.now / S) * S) + 1), turn)
 
     def _answer(self, at: int, name: str, attempt: int, result: api.Result) -> None:
         asked = self.asked[at, name]
         if attempt not in asked.out:
             return
-        took = self.now - asked.out.pop(attempt)
+        sent, job = asked.out.pop(attempt)
+        machine = self.machines.get(asked.where[attempt])
+        if result is not api.Result.OK and machine is not None and job in machine.jobs:
+            del machine.jobs[job]
+            self._turn(machine)
+            machine.server.cancel(self.now / S, job)
+            self._call(machine)
         won = result is api.Result.OK and not asked.ended
-        self._feed(at, api.Outcome(name, attempt, asked.where[attempt], result, won or bool(asked.ended), took))
+        event = api.Outcome(name, attempt, asked.where[attempt], result, won or bool(asked.ended), self.now - sent)
+        self._feed(at, event)
         if won:
-            self._end(at, name, "late" if took > self.told.classes[asked.cls].aim_ns else "served")
+            self._end(at, name, "late" if self.now - sent > self.told.classes[asked.cls].aim_ns else "served")
 
     def _end(self, at: int, name: str, how: str) -> None:
         asked = self.asked[at, name]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,44 +8,41 @@
 import pytest
 
 from lugtally import api
-from tests.fleet import COLD_FROM, CORES, WARM_NS, Fleet
+from tests.fleet import TRAITS, Fleet
 from tests.world import MS, SAFE, S, lines, sent, settings, started
 
+COLD = {"warm_within_ns": int(TRAITS.cold_s * S), "cold_from": TRAITS.cold_from, "fall_multiple": TRAITS.fall_multiple}
 WORK = 0.08     # seconds of a core
 
 
 def fleet(sidecars: int, servers: int, load: float = 0.6, seed: int = 1) -> Fleet:
     """A fleet whose servers are loaded to that part of their cores."""
-    told = settings(SAFE, balancers=sidecars, warm_within_ns=WARM_NS, cold_from=COLD_FROM, fall_multiple=2.5)
-    return Fleet(told, sidecars, servers, rate=servers * CORES * load / WORK, work=(WORK,), seed=seed)
+    told = settings(SAFE, balancers=sidecars, **COLD)
+    return Fleet(told, sidecars, servers, rate=servers * TRAITS.cores * load / WORK, work=(WORK,), seed=seed)
 
 
 @pytest.mark.parametrize(("sidecars", "servers"), [(4, 12), (40, 60), (200, 60)])
 def test_servers_that_start_are_used_and_not_pushed_over_by_all_together(sidecars: int, servers: int) -> None:
-    """Each sidecar let in its share of the whole fleet at one of its own ten members: of 60 servers a cold one got
-    a fifth of what it could carry, and three in ten of all requests were refused for it."""
+    """Each sidecar let in its share of the whole fleet at one of its own ten members: on a join day servers that had
+    just started got 3 to 5 requests a second where they have got 7 to 12 since, and warm ones carried the rest."""
     world = fleet(sidecars, servers)
     world.run(10 * S)
     share = mean(len(m.sends) for m in world.machines.values()) / 10    # a second, at a warm one
     part = servers * 3 // 10
     new = range(1001, 1001 + part)
-    begun = world.now
     world.replace(list(range(1, part + 1)), list(new))
     world.run(4 * S)
     cold = [world.machines[number] for number in new]
     taken = mean(len(m.sends) for m in cold) / 4
-    ramp = COLD_FROM + (1 - COLD_FROM) * 2 / 8      # on average over these seconds
+    ramp = TRAITS.cold_from + (1 - TRAITS.cold_from) * 2 / TRAITS.cold_s    # on average over these seconds
     assert taken > 0.5 * ramp * share, "cold servers stand idle while the warm ones are swamped"
-    for machine in cold:
-        for at, _ in machine.sends:
-            window = sum(work for when, work in machine.sends if at <= when < at + S)
-            bound = 2.5 * CORES * machine.speed(at) + 1.0       # some slack for one long request
-            assert window < bound, f"{window:.1f} s of work in one second, {(at - begun) // MS} ms after its start"
+    assert taken < 0.85 * ramp * share, "slow start lets in more than the told part"
+    assert not any(machine.server.fallen for machine in cold), "all together pushed a cold server over"
 
 
 def test_a_small_burst_at_a_quiet_sidecar_does_not_pass_for_a_jam() -> None:
     """The window on requests in flight was a multiple of their mean.  A quiet sidecar's few scatter by as much as that:
-    on a calm day forty of them refused every third request for it, with two in flight at each server of two cores."""
+    in calm seconds forty of them refused a quarter of all for it, with two in flight at each server of two cores."""
     world = started(settings(SAFE, balancers=40, max_attempts=1), lines(60))
     for n in range(80):     # twenty a second, each answered after 100 ms: two in flight
         world.ask(f"calm{n}")
@@ -57,12 +54,13 @@
 
 
 def test_in_a_jam_long_work_of_little_worth_leaves_room_for_short_reads() -> None:
-    """The last places went by worth a request alone: reads were refused first, though long work brings least."""
+    """The last places went by worth a request alone: reads were refused as often as work five times as long, of twice
+    their worth."""
     read = replace(SAFE, name="read", worth=1.0, aim_ns=300 * MS, deadline_ns=800 * MS)
     long = replace(SAFE, name="long", worth=2.0, aim_ns=1000 * MS, deadline_ns=3 * S)
-    told = settings(read, long, balancers=40, warm_within_ns=WARM_NS, cold_from=COLD_FROM, fall_multiple=2.5)
+    told = settings(read, long, balancers=40, **COLD)
     work, shares = (0.04, 0.24), (0.7, 0.3)
-    rate = 60 * CORES * 1.1 / sum(w * s for w, s in zip(work, shares, strict=True))
+    rate = 60 * TRAITS.cores * 1.1 / sum(w * s for w, s in zip(work, shares, strict=True))
     world = Fleet(told, 40, 60, rate=rate, work=work, shares=shares)
     world.run(12 * S)
     refused = [world.tally[f"refused {n}"] / world.tally[f"asked {n}"] for n in (0, 1)]
