Adopt the front socket that the platform passes in PROXY_SOCKET_FD

Change: config/ reads $PROXY_SOCKET_FD as a number; Front.adopt takes the descriptor and checks SO_ACCEPTCONN, SO_TYPE and the family (else exit 2, one line naming it); at SIGTERM an inherited listener leaves its backlog to the successor. The player passes one as descriptor 7 (inherit).

--- a/lugtally/config/sidecar.py
+++ b/lugtally/config/sidecar.py
@@ -40,6 +40,7 @@
     keepalive_ns: int
     connect_timeout_ns: int
     answers_report: bool    # answers carry load reports
+    inherited: int | None = None    # the front socket's descriptor, where the platform holds it
 
 
 def load(environment: Mapping[str, str], path: str | None = None, *, again: bool = False) -> Config:
@@ -131,4 +132,14 @@
         keepalive_ns=keepalive,
         connect_timeout_ns=connect,
         answers_report=report.get("how") == "answers",
+        inherited=_descriptor(environment.get("PROXY_SOCKET_FD")),
     )
+
+
+def _descriptor(text: str | None) -> int | None:
+    """The number in ``$PROXY_SOCKET_FD``; whether it is a listening socket is seen where it is adopted."""
+    if text is None or text == "":
+        return None
+    if not text.isdigit() or int(text) > 2**20:
+        raise ValueError(f"PROXY_SOCKET_FD: {text!r} is no descriptor")
+    return int(text)
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -110,6 +110,7 @@
         self._open: set[FrontSocket] = set()
         self._ids: set[str] = set()     # of the requests in progress
         self._listener: socket.socket | None = None
+        self._inherited = False         # the platform holds the listener, and a successor will take its backlog
         self._room = Signal(hub)        # a front socket has been closed
         self._draining = False          # every answer from now on closes its connection
         self._closing = False           # front sockets without a request are closed
@@ -126,6 +127,28 @@
         self._listener.listen(BACKLOG)
         self._hub.spawn(self._accept, self._listener)
 
+    def adopt(self, fd: int) -> None:
+        """Accept front sockets on a listening socket that the platform passed; it is never bound here.
+
+        A :class:`ValueError` says in one line why that descriptor cannot be used.
+        """
+        try:
+            listener = socket.socket(fileno=fd)
+        except OSError as error:
+            raise ValueError(f"PROXY_SOCKET_FD: {fd}: {error.strerror}") from None
+        try:
+            listening = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            kind = listener.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE)
+        except OSError as error:
+            listener.detach()
+            raise ValueError(f"PROXY_SOCKET_FD: {fd}: {error.strerror}") from None
+        if listener.family not in (socket.AF_INET, socket.AF_INET6) or kind != socket.SOCK_STREAM or not listening:
+            listener.detach()
+            raise ValueError(f"PROXY_SOCKET_FD: {fd} is no listening TCP socket")
+        listener.setblocking(False)
+        self._listener, self._inherited = listener, True
+        self._hub.spawn(self._accept, listener)
+
     def drain(self) -> None:
         """Planned restart: go on accepting for a while, answer all that is taken, close, stop the hub."""
         if not self._draining:
@@ -387,8 +410,10 @@
     def _drain(self) -> None:
         self._hub.sleep(ACCEPT_AFTER_TERM_NS)
         if self._listener is not None:
-            # What waits in the backlog has been taken too: closing the listener would reset it.
-            self._accept_some(self._listener, self._most + DRAIN_EXTRA, BACKLOG)
+            # What waits in the backlog has been taken too: closing the listener would reset it.  An inherited one
+            # is shared with the successor, which takes its backlog: closing our copy resets nothing.
+            if not self._inherited:
+                self._accept_some(self._listener, self._most + DRAIN_EXTRA, BACKLOG)
             self._hub.unwatch(self._listener.fileno())
             self._listener.close()
         self._closing, self._closed_at = True, self._hub.now()
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -71,7 +71,13 @@
     try:
         if control:
             told_by = Control(hub, control, snapshot)
-        front.listen(told.listen)
+        if told.inherited is None:
+            front.listen(told.listen)
+        else:
+            front.adopt(told.inherited)
+    except ValueError as error:
+        print(f"lugtally: {error}", file=sys.stderr)
+        return 2
     except ControlError as error:
         print(f"lugtally: operator file: {error}", file=sys.stderr)
         return 2
--- a/tests/player.py
+++ b/tests/player.py
@@ -16,6 +16,7 @@
     p list JSON     the same for the pool config's connections, with answers of that body
     hup NAME VALUE      a field of the configuration changes, SIGHUP; ``q`` is a second pool config, at @Q
     term            SIGTERM; ``exit 0`` waits for the end
+    inherit         the player holds the front socket and passes it as descriptor 7 in ``$PROXY_SOCKET_FD``
 """
 
 from __future__ import annotations
@@ -92,6 +93,7 @@
         self.links: dict[str, socket.socket] = {}
         self.accepted_by: dict[str, str] = {}
         self.program: subprocess.Popen[bytes] | None = None
+        self.held: socket.socket | None = None      # the front socket, where the player holds it
 
     def play(self, script: str) -> None:
         """Run each step; an ``AssertionError`` names the line that went wrong."""
@@ -101,7 +103,7 @@
                 continue
             try:
                 if words[0] in ("known", "serve", "term", "hup", "exit", "files", "sockets", "crowd",
-                                "patience"):
+                                "patience", "inherit"):
                     getattr(self, f"do_{words[0]}")(*line.split()[1:])
                 else:
                     getattr(self, f"on_{words[1]}")(words[0], words[2] if len(words) > 2 else "")
@@ -114,7 +116,7 @@
             self.program.kill()
             self.program.wait()
         listeners = [*self.destinations.values(), self.discovery, self.second_discovery, self.stuck]
-        for sock in [*self.links.values(), *self.fillers, *listeners]:
+        for sock in [*self.links.values(), *self.fillers, *listeners, *([self.held] if self.held else [])]:
             sock.close()
 
     # ------------------------------------------------------------ the program
@@ -143,14 +145,29 @@
         for at in range(int(count)):
             self.link(f"{name}{at}")
 
+    def do_inherit(self) -> None:
+        host, port = self.listen.split(":")
+        self.held = socket.socket()
+        self.held.bind((host, int(port)))
+        self.held.listen(64)
+
     def do_serve(self) -> None:
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config()))
+        env = {**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": tempfile.gettempdir(),
+               "PROXY_DISCOVERY": address(self.discovery)}
+        held = -1
+        if self.held is not None:
+            held, env["PROXY_SOCKET_FD"] = self.held.fileno(), "7"
+
+        def as_seven() -> None:
+            # Python opens descriptors not to be inherited: this copy alone goes to the program.
+            if held >= 0:
+                os.dup2(held, 7)
+
         self.program = subprocess.Popen(
             ["sh", "-c", f'ulimit -n {self.files}; exec "$0" -B -m lugtally serve', sys.executable],
-            cwd=ROOT, stderr=subprocess.DEVNULL,
-            env={**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": tempfile.gettempdir(),
-                 "PROXY_DISCOVERY": address(self.discovery)})
+            cwd=ROOT, stderr=subprocess.DEVNULL, env=env, close_fds=False, preexec_fn=as_seven)
         until = time.monotonic() + PATIENCE_S
         while time.monotonic() < until:
             try:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -4,6 +4,7 @@
 
 import gc
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -427,3 +428,36 @@
         gc.enable()
         server.close()
     assert left and left[0] < 100, "100 requests"
+
+
+@pytest.mark.parametrize("text", ["x", "-1", "7.0", "99"])
+def test_a_bad_inherited_descriptor_is_one_line(text: str, tmp_path: Path) -> None:
+    player = Player(tmp_path)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(player.config()))
+    player.end()
+    done = subprocess.run([sys.executable, "-B", "-m", "lugtally", "serve"], cwd=ROOT, text=True, check=False,
+                          capture_output=True, env={"PROXY_CONFIG": str(path), "PROXY_SOCKET_FD": text})
+    assert done.returncode == 2 and done.stdout == ""
+    assert done.stderr.startswith("lugtally: PROXY_SOCKET_FD: ") and done.stderr.count("\n") == 1
+
+
+def test_only_a_listening_tcp_socket_is_adopted() -> None:
+    hub = Hub()
+    front = Front(hub, facade.Facade(config_settings(), 1, hub), Destinations(hub, Limits(MS, MS, 9), ()), (), 8)
+    for sock in (socket.socket(), socket.socket(type=socket.SOCK_DGRAM), *socket.socketpair()):
+        with sock:
+            with pytest.raises(ValueError, match="PROXY_SOCKET_FD: .* no listening TCP socket"):
+                front.adopt(sock.fileno())
+            os.fstat(sock.fileno())     # a refused descriptor is not closed behind its owner
+    with listener() as held:
+        front.adopt(held.fileno())
+        assert front._listener is not None and front._listener.fileno() == held.fileno()
+        front._listener.detach()
+
+
+def config_settings() -> api.Settings:
+    from lugtally.settings import read_settings
+    from tests.player import SETTINGS
+
+    return read_settings(SETTINGS)
