Serve the operators' address: ready, counters, and drains by hand kept in TMPDIR

The facade counts success, overload and error where it maps verdicts, dispatches by ending.WRITTEN, and gives the module a banned server as draining whatever the list says; back online it is cold from that moment. The module has one read-only method, ejected(), for targets_disabled. Bans are reread from $TMPDIR every 250 ms, so a ban at the old process binds its successor.

--- a/lugtally/config/sidecar.py
+++ b/lugtally/config/sidecar.py
@@ -41,6 +41,7 @@
     connect_timeout_ns: int
     answers_report: bool    # answers carry load reports
     inherited: int | None = None    # the front socket's descriptor, where the platform holds it
+    operators: tuple[str, int] | None = None    # the address for operators' calls; none: off
 
 
 def load(environment: Mapping[str, str], path: str | None = None, *, again: bool = False) -> Config:
@@ -133,9 +134,15 @@
         connect_timeout_ns=connect,
         answers_report=report.get("how") == "answers",
         inherited=_descriptor(environment.get("PROXY_SOCKET_FD")),
+        operators=_operators(environment.get("PROXY_OPERATOR") or raw.get("operator")),
     )
 
 
+def _operators(text: Any) -> tuple[str, int] | None:
+    """The operators' address (``operator``, or ``$PROXY_OPERATOR`` before it); none where neither is set."""
+    return None if text is None or text == "" else read_address(text, "operator")
+
+
 def _descriptor(text: str | None) -> int | None:
     """The number in ``$PROXY_SOCKET_FD``; whether it is a listening socket is seen where it is adopted."""
     if text is None or text == "":
--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -408,6 +408,10 @@
         self.usable = sorted(usable, key=lambda p: p.rank)
         self._settle(now)
 
+    def ejected(self, now: int) -> int:
+        """How many usable servers are ejected now; for the counters, changes nothing."""
+        return sum(p.ejected > now for p in self.usable)
+
     def _settle(self, now: int) -> None:
         """Draw up the members and the weights of the draw: at each change of the list, and now and then."""
         if self.mean and now - self.settled >= SETTLE_NS:
--- a/lugtally/ending.py
+++ b/lugtally/ending.py
@@ -42,3 +42,8 @@
     Ending.CANCELLED_UNSENT: Result.NEVER_SENT,
     Ending.CANCELLED: Result.CANCELLED,
 }
+
+
+WRITTEN = frozenset(ending for ending in Ending if not ending.name.endswith("_UNSENT")) - {
+    Ending.REFUSED, Ending.CONNECT_SLOW, Ending.NO_SOCKET}
+"""Endings of steps whose last byte was written: the attempts that the counters call dispatches."""
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -15,8 +15,9 @@
 from loguru import logger
 
 from lugtally import api
+from lugtally.control.counters import Counters
 from lugtally.decide import Balancer
-from lugtally.ending import RESULTS, Ending
+from lugtally.ending import RESULTS, WRITTEN, Ending
 from lugtally.hub.scheduler import Hub, Signal
 from lugtally.overload.gate import Gate
 
@@ -134,6 +135,11 @@
         self._usual: dict[int, float] = {}      # class -> how long an answer usually takes, nanoseconds
         self._close_idle: Callable[[int], None] = lambda _: None
         self._watch: Callable[[], None] = lambda: None
+        self.counters = Counters(tuple(cls.name for cls in settings.classes))
+        self._lines: dict[int, Listed] = {}     # each listed destination as discovery last told it
+        self._ever: set[int] = set()            # every destination listed since the start
+        self._banned: set[int] = set()          # drained by hand: the module hears of them as draining
+        self._eased: dict[int, int] = {}        # back from a ban: cold from then on, whatever the list says
 
     def register(self, close_idle: Callable[[int], None], watch: Callable[[], None]) -> None:
         """Who closes idle connections to a destination, and who watches the pool config."""
@@ -155,6 +161,7 @@
         if why is None:
             return None
         self._ends["own_overload"] += 1
+        self.counters.refused(cls)
         return BusyReply(gate.advice())
 
     def counted(self) -> dict[str, int]:
@@ -188,9 +195,61 @@
                 self._ends["left"] += 1
                 self._end(news.ask, Over())
         else:
-            self._feed(api.ServerList(api.ListKind(news.kind), [
-                api.Server(line.number, line.zone, line.cell, STATES.get(line.state, api.State.GONE),
-                           line.started_ns) for line in news.listed]))
+            for line in news.listed:
+                if line.state == "gone":
+                    self._lines.pop(line.number, None)
+                    self._eased.pop(line.number, None)
+                else:
+                    self._lines[line.number] = line
+                    self._ever.add(line.number)
+            if news.kind == "whole":
+                for number in self._lines.keys() - {line.number for line in news.listed}:
+                    del self._lines[number]
+                    self._eased.pop(number, None)
+            self._feed(api.ServerList(api.ListKind(news.kind), [self._server(line) for line in news.listed]))
+
+    def _server(self, line: Listed) -> api.Server:
+        """A line of the list as the module is told it: a server drained by hand drains, whatever the list says."""
+        state = api.State.DRAINING if line.number in self._banned and line.state != "gone" else (
+            STATES.get(line.state, api.State.GONE))
+        return api.Server(line.number, line.zone, line.cell, state, max(line.started_ns,
+                                                                         self._eased.get(line.number, 0)))
+
+    # ------------------------------------------------------------ drains by hand
+
+    def listed(self, number: int) -> bool:
+        """Whether that destination was listed at any time since the start."""
+        return number in self._ever
+
+    @property
+    def in_progress(self) -> int:
+        """Requests taken and not ended."""
+        return len(self._asks)
+
+    @property
+    def targets(self) -> int:
+        """Destinations in the list at hand."""
+        return len(self._lines)
+
+    def disabled(self) -> int:
+        """Listed destinations that get no new work now: drained by hand, or ejected by the module."""
+        ejected: Callable[[int], int] = getattr(self._balancer, "ejected", lambda _: 0)
+        return len(self._banned & self._lines.keys()) + ejected(self._hub.now())
+
+    def ban(self, number: int) -> None:
+        """Drained by hand: no new work goes there from now on, until :meth:`unban`."""
+        if number not in self._banned:
+            self._banned.add(number)
+            if (line := self._lines.get(number)) is not None:
+                self._feed(api.ServerList(api.ListKind.CHANGES, [self._server(line)]))
+
+    def unban(self, number: int) -> None:
+        """The ban is over: the server comes back as one that has just started, and is eased in."""
+        if number in self._banned:
+            self._banned.discard(number)
+            if (line := self._lines.get(number)) is not None:
+                self._eased[number] = self._hub.now()
+                self._feed(api.ServerList(api.ListKind.CHANGES, [self._server(line)]))
 
     def tick(self) -> int | None:
         """Fire due timers; returns when to call again, none where no timer is set."""
@@ -205,12 +264,15 @@
         destination, sent = ask.sent[news.number]
         won = news.ending is Ending.SERVED and not ask.over
         took = self._hub.now() - sent
+        if news.ending in WRITTEN:
+            self.counters.dispatches += 1
         self._feed(api.Outcome(ask.id, news.number, destination, RESULTS[news.ending], won or ask.over, took,
                                news.load))
         if won:
             usual = self._usual.setdefault(ask.cls, float(took))
             self._usual[ask.cls] = usual + 0.1 * (took - usual)
             self._ends["served"] += 1
+            self.counters.served(ask.cls)
             self._end(ask, Over())
 
     def _end(self, ask: Ask, verdict: Verdict) -> None:
@@ -220,8 +282,10 @@
         ask.over = True
         if isinstance(verdict, BusyReply):
             self._ends["busy"] += 1
+            self.counters.refused(ask.cls)
         elif isinstance(verdict, Failed):
             self._ends["failed"] += 1
+            self.counters.failed(ask.cls)
         self._asks.pop(ask.id, None)
         ask.verdicts.append(verdict)
         ask.signal.set()
--- a/lugtally/net/http1.py
+++ b/lugtally/net/http1.py
@@ -17,7 +17,7 @@
 REASONS = {
     200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-    500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+    404: "Not Found", 500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
 }
 METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
 
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import tempfile
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -14,6 +15,9 @@
 
 from lugtally import __version__, api, logs
 from lugtally.config import sidecar as config
+from lugtally.config.pool import number_of
+from lugtally.control.drains import BanFile
+from lugtally.control.listener import Listener
 from lugtally.facade import Decisions, Facade
 from lugtally.hub.scheduler import MS, READ, Hub
 from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
@@ -27,6 +31,7 @@
     from lugtally.config.operator import Overload
 
 RETIRE_EVERY_NS = 1000 * MS
+BANS_EVERY_NS = 250 * MS    # how soon a ban called at another process of the same name binds this one
 LATE_NS = 50 * MS
 READ_EVERY_NS = 250 * MS
 
@@ -68,9 +73,19 @@
                 "destinations": pool.usable, "requests": facade.counted(), "overload": gate and gate.shown()}
 
     told_by = None
+    desk = _Desk(facade, front, BanFile(tempfile.gettempdir(), told.name))
+    desk.reread()
+    operators: Listener | None = None
     try:
         if control:
             told_by = Control(hub, control, snapshot)
+        if told.operators is not None:
+            try:
+                operators = Listener(hub, told.operators, desk)
+            except OSError as error:
+                print(f"lugtally: operator: {told.operators[0]}:{told.operators[1]}: {error.strerror}",
+                      file=sys.stderr)
+                return 1
         if told.inherited is None:
             front.listen(told.listen)
         else:
@@ -88,6 +103,7 @@
                       signal.SIGHUP: lambda: _reread(pool)})
     hub.spawn(pool.start, told.known)
     hub.spawn(_keep_house, hub, destinations, pool, front)
+    hub.spawn(_follow_bans, hub, desk)
     # What lives from the start is never garbage: collections then stay short.
     gc.collect()
     gc.freeze()
@@ -96,10 +112,67 @@
     hub.run(facade.tick)
     if told_by is not None:
         told_by.close()
+    if operators is not None:
+        operators.close()
     logger.info("{sidecar} has stopped", event="sidecar.stopped", sidecar=told.name)
     return 0
 
 
+class _Desk:
+    """What the operators' calls read and change: readiness, the counters, and the drains by hand."""
+
+    def __init__(self, facade: Facade, front: Front, file: BanFile) -> None:
+        self._facade = facade
+        self._front = front
+        self._file = file
+        self._banned: set[str] = set()
+
+    def ready(self) -> bool:
+        return self._front.ready and not self._front.draining
+
+    def figures(self) -> dict[str, object]:
+        facade = self._facade
+        return facade.counters.figures(facade.in_progress, facade.targets, facade.disabled())
+
+    def offline(self, server: str) -> bool:
+        if server not in self._banned:
+            if not self._facade.listed(number_of(server)):
+                return False
+            self._banned.add(server)
+            self._facade.ban(number_of(server))
+            logger.warning("pledge server {server} is drained by hand", event="drains.offline", server=server)
+        self._file.write(self._banned)
+        return True
+
+    def online(self, server: str) -> bool:
+        if server not in self._banned:
+            return self._facade.listed(number_of(server))
+        self._banned.discard(server)
+        self._facade.unban(number_of(server))
+        logger.warning("pledge server {server} is back from a drain by hand", event="drains.online", server=server)
+        self._file.write(self._banned)
+        return True
+
+    def reread(self) -> None:
+        """Take over the bans that another process of this name wrote, as a process replacement has two."""
+        told = self._file.read()
+        if told is None:
+            return
+        for server in told - self._banned:
+            self._facade.ban(number_of(server))
+        for server in self._banned - told:
+            self._facade.unban(number_of(server))
+        if told != self._banned:
+            logger.info("drains by hand taken from the file: {banned}", event="drains.read", banned=sorted(told))
+        self._banned = told
+
+
+def _follow_bans(hub: Hub, desk: _Desk) -> None:
+    while True:
+        hub.sleep(BANS_EVERY_NS)
+        desk.reread()
+
+
 def guard_of(own: Overload, settings: api.Settings) -> Bounds | None:
     """The operator's words on own overload in the units of the gate; none where it is off."""
     if not own.enabled:
--- a/tests/player.py
+++ b/tests/player.py
@@ -9,10 +9,11 @@
     files 20        its limit of open files; ``sockets 64`` what it is told of that
     crowd 40 CLIENT     as many clients, CLIENT0 on, connect and say nothing
     serve           start it; it must become ready
-    c1 send BYTES   a client, opened by its first step, sends; ``want`` must receive just this, ``closed``
-                    must see the end, ``none`` must see nothing; ``shut`` and ``reset`` close, ``pause`` waits
+    c1 send BYTES   a client (``o1``: an operator, at @O), opened by its first step, sends; ``want`` must
+                    receive just this, ``closed`` must see the end, ``none`` must see nothing; ``shut`` and
+                    ``reset`` close, ``pause`` waits
     d1 want BYTES   the same for the next connection that any destination accepts
-    d2 elsewhere d1     accepted by another destination than d1
+    d2 elsewhere d1     accepted by another destination than d1; ``d1 at B`` by B
     p list JSON     the same for the pool config's connections, with answers of that body
     hup NAME VALUE      a field of the configuration changes, SIGHUP; ``q`` is a second pool config, at @Q
     term            SIGTERM; ``exit 0`` waits for the end
@@ -30,7 +31,6 @@
 import struct
 import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 from typing import Any
@@ -84,9 +84,11 @@
         for filler in self.fillers:
             filler.setblocking(False)
             filler.connect_ex(self.stuck.getsockname())
-        reserve = listener()
-        self.listen = address(reserve)
+        reserve, other = listener(), listener()
+        self.listen, self.operator = address(reserve), address(other)
+        self.names["@O"] = self.operator
         reserve.close()
+        other.close()
         self.patience = PATIENCE_S
         self.known: list[str] = ["A"]
         self.files = self.sockets = 1024
@@ -127,7 +129,7 @@
                  "weight": 1.0, "state": "ready", "started_ms": 0} for n in self.known]
         return {"name": "n1", "listen": self.listen, "discovery": address(self.discovery), "seed": "5e",
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": SETTINGS,
-                "known": {"version": 1, "full": True, "servers": rows}}
+                "known": {"version": 1, "full": True, "servers": rows}, "operator": self.operator}
 
     def do_known(self, *names: str) -> None:
         self.known = list(names)
@@ -154,7 +156,7 @@
     def do_serve(self) -> None:
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config()))
-        env = {**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": tempfile.gettempdir(),
+        env = {**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": str(self.folder),
                "PROXY_DISCOVERY": address(self.discovery)}
         held = -1
         if self.held is not None:
@@ -212,7 +214,7 @@
                 self.links[who], _ = ready[0].accept()
                 self.accepted_by[who] = address(ready[0])
             else:
-                host, port = self.listen.split(":")
+                host, port = (self.operator if who[0] == "o" else self.listen).split(":")
                 self.links[who] = socket.create_connection((host, int(port)), self.patience)
             self.links[who].settimeout(self.patience)
         return self.links[who]
@@ -256,5 +258,9 @@
         self.link(who)
         assert self.accepted_by[who] != self.accepted_by[other], "it came to the same destination"
 
+    def on_at(self, who: str, name: str) -> None:
+        self.link(who)
+        assert self.accepted_by[who] == self.names[f"@{name}"], "it came to another destination"
+
     def on_pause(self, who: str, seconds: str) -> None:
         time.sleep(float(seconds))
