Pass long answers on as they come; the module frees the server at the first byte

Change: the parser gives the head of a long, chunked or unbounded 200 alone; the step claims the client (Facade.claim, FirstByte to the module), writes the head and pumps the body through BodyFrame, 64 KiB at a time. So the module now lands a streamed attempt at its first byte (Balancer._land, shared with outcomes); the later outcome only ends the request.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -184,6 +184,9 @@
         elif isinstance(event, api.FirstByte):
             if (held := self.held.get(event.id)) is not None and event.attempt in held.out:
                 held.streaming = True    # it is the client's now: nothing more is sent or answered
+                # The server has answered; what is left is the client's pace, no load of the server's.
+                flight = self.out.get((event.id, event.attempt))
+                self._land(now, event.id, event.attempt, Result.OK, now - flight.sent if flight else 0)
         return self.actions
 
     # ------------------------------------------------------------ retry
@@ -458,16 +461,21 @@
 
     # ------------------------------------------------------------ judging servers
 
-    def _on_outcome(self, now: int, event: api.Outcome) -> None:
-        key = (event.id, event.attempt)
+    def _land(self, now: int, id: str, attempt: int, result: Result, took: int,
+              load: tuple[float, ...] | None = None) -> None:
+        """An attempt is no longer in flight at its server: learn from how it went."""
+        key = (id, attempt)
         flight = self.out.pop(key, None)
-        held = self.held.get(event.id)
         if flight is not None:
             flight.peer.out.pop(key, None)
             flight.peer.stuck -= flight.stuck
             self.stuck -= flight.stuck
-            self._weigh(now, flight, event.result, event.took_ns)
-            self._judge(now, flight, event)
+            self._weigh(now, flight, result, took)
+            self._judge(now, flight, result, took, load)
+
+    def _on_outcome(self, now: int, event: api.Outcome) -> None:
+        self._land(now, event.id, event.attempt, event.result, event.took_ns, event.load)
+        held = self.held.get(event.id)
         if held is None or event.attempt >= len(held.servers):
             return
         held.out.discard(event.attempt)
@@ -484,9 +492,10 @@
             return
         self._retry(now, held)
 
-    def _judge(self, now: int, flight: Flight, event: api.Outcome) -> None:
+    def _judge(self, now: int, flight: Flight, result: Result, took: int,
+               load: tuple[float, ...] | None) -> None:
         """Learn from one outcome: health, speed, and how many may be in flight."""
-        peer, result = flight.peer, event.result
+        peer = flight.peer
         if result in (Result.OK, Result.ERROR, Result.REJECTED, Result.DECLINED):
             peer.heard = peer.used = now
         if result is Result.OK:
@@ -505,18 +514,18 @@
         if flight.stuck and result is not Result.OK:
             return
         if result in (Result.OK, Result.TIMEOUT):
-            mean = self._usual(flight.cls, event, flight.idle)
+            mean = self._usual(flight.cls, result, took, flight.idle)
             if result is Result.OK:
                 self.done += mean
-            times = min(max(10.0, 2 * self.crowded), event.took_ns / max(1.0, mean))
+            times = min(max(10.0, 2 * self.crowded), took / max(1.0, mean))
             peer.slow += 0.15 * (times - peer.slow)
-            self._note_load(now, peer, times, event.load)
+            self._note_load(now, peer, times, load)
             peer.seen += 1
             if result is Result.OK and peer.slow < self.crowded:
                 if len(peer.out) + 1 >= peer.limit / 2:
                     peer.limit = min(64.0, peer.limit + 1 / peer.limit)
                 return
-        if result in (Result.OK, Result.TIMEOUT, Result.REJECTED) and now - event.took_ns >= peer.cut:
+        if result in (Result.OK, Result.TIMEOUT, Result.REJECTED) and now - took >= peer.cut:
             peer.cut = now
             peer.limit = max(1.0, peer.limit * 0.8)
 
@@ -564,13 +573,13 @@
         dear = self.dear.get(cls)
         return exp(min(0.0, self.level) * (self.least / dear if dear else 1.0))
 
-    def _usual(self, cls: int, event: api.Outcome, idle: bool) -> float:
+    def _usual(self, cls: int, result: Result, took: int, idle: bool) -> float:
         """The usual time of a good answer of a class; a jam must not pass for usual, so it rises slowly."""
         if cls not in self.mean:
-            self.mean[cls] = self.recent[cls] = float(event.took_ns)
-        elif idle and event.result is Result.OK:
+            self.mean[cls] = self.recent[cls] = float(took)
+        elif idle and result is Result.OK:
             count = self.samples[cls] = self.samples.get(cls, 1) + 1
-            self.recent[cls] += max(0.03, 1 / count) * (event.took_ns - self.recent[cls])
+            self.recent[cls] += max(0.03, 1 / count) * (took - self.recent[cls])
             if count < 20 or self.recent[cls] < self.mean[cls]:
                 self.mean[cls] = self.recent[cls]
         return self.mean[cls]
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -57,7 +57,7 @@
     """One request as the facade sees it, from its arrival to its final answer."""
 
     __slots__ = ("id", "cls", "deadline", "is_retry", "cancel", "verdicts", "signal", "sent", "out", "over",
-                 "begun")
+                 "begun", "streamed")
 
     def __init__(self, hub: Hub, cls: int, deadline: int, is_retry: bool,
                  cancel: Callable[[int], None]) -> None:
@@ -70,6 +70,7 @@
         self.out: set[int] = set()
         self.over = False
         self.begun = False
+        self.streamed = -1      # the step whose answer is passed on as it comes: the request is bound to it
 
 
 @dataclass(slots=True)
@@ -178,13 +179,27 @@
             left = max(0, ask.deadline - self._hub.now())
             self._feed(api.Request(ask.id, ask.cls, 0, left, ask.is_retry))
         while not ask.verdicts:
+            if ask.streamed >= 0:
+                ask.signal.wait()       # its answer has begun: the stream's own end ends it, however long it takes
+                continue
             ask.signal.wait(ask.deadline + BACKSTOP_NS)
-            if not ask.verdicts and self._hub.now() >= ask.deadline + BACKSTOP_NS:
+            if not ask.verdicts and ask.streamed < 0 and self._hub.now() >= ask.deadline + BACKSTOP_NS:
                 # Guards the one final answer against a fault: each step has timed out by now.
                 logger.error("no verdict by the deadline of a request", event="decisions.no-verdict")
                 self._end(ask, Failed())
         return ask.verdicts.popleft()
 
+    def claim(self, ask: Ask, number: int) -> bool:
+        """A step has the head of a long answer: may it pass it on to the client?  The first to ask may.
+
+        From then on the module sends nothing more for the request, and nothing but that step's end ends it.
+        """
+        if ask.over or ask.streamed >= 0 or number not in ask.out:
+            return False
+        ask.streamed = number
+        self._feed(api.FirstByte(ask.id, number, ask.sent[number][0]))
+        return True
+
     def report(self, news: StepEnded | ClientGone | PoolNews) -> None:
         """Tell the module what has happened."""
         if isinstance(news, StepEnded):
@@ -262,18 +277,21 @@
         ask = news.ask
         ask.out.discard(news.number)
         destination, sent = ask.sent[news.number]
-        won = news.ending is Ending.SERVED and not ask.over
+        bound = ask.streamed == news.number
+        won = news.ending is Ending.SERVED and not ask.over and (ask.streamed < 0 or bound)
         took = self._hub.now() - sent
         if news.ending in WRITTEN:
             self.counters.dispatches += 1
-        self._feed(api.Outcome(ask.id, news.number, destination, RESULTS[news.ending], won or ask.over, took,
-                               news.load))
+        self._feed(api.Outcome(ask.id, news.number, destination, RESULTS[news.ending], won or ask.over or bound,
+                               took, news.load))
         if won:
             usual = self._usual.setdefault(ask.cls, float(took))
             self._usual[ask.cls] = usual + 0.1 * (took - usual)
             self._ends["served"] += 1
             self.counters.served(ask.cls)
             self._end(ask, Over())
+        elif bound:
+            self._end(ask, Failed())    # half an answer has gone out: the client's connection ends
 
     def _end(self, ask: Ask, verdict: Verdict) -> None:
         """The request is over: its last verdict, and an end to the steps that are still out."""
@@ -313,13 +331,13 @@
                     ask.verdicts.append(RouteStep(number, destination, now + timeout))
                     ask.signal.set()
             case api.Refuse(id, retry_in):
-                if (ask := self._asks.get(id)) is not None:
+                if (ask := self._asks.get(id)) is not None and ask.streamed < 0:
                     self._end(ask, BusyReply(retry_in))
             case api.Fail(id):
-                if (ask := self._asks.get(id)) is not None:
+                if (ask := self._asks.get(id)) is not None and ask.streamed < 0:
                     self._end(ask, Failed())
             case api.Cancel(id, attempt):
-                if (ask := self._asks.get(id)) is not None and attempt in ask.out:
+                if (ask := self._asks.get(id)) is not None and attempt in ask.out and attempt != ask.streamed:
                     ask.cancel(attempt)
             case api.Wake(after, token):
                 self._count += 1
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -9,8 +9,10 @@
 import errno
 import os
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
+from typing import Protocol
 
 import ujson
 from loguru import logger
@@ -19,6 +21,8 @@
 from lugtally.hub.scheduler import MS, READ, WRITE, Hub, Woken
 from lugtally.net.http1 import MOST_BODY, BadMessage, Forward, Message, Parser
 
+STREAM_STALL_NS = 5000 * MS     # a streamed answer that does not move for this long is broken off
+
 CHUNK = 64 * 1024
 # An answer may bring more than belongs to it right behind.  A connection is used again only after this long
 # without a byte, as what comes later would be taken for the next request's answer.
@@ -35,10 +39,21 @@
         self.sock = sock
         self.address = address
         self.fd = sock.fileno()
-        self.parser = Parser(responses=True, most_body=most_answer)
+        self.parser = Parser(responses=True, most_body=most_answer, streams=True)
         self.idle_since = 0
 
 
+class Sink(Protocol):
+    """Where a streamed answer goes: the client's front socket."""
+
+    def send(self, data: bytes | memoryview) -> bool:
+        """Write all of it, waiting as long as the client takes; false where it has gone or does not read."""
+
+
+Claim = Callable[[Message], "Sink | None"]
+"""Asked with the head of a long answer: where to pass it on, or none where the request is not this step's."""
+
+
 class _StepOver(Exception):
     """Ends a route step from inside."""
 
@@ -91,8 +106,13 @@
             while links and links[0].idle_since < before:
                 self._close(links.pop(0), watched=True)
 
-    def run(self, number: int, forward: Forward, until: int) -> tuple[Ending, Message | None]:
-        """One route step, in its own task; interrupting the task calls the step off."""
+    def run(self, number: int, forward: Forward, until: int,
+            claim: Claim | None = None) -> tuple[Ending, Message | None]:
+        """One route step, in its own task; interrupting the task calls the step off.
+
+        A 200 with a long, chunked or unbounded body is passed on as it comes, where ``claim`` gives a sink; its
+        answer is returned with ``streamed`` set and no body.  Without a sink that step is called off.
+        """
         link: Link | None = None
         written = False
         try:
@@ -103,14 +123,14 @@
             self._write(link, forward.write(left), until)
             written = True
             answer = self._read(link, until)
-            ending = _judge(answer)
+            ending = self._pass_on(link, answer, claim) if answer.streamed else _judge(answer)
         except _StepOver as over:
             ending, answer = over.ending, None
             if ending is Ending.BROKEN and not written:
                 ending = Ending.BROKEN_UNSENT
         if link is not None:
             placed = link.address == self._addresses.get(number)    # else it is gone or has moved meanwhile
-            if answer is not None and answer.keep and link.parser.idle and placed:
+            if answer is not None and answer.keep and not answer.streamed and link.parser.idle and placed:
                 self._rest(number, link)
             else:
                 self._close(link)
@@ -250,6 +270,35 @@
                 raise _StepOver(Ending.BROKEN)
 
 
+    def _pass_on(self, link: Link, answer: Message, claim: Claim | None) -> Ending:
+        """Pump a long answer's body to the client as it comes; never more than a read of it is held."""
+        sink = claim(answer) if claim is not None else None
+        if sink is None:
+            raise _StepOver(Ending.CANCELLED)
+        frame, data = link.parser.rest()
+        try:
+            while True:
+                count = frame.feed(data)
+                if count and not sink.send(memoryview(data)[:count]):
+                    return Ending.CANCELLED     # the client went, or stopped reading
+                if frame.done:
+                    return Ending.SERVED
+                why = self._hub.wait(link.fd, READ, self._hub.now() + STREAM_STALL_NS)
+                if why is not Woken.READY:
+                    return Ending.TIMED_OUT if why is Woken.TIMEOUT else Ending.CANCELLED
+                try:
+                    data = link.sock.recv(CHUNK)
+                except BlockingIOError:
+                    data = b""
+                    continue
+                if not data:
+                    return Ending.SERVED if frame.until_close else Ending.BROKEN
+        except OSError:
+            return Ending.BROKEN
+        except BadMessage:
+            return Ending.GARBLED
+
+
 def _judge(answer: Message) -> Ending:
     if answer.status == 200:
         return Ending.SERVED
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -10,8 +10,8 @@
 from lugtally.ending import Ending
 from lugtally.facade import Ask, BusyReply, ClientGone, Facade, RouteStep, StepEnded
 from lugtally.hub.scheduler import LEFT, MS, READ, WRITE, Hub, Signal, Task, Woken
-from lugtally.net.destination import Destinations
-from lugtally.net.http1 import METHODS, BadMessage, Forward, Message, Parser, write_answer
+from lugtally.net.destination import Destinations, Sink
+from lugtally.net.http1 import METHODS, BadMessage, Forward, Message, Parser, write_answer, write_streamed_head
 
 HEALTH = "/_health"
 CHUNK = 16 * 1024          # small, as each front socket may hold that much of what it has not parsed
@@ -68,14 +68,17 @@
 class _Exchange:
     """One request and its route steps."""
 
-    __slots__ = ("hub", "ask", "forward", "tasks", "answer", "gone")
+    __slots__ = ("hub", "ask", "forward", "tasks", "answer", "gone", "front", "streamed")
 
-    def __init__(self, hub: Hub, forward: Forward, cls: int, deadline: int, is_retry: bool) -> None:
+    def __init__(self, hub: Hub, forward: Forward, cls: int, deadline: int, is_retry: bool,
+                 front: FrontSocket) -> None:
         self.hub = hub
         self.forward = forward
         self.tasks: dict[int, Task] = {}
         self.answer: Message | None = None      # of the step that was served first
         self.gone = False
+        self.front = front
+        self.streamed = False       # a step has begun to pass its answer on: no other answer may follow
         self.ask = Ask(hub, cls, deadline, is_retry, self.cancel)
 
     def cancel(self, number: int) -> None:
@@ -97,6 +100,19 @@
     """Calls off a step of a request that is over: there is none."""
 
 
+class _Passing:
+    """A front socket as the sink of a streamed answer."""
+
+    __slots__ = ("_front", "_socket", "_sound")
+
+    def __init__(self, front: Front, socket: FrontSocket) -> None:
+        self._front, self._socket, self._sound = front, socket, True
+
+    def send(self, data: bytes | memoryview) -> bool:
+        self._sound = self._sound and self._front._write(self._socket, data)
+        return self._sound
+
+
 class Front:
     """All front sockets of this sidecar."""
 
@@ -284,7 +300,7 @@
         front.asked, front.resting = True, False
         return message
 
-    def _write(self, front: FrontSocket, data: bytes) -> bool:
+    def _write(self, front: FrontSocket, data: bytes | memoryview) -> bool:
         """Write it all; false where the client has gone or does not take it."""
         view = memoryview(data)
         try:
@@ -342,7 +358,7 @@
 
     def _exchange(self, front: FrontSocket, message: Message, cls: int, left_ns: int) -> Answer | None:
         exchange = _Exchange(self._hub, Forward(message), cls, self._hub.now() + left_ns,
-                             message.names.get("x-repeat") == "1")
+                             message.names.get("x-repeat") == "1", front)
 
         def left(_: int) -> None:
             self._hub.unwatch(front.fd)
@@ -356,8 +372,8 @@
             verdict = self._facade.pick(exchange.ask)
         self._hub.unwatch(front.fd)
         exchange.release()
-        if exchange.gone:
-            return None
+        if exchange.gone or exchange.streamed:
+            return None     # the connection ends: its answer has been passed on, or half of it
         if isinstance(verdict, BusyReply):
             return _busy(verdict)
         if exchange.answer is not None:
@@ -394,7 +410,8 @@
         ending, answer = Ending.CANCELLED_UNSENT, None
         if not exchange.ask.over:
             try:
-                ending, answer = self._destinations.run(step.destination, exchange.forward, step.until)
+                ending, answer = self._destinations.run(step.destination, exchange.forward, step.until,
+                                                        lambda head: self._claim(exchange, step, head))
             except Exception:
                 # Every step must report its end, or the module would wait for it.
                 logger.exception("a route step failed", event="step.fault")
@@ -405,6 +422,15 @@
                      destination=step.destination, ending=ending.name)
         self._facade.report(StepEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
 
+    def _claim(self, exchange: _Exchange, step: RouteStep, head: Message) -> Sink | None:
+        """A step has a long answer: pass it on to the client as it comes, where the facade lets this step."""
+        if exchange.gone or not self._facade.claim(exchange.ask, step.number):
+            return None
+        exchange.streamed = True
+        sink = _Passing(self, exchange.front)
+        sink.send(write_streamed_head(head, [(n, v) for n, v in head.headers if n.lower() not in _OWN]))
+        return sink
+
     # ------------------------------------------------------------ planned restart
 
     def _drain(self) -> None:
--- a/lugtally/net/http1.py
+++ b/lugtally/net/http1.py
@@ -11,6 +11,7 @@
 
 MOST_HEAD = 16 * 1024
 MOST_BODY = 64 * 1024
+MOST_STREAMED = 256 * 1024 * 1024   # a told length beyond is taken for a fault of the destination
 MOST_INTERIM = 16       # 1xx answers in front of one answer: an endless row of them is none
 MOST_LINE = 256         # of a chunk's size or a trailer
 
@@ -58,14 +59,16 @@
     body: bytes = b""
     keep: bool = True           # the connection may carry another message
     expects: bool = False       # the client waits for "100 Continue" before it sends the body
+    streamed: bool = False      # an answer whose body is passed on as it comes: the parser gave its head alone
 
 
 class Parser:
     """Takes bytes as they come and gives messages as they become whole."""
 
-    def __init__(self, *, responses: bool, most_body: int = MOST_BODY) -> None:
+    def __init__(self, *, responses: bool, most_body: int = MOST_BODY, streams: bool = False) -> None:
         self._responses = responses
         self._most_body = most_body
+        self._streams = streams     # a 200 with a long, chunked or unbounded body is given by its head alone
         self._buffer = bytearray()
         self._head: Message | None = None
         self._left = 0              # of a body of told length; -1: until the connection ends
@@ -92,6 +95,9 @@
                 self._head = self._read_head()
                 if self._head is None:
                     return None
+                if self._head.streamed:
+                    done, self._head = self._head, None
+                    return done
             if not (self._read_chunks() if self._chunked else self._read_told()):
                 return None
             done, self._head = self._head, None
@@ -104,6 +110,13 @@
             if done.status == 101 or self._interim > MOST_INTERIM:
                 raise BadMessage(400, "an interim response that was not asked for")
 
+    def rest(self) -> tuple[BodyFrame, bytes]:
+        """After a streamed head: where its body ends, and the bytes of it that came with the head."""
+        frame = BodyFrame(chunked=self._chunked, length=None if self._left < 0 else self._left)
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        return frame, data
+
     def end(self) -> Message | None:
         """The connection has ended: the message that this completes, if any."""
         if self._head is None or self._chunked or self._left != -1:
@@ -141,7 +154,7 @@
             return Message(status=seen.status, headers=seen.headers, names=seen.names, keep=seen.keep,
                            expects=seen.expects)
         message = self._new_head(end)
-        if 0 <= self._left <= self._most_body:
+        if 0 <= self._left <= self._most_body and not message.streamed:
             if len(_KNOWN) >= MOST_KNOWN:
                 _KNOWN.clear()
             copy = Message(status=message.status, headers=message.headers, names=message.names, keep=message.keep,
@@ -188,6 +201,11 @@
 
     def _frame(self, message: Message) -> None:
         """How the body is delimited."""
+        self._frame_of(message)
+        if self._streams and message.status == 200 and (self._chunked or not 0 <= self._left <= MOST_BODY):
+            message.streamed = True
+
+    def _frame_of(self, message: Message) -> None:
         length, coding = message.names.get("content-length"), message.names.get("transfer-encoding")
         self._chunked = coding is not None
         self._phase, self._left = "size", 0
@@ -200,7 +218,8 @@
             if _NUMBER.fullmatch(length) is None:
                 raise BadMessage(400, "Content-Length is no number")
             self._left = int(length)
-            if self._left > self._most_body:
+            streamed = self._streams and message.status == 200 and self._left <= MOST_STREAMED
+            if self._left > self._most_body and not streamed:
                 raise BadMessage(413, "the body is too large")
         elif self._responses:
             self._left = -1
@@ -269,6 +288,76 @@
                 self._phase = "data" if self._left else "trailer"
 
 
+class BodyFrame:
+    """Where a body ends in the bytes that carry it, without keeping them: for bodies passed on as they come.
+
+    ``feed`` says how many of the bytes given belong to the body, in their framing (a chunked body keeps its sizes
+    and trailers); ``done`` once the last of them has come.  A body without length or chunks ends with the connection.
+    """
+
+    __slots__ = ("_chunked", "_left", "_phase", "_line", "done")
+
+    def __init__(self, *, chunked: bool = False, length: int | None = None) -> None:
+        self._chunked = chunked
+        self._left = -1 if length is None and not chunked else (length or 0)
+        self._phase = "size"
+        self._line = bytearray()
+        self.done = not chunked and self._left == 0
+
+    @property
+    def until_close(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        return not self._chunked and self._left < 0
+
+    def feed(self, data: bytes | memoryview) -> int:
+        """How many of these bytes, from the first, are the body's; a ``BadMessage`` where the chunks are malformed."""
+        if self.done:
+            return 0
+        if not self._chunked:
+            if self._left < 0:
+                return len(data)
+            count = min(self._left, len(data))
+            self._left -= count
+            self.done = self._left == 0
+            return count
+        at = 0
+        while at < len(data) and not self.done:
+            if self._phase == "data":
+                count = min(self._left, len(data) - at)
+                at += count
+                self._left -= count
+                if not self._left:
+                    self._phase = "end"
+                continue
+            end = bytes(data[at:at + MOST_LINE + 2]).find(b"\n")
+            if end < 0:
+                self._line += data[at:]
+                at = len(data)
+            else:
+                self._line += data[at:at + end + 1]
+                at += end + 1
+            if len(self._line) > MOST_LINE + 2:
+                raise BadMessage(400, "a line of the chunked body is too long")
+            if end >= 0:
+                self._take_line(bytes(self._line).removesuffix(b"\n").removesuffix(b"\r"))
+                self._line.clear()
+        return at
+
+    def _take_line(self, line: bytes) -> None:
+        if self._phase == "trailer":
+            self.done = not line
+        elif self._phase == "end":
+            if line:
+                raise BadMessage(400, "a chunk is longer than told")
+            self._phase = "size"
+        else:
+            match = _SIZE.fullmatch(line)
+            if match is None:
+                raise BadMessage(400, "a chunk's size is malformed")
+            self._left = int(match[1], 16)
+            self._phase = "data" if self._left else "trailer"
+
+
 # ---------------------------------------------------------------- writers
 
 
@@ -298,6 +387,18 @@
     return f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode("latin-1")
 
 
+def write_streamed_head(answer: Message, headers: list[tuple[str, str]]) -> bytes:
+    """The head of an answer passed on as it comes, with its own framing; its connection ends after it."""
+    lines = [f"HTTP/1.1 {answer.status} {REASONS.get(answer.status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if "transfer-encoding" in answer.names:
+        lines.append("Transfer-Encoding: chunked")
+    elif "content-length" in answer.names:
+        lines.append(f"Content-Length: {answer.names['content-length']}")
+    lines.append("Connection: close")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+
+
 def write_answer(status: int, body: bytes, headers: list[tuple[str, str]], *, close: bool) -> bytes:
     """A final answer."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
