Test that a streamed step alone ends its request

Need: Facade.claim binds a request to the step whose answer has begun; nothing guarded that another step's later answer, the module's Fail or the 20 ms backstop cannot end it meanwhile. The test claims step 1 of two, lets step 0 be served and the module fail the request past its deadline, and sees the request end only with step 1's break (Failed, one FirstByte, two outcomes).

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -461,3 +461,28 @@
     from tests.player import SETTINGS
 
     return read_settings(SETTINGS)
+
+
+def test_a_streamed_step_alone_ends_its_request(scripted: Scripted) -> None:
+    """Once a step passes its answer on, no other step's answer and no verdict of the module may follow."""
+    hub = Hub()
+    front = facade.Facade(api.Settings(), 1, hub)
+    cancelled: list[int] = []
+    verdicts: list[facade.Verdict] = []
+
+    def work() -> None:
+        ask = facade.Ask(hub, 0, hub.now() + 5 * MS, False, cancelled.append)
+        front.pick(ask), front.pick(ask)
+        assert front.claim(ask, 1) and not front.claim(ask, 0) and not front.claim(ask, 1)
+        front.report(facade.StepEnded(ask, 0, Ending.SERVED))       # the other step's whole answer comes too late
+        front._act(hub.now(), api.Fail(ask.id))                      # and so does the module's verdict
+        hub.sleep(30 * MS)                                           # past the deadline and the backstop
+        assert not ask.over
+        front.report(facade.StepEnded(ask, 1, Ending.BROKEN))
+        verdicts.append(front.pick(ask))
+
+    run(hub, work, front)
+    assert verdicts == [facade.Failed()]
+    assert [type(e).__name__ for e in scripted.told if isinstance(e, (api.FirstByte, api.Outcome))] == [
+        "FirstByte", "Outcome", "Outcome"]
+    assert [e.over for e in scripted.told if isinstance(e, api.Outcome)] == [False, True]
