Read chunk lines in one place, and as strictly in streamed answers as in held ones

Seen on reading the change again: BodyFrame repeated the parser's rules for a chunked body's lines (size, end of chunk, trailer), and took a bare line feed for a line's end where the parser wants CRLF, so a streamed body could be delimited otherwise than by the parser. A test feeds a bare line feed.

--- a/lugtally/net/http1.py
+++ b/lugtally/net/http1.py
@@ -75,7 +75,7 @@
         self._chunked = False
         self._body = bytearray()
         self._interim = 0
-        self._phase = "size"        # of a chunked body: size, data, end, trailer
+        self._phase = "size"        # of a chunked body: size, data, end, trailer, done
 
     @property
     def idle(self) -> bool:
@@ -271,21 +271,11 @@
             line = self._read_line()
             if line is None:
                 return False
-            if self._phase == "trailer":
-                if not line:
-                    return True
-            elif self._phase == "end":
-                if line:
-                    raise BadMessage(400, "a chunk is longer than told")
-                self._phase = "size"
-            else:
-                match = _SIZE.fullmatch(line)
-                if match is None:
-                    raise BadMessage(400, "a chunk's size is malformed")
-                self._left = int(match[1], 16)
-                if self._left > self._most_body:
-                    raise BadMessage(413, "the body is too large")
-                self._phase = "data" if self._left else "trailer"
+            self._phase, self._left = _after_line(self._phase, line)
+            if self._phase == "done":
+                return True
+            if self._left > self._most_body:
+                raise BadMessage(413, "the body is too large")
 
 
 class BodyFrame:
@@ -339,23 +329,28 @@
             if len(self._line) > MOST_LINE + 2:
                 raise BadMessage(400, "a line of the chunked body is too long")
             if end >= 0:
-                self._take_line(bytes(self._line).removesuffix(b"\n").removesuffix(b"\r"))
+                if not self._line.endswith(b"\r\n"):
+                    # As strict as the parser: the client behind must not read the chunks otherwise.
+                    raise BadMessage(400, "a line of the chunked body ends without CRLF")
+                self._phase, self._left = _after_line(self._phase, bytes(self._line[:-2]))
+                self.done = self._phase == "done"
                 self._line.clear()
         return at
 
-    def _take_line(self, line: bytes) -> None:
-        if self._phase == "trailer":
-            self.done = not line
-        elif self._phase == "end":
-            if line:
-                raise BadMessage(400, "a chunk is longer than told")
-            self._phase = "size"
-        else:
-            match = _SIZE.fullmatch(line)
-            if match is None:
-                raise BadMessage(400, "a chunk's size is malformed")
-            self._left = int(match[1], 16)
-            self._phase = "data" if self._left else "trailer"
+
+def _after_line(phase: str, line: bytes) -> tuple[str, int]:
+    """A chunked body's phase after one of its lines, and the size of the chunk that begins; "done" at its end."""
+    if phase == "trailer":
+        return ("trailer" if line else "done"), 0
+    if phase == "end":
+        if line:
+            raise BadMessage(400, "a chunk is longer than told")
+        return "size", 0
+    match = _SIZE.fullmatch(line)
+    if match is None:
+        raise BadMessage(400, "a chunk's size is malformed")
+    left = int(match[1], 16)
+    return ("data" if left else "trailer"), left
 
 
 # ---------------------------------------------------------------- writers
--- a/tests/test_body_frame.py
+++ b/tests/test_body_frame.py
@@ -47,7 +47,7 @@
     assert frame.until_close and frame.feed(b"abc") == 3 and not frame.done
 
 
-@pytest.mark.parametrize("data", [b"zz\r\n", b"3\r\nabcd\r\n", b"1" * 300])
+@pytest.mark.parametrize("data", [b"zz\r\n", b"3\r\nabcd\r\n", b"1" * 300, b"3\nabc\r\n"])
 def test_malformed_chunks_are_refused(data: bytes) -> None:
     with pytest.raises(BadMessage):
         BodyFrame(chunked=True).feed(data)
