Take the status socket's tallies from the counters; drop an unread count of calls

Seen on reading the change again: the facade kept served, busy and failed twice, in its own tallies for 'lugtally status' and in the operators' counters; Listener.calls was counted and never read. Change: counted() sums the counters (busy less the guard's own refusals, as before); the count of calls is gone.

--- a/lugtally/control/listener.py
+++ b/lugtally/control/listener.py
@@ -50,7 +50,6 @@
         except OSError:
             self._sock.close()
             raise
-        self.calls = 0
         hub.spawn(self._accept)
 
     def close(self) -> None:
@@ -124,7 +123,6 @@
         except BadMessage as error:
             return error.status, f"{error}\n".encode()
         caller.whole = True
-        self.calls += 1
         call = parse(message.method, message.target)
         if not isinstance(call, tuple):
             return answer(call, self._books)
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -132,7 +132,7 @@
         self._count = 0
         self._timers: list[tuple[int, int, str]] = []
         self._gate: Gate | None = None
-        self._ends = {"served": 0, "busy": 0, "failed": 0, "left": 0, "own_overload": 0}
+        self._ends = {"left": 0, "own_overload": 0}     # the rest is in the counters
         self._usual: dict[int, float] = {}      # class -> how long an answer usually takes, nanoseconds
         self._close_idle: Callable[[int], None] = lambda _: None
         self._watch: Callable[[], None] = lambda: None
@@ -167,7 +167,9 @@
 
     def counted(self) -> dict[str, int]:
         """Requests by how they ended so far, and those in progress."""
-        return {"in_progress": len(self._asks), **self._ends}
+        books = self.counters
+        return {"in_progress": len(self._asks), "served": sum(books.success),
+                "busy": sum(books.overload) - self._ends["own_overload"], "failed": sum(books.error), **self._ends}
 
     def pick(self, ask: Ask) -> Verdict:
         """Block until the next verdict on a request; the first call hands it to the module."""
@@ -287,7 +289,6 @@
         if won:
             usual = self._usual.setdefault(ask.cls, float(took))
             self._usual[ask.cls] = usual + 0.1 * (took - usual)
-            self._ends["served"] += 1
             self.counters.served(ask.cls)
             self._end(ask, Over())
         elif bound:
@@ -299,10 +300,8 @@
             return
         ask.over = True
         if isinstance(verdict, BusyReply):
-            self._ends["busy"] += 1
             self.counters.refused(ask.cls)
         elif isinstance(verdict, Failed):
-            self._ends["failed"] += 1
             self.counters.failed(ask.cls)
         self._asks.pop(ask.id, None)
         ask.verdicts.append(verdict)
