--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -41,13 +41,6 @@
                  traits=KINDS, reports=(700 * MS, 200 * MS))
 
 
-def slow_all(world: Fleet, by: float) -> None:
-    """Something that all servers depend on makes each of them slower by that much (1: not at all)."""
-    for machine in world.machines.values():
-        world._turn(machine)
-        machine.server.slower = by
-
-
 def worth(tally: Counter[str] | dict[str, int]) -> float:
     """Worth served in time over worth asked for, by the tally of the world."""
     asked = sum(CLASSES[c].worth * tally.get(f"asked {c}", 0) for c in range(len(CLASSES)))
@@ -60,7 +53,7 @@
     before: Counter[str] = Counter()
     print(" s  worth  refused  choked  held at each server")
     for second in range(60):
-        slow_all(world, 2.2 if 30 <= second < 40 else 1.0)
+        world.slow_all(2.2 if 30 <= second < 40 else 1.0)
         world.run(S)
         now = Counter(world.tally)
         step = now - before
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -88,6 +88,8 @@
             del self.machines[number]
         for number in new:
             self.machines[number] = self._machine(number, self.now)
+            if self.reports is not None:
+                self._refresh(self.machines[number])
         for at in range(len(self.balancers)):
             self.tell(at, api.ListKind.WHOLE)
 
@@ -115,6 +117,12 @@
             self._turn(machine)
         return [self.machines[n].server.held for n in sorted(self.machines)]
 
+    def slow_all(self, by: float) -> None:
+        """Something that all servers depend on makes each of them slower by that much (1: not at all)."""
+        for machine in self.machines.values():
+            self._turn(machine)
+            machine.server.slower = by
+
     def choked(self) -> int:
         """How many servers are choked now."""
         return sum(m.server.choked_at >= 0 for m in self.machines.values())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lugtally import api
-from tests.crowd import crowd, slow_all, worth
+from tests.crowd import crowd, worth
 from tests.fleet import TRAITS, Fleet
 from tests.world import MS, SAFE, S, lines, sent, settings, started
 
@@ -76,7 +76,7 @@
     world = crowd(seed=3)
     most = 0
     for second in range(45):
-        slow_all(world, 2.2 if 20 <= second < 30 else 1.0)
+        world.slow_all(2.2 if 20 <= second < 30 else 1.0)
         world.run(S)
         most = max(most, world.choked())
     assert most == 0, "the sidecars together crowded servers until they choked"
