Hold answers of untold length to their end; a cut one resets the client's connection

To blame: Destinations._pass_on claimed the client with the head alone, and Front._serve closed the client's connection in the ordinary way after the break: a body that its connection delimits then looks whole. Beyond that it is passed on as before, and where it cannot be finished the client's connection is reset, which no client takes for an end. An answer that never ends now costs its deadline and not 5 s more.

--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -19,7 +19,7 @@
 
 from lugtally.ending import Ending
 from lugtally.hub.scheduler import MS, READ, WRITE, Hub, Woken
-from lugtally.net.http1 import MOST_BODY, BadMessage, Forward, Message, Parser
+from lugtally.net.http1 import MOST_BODY, BadMessage, BodyFrame, Forward, Message, Parser
 
 STREAM_STALL_NS = 5000 * MS     # a streamed answer that does not move for this long is broken off
 
@@ -123,7 +123,7 @@
             self._write(link, forward.write(left), until)
             written = True
             answer = self._read(link, until)
-            ending = self._pass_on(link, answer, claim) if answer.streamed else _judge(answer)
+            ending = self._pass_on(link, answer, claim, until) if answer.streamed else _judge(answer)
         except _StepOver as over:
             ending, answer = over.ending, None
             if ending is Ending.BROKEN and not written:
@@ -270,13 +270,20 @@
                 raise _StepOver(Ending.BROKEN)
 
 
-    def _pass_on(self, link: Link, answer: Message, claim: Claim | None) -> Ending:
-        """Pump a long answer's body to the client as it comes; never more than a read of it is held."""
-        sink = claim(answer) if claim is not None else None
-        if sink is None:
-            raise _StepOver(Ending.CANCELLED)
+    def _pass_on(self, link: Link, answer: Message, claim: Claim | None, until: int) -> Ending:
+        """Pump a long answer's body to the client as it comes; beyond its beginning a read of it at most is held."""
         frame, data = link.parser.rest()
+        held = b""
         try:
+            if "content-length" not in answer.names:
+                held, ended = self._hold(link, frame, data, until)
+                data = b""
+                if ended and frame.until_close:
+                    answer.body, answer.streamed = held, False      # whole: an answer like any other
+                    return Ending.SERVED
+            sink = claim(answer) if claim is not None else None
+            if sink is None or not sink.send(held):
+                return Ending.CANCELLED
             while True:
                 count = frame.feed(data)
                 if count and not sink.send(memoryview(data)[:count]):
@@ -298,6 +305,26 @@
         except BadMessage:
             return Ending.GARBLED
 
+    def _hold(self, link: Link, frame: BodyFrame, data: bytes, until: int) -> tuple[bytes, bool]:
+        """The beginning of a body of untold length, as far as other answers are held, and whether that is all of it.
+
+        Nothing of it has reached the client yet: where the connection breaks, or the body does not end in time, the
+        request can still be tried elsewhere or answered as failed.
+        """
+        told = bytearray(data[:frame.feed(data)])
+        while not frame.done and len(told) <= MOST_BODY:
+            self._await(link, READ, until, Ending.TIMED_OUT, Ending.CANCELLED)
+            try:
+                data = link.sock.recv(CHUNK)
+            except BlockingIOError:
+                continue
+            if not data:
+                if frame.until_close:
+                    return bytes(told), True
+                raise _StepOver(Ending.BROKEN)
+            told += data[:frame.feed(data)]
+        return bytes(told), frame.done
+
 
 def _judge(answer: Message) -> Ending:
     if answer.status == 200:
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 
 from loguru import logger
 
@@ -29,6 +30,7 @@
 ROOM_NS = 100 * MS          # how often another resting front socket gives way while there is no room
 NO_DESCRIPTOR_PAUSE_NS = 20 * MS
 DRAIN_EXTRA = 64            # front sockets beyond the usual most at the end of a planned restart
+RESET = struct.pack("ii", 1, 0)     # as SO_LINGER: the close resets the connection
 MOST_LEFT_S = 3600.0
 MOST_HEALTH = 200           # health calls a second that are answered at once, of all front sockets together
 HEALTH_PAUSE_NS = 50 * MS   # each further one waits that long: a tight loop of them must not eat the core
@@ -52,7 +54,7 @@
 class FrontSocket:
     """One connection of the application."""
 
-    __slots__ = ("sock", "fd", "parser", "signal", "since", "asked", "resting", "unwanted")
+    __slots__ = ("sock", "fd", "parser", "signal", "since", "asked", "resting", "unwanted", "cut")
 
     def __init__(self, sock: socket.socket, hub: Hub) -> None:
         self.sock = sock
@@ -63,6 +65,7 @@
         self.asked = False          # a whole request has come on it
         self.resting = False        # nothing of a request has come
         self.unwanted = False       # it is to be closed unless a request has come
+        self.cut = False            # its answer has begun and cannot be finished: the end must not look like one
 
 
 class _Exchange:
@@ -78,7 +81,7 @@
         self.answer: Message | None = None      # of the step that was served first
         self.gone = False
         self.front = front
-        self.streamed = False       # a step has begun to pass its answer on: no other answer may follow
+        self.streamed = -1          # the step that has begun to pass its answer on: no other answer may follow
         self.ask = Ask(hub, cls, deadline, is_retry, self.cancel, tenant)
 
     def cancel(self, number: int) -> None:
@@ -254,6 +257,9 @@
             logger.debug("a front socket broke: {why}", event="front.broke", why=str(error))
         finally:
             self._hub.unwatch(front.fd)
+            if front.cut:
+                # A body may end where its connection does: only a reset says that this one is not whole.
+                front.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             front.sock.close()
             self._open.discard(front)
             self._room.set()
@@ -374,7 +380,7 @@
             verdict = self._facade.pick(exchange.ask)
         self._hub.unwatch(front.fd)
         exchange.release()
-        if exchange.gone or exchange.streamed:
+        if exchange.gone or exchange.streamed >= 0:
             return None     # the connection ends: its answer has been passed on, or half of it
         if isinstance(verdict, BusyReply):
             return _busy(verdict)
@@ -420,6 +426,8 @@
                 ending = Ending.BROKEN
         if ending is Ending.SERVED and exchange.answer is None:
             exchange.answer = answer
+        elif exchange.streamed == step.number:
+            exchange.front.cut = True
         logger.debug("step {number} to {destination}: {ending}", event="step.ended", number=step.number,
                      destination=step.destination, ending=ending.name)
         self._facade.report(StepEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
@@ -428,7 +436,7 @@
         """A step has a long answer: pass it on to the client as it comes, where the facade lets this step."""
         if exchange.gone or not self._facade.claim(exchange.ask, step.number):
             return None
-        exchange.streamed = True
+        exchange.streamed = step.number
         sink = _Passing(self, exchange.front)
         sink.send(write_streamed_head(head, [(n, v) for n, v in head.headers if n.lower() not in _OWN]))
         return sink
--- a/tests/player.py
+++ b/tests/player.py
@@ -10,8 +10,8 @@
     crowd 40 CLIENT     as many clients, CLIENT0 on, connect and say nothing
     serve           start it; it must become ready
     c1 send BYTES   a client (``o1``: an operator, at @O), opened by its first step, sends; ``want`` must
-                    receive just this, ``closed`` must see the end, ``none`` must see nothing; ``shut`` and
-                    ``reset`` close, ``pause`` waits
+                    receive just this, ``closed`` must see the end, ``broken`` a reset in its place, ``none`` must
+                    see nothing; ``shut``, ``half`` (its sending alone) and ``reset`` close, ``pause`` waits
     d1 want BYTES   the same for the next connection that any destination accepts
     d2 elsewhere d1     accepted by another destination than d1; ``d1 at B`` by B
     p list JSON     the same for the pool config's connections, with answers of that body
@@ -246,6 +246,16 @@
         except ConnectionResetError:
             pass
 
+    def on_broken(self, who: str, _: str) -> None:
+        try:
+            data = self.link(who).recv(1)
+        except ConnectionResetError:
+            return
+        raise AssertionError(f"no reset, but {data!r}")
+
+    def on_half(self, who: str, _: str) -> None:
+        self.link(who).shutdown(socket.SHUT_WR)
+
     def on_shut(self, who: str, _: str) -> None:
         self.link(who).close()
         del self.links[who]
