Notice a silent watch in 3.5 s and call anew at once; keep 6 s from change to list as one sum

To blame: pool_config.HOLD_MS and ANSWER_NS (11.5 s), the module's pause after it (up to 8 s or what the settings say). Mend: a hold of 2.5 s and 1 s for the answer; a silent or broken call is made anew at once, once; pauses of 1.5 s at most by the settings given to the module. SILENCE_TO_LIST_NS and RETURN_TO_LIST_NS are the written sums (5.0 and 5.5 of 6 s).

--- a/lugtally/config/pool.py
+++ b/lugtally/config/pool.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any
 
+UNNAMED = -1    # in the place of a destination's number, where a row does not even name it
+
 
 @dataclass(slots=True)
 class Row:
@@ -30,6 +32,7 @@
     version: int
     full: bool
     rows: list[Row]
+    unread: dict[int, str] = field(default_factory=dict)    # destinations whose row cannot be read -> what is wrong
 
 
 def read_address(text: Any, field: str) -> tuple[str, int]:
@@ -50,27 +53,43 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
-def read_pool(raw: Any, field: str) -> PoolConfig:
-    """Decode a list; a ``ValueError`` names the field at fault."""
+def read_pool(raw: Any, name: str, *, lenient: bool = False) -> PoolConfig:
+    """Decode a list; a ``ValueError`` names the field at fault.
+
+    Where it is ``lenient``, a row that cannot be read is set apart as long as others can.
+    """
     if not isinstance(raw, dict) or not isinstance(raw.get("servers"), list):
-        raise ValueError(f"{field}.servers: a list is wanted")
+        raise ValueError(f"{name}.servers: a list is wanted")
     version = raw.get("version")
-    if not isinstance(version, int):
-        raise ValueError(f"{field}.version: {version!r} is no number")
-    return PoolConfig(version, bool(raw.get("full")), [
-        _read_row(row, f"{field}.servers[{at}]") for at, row in enumerate(raw["servers"])])
+    if not isinstance(version, int) or isinstance(version, bool):
+        raise ValueError(f"{name}.version: {version!r} is no number")
+    pool = PoolConfig(version, bool(raw.get("full")), [])
+    for at, row in enumerate(raw["servers"]):
+        try:
+            pool.rows.append(_read_row(row, f"{name}.servers[{at}]"))
+        except ValueError as error:
+            id = row.get("id") if isinstance(row, dict) else None
+            pool.unread[number_of(id) if isinstance(id, str) else UNNAMED] = str(error)
+            if not lenient:
+                raise
+    if pool.unread and not pool.rows:
+        raise ValueError(next(iter(pool.unread.values())))
+    return pool
 
 
 def _read_row(raw: Any, field: str) -> Row:
     if not isinstance(raw, dict) or not isinstance(raw.get("id"), str):
         raise ValueError(f"{field}.id: a text is wanted")
-    state, cell, started = raw.get("state"), raw.get("cell") or 0, raw.get("started_ms") or 0
+    state, cell, started = raw.get("state"), raw.get("cell"), raw.get("started_ms") or 0
+    number = number_of(raw["id"])
+    if cell is None:
+        cell = ~number      # not told: no group that drops repeats, so it is by itself
     if not isinstance(state, str):
         raise ValueError(f"{field}.state: {state!r} is no text")
-    if not isinstance(cell, int):
+    if not isinstance(cell, int) or isinstance(cell, bool):
         raise ValueError(f"{field}.cell: {cell!r} is no number")
     if not isinstance(started, (int, float)) or not abs(started) < 2**53:
         raise ValueError(f"{field}.started_ms: {started!r} is no number")
     gone = state == "gone" and raw.get("addr") is None
     address = ("", 0) if gone else read_address(raw.get("addr"), f"{field}.addr")
-    return Row(number_of(raw["id"]), address, str(raw.get("zone")), cell, state, int(started))
+    return Row(number, address, str(raw.get("zone") or ""), cell, state, int(started))
--- a/lugtally/hub/scheduler.py
+++ b/lugtally/hub/scheduler.py
@@ -229,29 +229,33 @@
 
 
 class Signal:
-    """Something that one task waits for and anything may set."""
+    """Something that tasks wait for and anything may set; setting it wakes all that wait."""
 
-    __slots__ = ("_hub", "_wait", "_set")
+    __slots__ = ("_hub", "_waits", "_set")
 
     def __init__(self, hub: Hub) -> None:
         self._hub = hub
-        self._wait: _Wait | None = None
+        self._waits: list[_Wait] = []
         self._set = False
 
     def set(self) -> None:
-        """Wake the waiting task, or let the next wait pass."""
-        self._set = True
-        if self._wait is not None:
-            self._hub._resume(self._wait, Woken.READY)
+        """Wake the waiting tasks, or let the next wait pass."""
+        live = [wait for wait in self._waits if not wait.done]     # one that timed out in this turn was not woken
+        self._set = not live
+        for wait in live:
+            self._hub._resume(wait, Woken.READY)
+        self._waits = []
 
     def wait(self, until: int | None = None) -> Woken:
         """Block until set; clears it."""
-        why = Woken.READY
-        if not self._set:
-            self._wait = self._hub._starting()
-            if self._wait is None:
-                return Woken.INTERRUPTED
-            why = self._hub._block(self._wait, until)
-            self._wait = None
-        self._set = False
+        if self._set:
+            self._set = False
+            return Woken.READY
+        wait = self._hub._starting()
+        if wait is None:
+            return Woken.INTERRUPTED
+        self._waits.append(wait)
+        why = self._hub._block(wait, until)
+        if wait in self._waits:
+            self._waits.remove(wait)
         return why
--- a/lugtally/net/pool_config.py
+++ b/lugtally/net/pool_config.py
@@ -13,9 +13,17 @@
 from lugtally.net.destination import Destinations
 from lugtally.net.http1 import BadMessage, Message, Parser, write_get
 
-HOLD_MS = 10_000
-ANSWER_NS = 1500 * MS       # beyond the hold, for the answer to come
-CONNECT_NS = 1500 * MS
+# A change counts as told this long after discovery had it and could be reached, whether it arrived or not.
+TOLD_NS = 6000 * MS
+# The times that a call may take.  Together they keep that term, as the two sums below say; the rest of it is margin.
+HOLD_MS = 2500              # a watch without news; 200 sidecars make 80 such calls a second
+ANSWER_NS = 1000 * MS       # beyond the hold, for an answer to come
+CONNECT_NS = 500 * MS
+MOST_PAUSE_NS = 1500 * MS   # after a failure: the module draws a part of it
+# A watch falls silent as it begins: that is noticed, then the call is made anew at once.
+SILENCE_TO_LIST_NS = HOLD_MS * MS + ANSWER_NS + CONNECT_NS + ANSWER_NS
+# Discovery comes back just as a connection to it was begun that never comes up: that, and twice a pause and a call.
+RETURN_TO_LIST_NS = CONNECT_NS + 2 * (MOST_PAUSE_NS + CONNECT_NS) + ANSWER_NS
 EMPTY_PAUSE_NS = 100 * MS   # where answers come at once without news; well under the 200 ms of a watch
 CHUNK = 64 * 1024
 MOST_LIST = 4 * 1024 * 1024
@@ -31,14 +39,20 @@
         self._sock: socket.socket | None = None
         self._parser = Parser(responses=True, most_body=MOST_LIST)
         self.version = version
+        self.wanted = Signal(hub)   # its own: a follower of an earlier one must not take the wake-up of this one
 
     def ask(self) -> PoolConfig:
-        """What is new since the version at hand, or the whole list where there is none."""
+        """What is new since the version at hand, or the whole list where there is none.
+
+        After a silence, a reset or a refusal it is asked for changes as well: a whole list is work for discovery by
+        the line, and it comes back with all sidecars asking at once.  One that has begun its versions anew shows it
+        by a lower one; only then is its whole list needed.
+        """
         target = PATH if self.version is None else f"{PATH}?from={self.version}&hold_ms={HOLD_MS}"
-        answer = self._exchange(target, self._hub.now() + HOLD_MS * MS + ANSWER_NS)
+        answer = self._exchange(target)
         if answer.status != 200:
             raise ValueError(f"status {answer.status}")
-        return read_pool(ujson.loads(answer.body), "pool config")
+        return read_pool(ujson.loads(answer.body), "pool config", lenient=True)
 
     def drop(self) -> None:
         """Close the connection."""
@@ -47,23 +61,33 @@
         self._sock = None
         self._parser = Parser(responses=True, most_body=MOST_LIST)
 
-    def _exchange(self, target: str, until: int) -> Message:
+    def _exchange(self, target: str) -> Message:
+        """One call; once more at once, on a new connection, where the one at hand turns out to be dead.
+
+        A kept connection may have been closed between two calls, and a watch that is silent past its hold has
+        been cut off: neither says that discovery itself fails, and a pause would use up the time that is left.
+        """
         used = self._sock is not None
         try:
-            return self._once(self._sock or self._connect(), target, until)
+            return self._once(target)
+        except TimeoutError as silence:
+            logger.info("the watch of the pool config fell silent: {why}", event="pool.silent", why=str(silence))
         except ConnectionError:
-            if not used or not self._parser.idle:
+            if not used:
                 raise
-            # A kept connection may have been closed between two calls: that is no failure of discovery.
-            self.drop()
-            return self._once(self._connect(), target, until)
+        self.drop()
+        return self._once(target)
 
-    def _once(self, sock: socket.socket, target: str, until: int) -> Message:
+    def _once(self, target: str) -> Message:
+        sock = self._sock or self._connect()
+        until = self._hub.now() + HOLD_MS * MS + ANSWER_NS
         sock.send(write_get(f"{self._address[0]}:{self._address[1]}", target))
         while True:
-            if self._hub.wait(sock.fileno(), READ, until) is not Woken.READY:
-                raise TimeoutError("no answer in time")
-            data = sock.recv(CHUNK)
+            self._await(sock, READ, until, TimeoutError("no answer in time"))
+            try:
+                data = sock.recv(CHUNK)
+            except BlockingIOError:
+                continue
             answer = self._parser.feed(data) if data else self._parser.end()
             if answer is None and not data:
                 raise ConnectionResetError("the connection ended")
@@ -77,12 +101,19 @@
         self._sock = sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.connect_ex(self._address)
-        if self._hub.wait(sock.fileno(), WRITE, self._hub.now() + CONNECT_NS) is not Woken.READY:
-            raise TimeoutError("no connection in time")
+        self._await(sock, WRITE, self._hub.now() + CONNECT_NS, OSError("no connection in time"))
         if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             raise OSError(code, "no connection")
         return sock
 
+    def _await(self, sock: socket.socket, events: int, until: int, late: OSError) -> None:
+        why = self._hub.wait(sock.fileno(), events, until)
+        if why is Woken.INTERRUPTED:
+            raise InterruptedError("the watch has moved")
+        if why is Woken.TIMEOUT:
+            raise late
+
+
 class PoolWatch:
     """Follows the pool config and tells the facade and the destinations what it says."""
 
@@ -95,13 +126,12 @@
         self._task: Task | None = None
         self._zones = {name: at for at, name in enumerate(zones)}
         self._started: dict[int, tuple[int, int]] = {}  # started_ms as last told, and on the hub's clock
-        self._known: dict[int, str] = {}        # the known list: what is listed, in which state
-        self._wanted = Signal(hub)
+        self._known: dict[int, Listed] = {}     # the known list
 
     @property
     def usable(self) -> int:
         """How many destinations are listed as ready."""
-        return sum(state == "ready" for state in self._known.values())
+        return sum(line.state == "ready" for line in self._known.values())
 
     def start(self, kept: PoolConfig) -> None:
         """Begin with the list kept over a restart, then watch whenever the module asks for it."""
@@ -111,7 +141,7 @@
 
     def watch(self) -> None:
         """The module wants to be told of changes; it paces this after a failure."""
-        self._wanted.set()
+        self._discovery.wanted.set()
 
     def move(self, address: tuple[str, int]) -> None:
         """Watch at another address from now on; the list at hand stays in force until it answers.
@@ -121,27 +151,33 @@
         if self._task is not None:
             self._hub.interrupt(self._task)
         self._discovery = _Discovery(self._hub, address, None)
-        self._wanted.set()      # at once, whatever pause the module keeps after a failure of the old one
+        self._discovery.wanted.set()    # at once, whatever pause the module keeps after a failure of the old one
         self._task = self._hub.spawn(self._follow, self._discovery)
 
     # ------------------------------------------------------------ the list
 
     def _take(self, pool: PoolConfig, kind: str) -> None:
-        listed = []
+        if pool.unread:
+            logger.warning("{count} rows of the pool config cannot be read: {why}", event="pool.bad-rows",
+                           count=len(pool.unread), why=next(iter(pool.unread.values())))
+        # What is known of a row that cannot be read stays in force: the others must not be hidden by it, nor it go.
+        listed = [self._known[number] for number in pool.unread if number in self._known]
         gone = {row.number for row in pool.rows if row.state == "gone"}
-        if kind != "changes":
-            gone |= self._known.keys() - {row.number for row in pool.rows}      # a full list lacks them
+        if kind != "changes":       # a full list lacks them
+            gone |= self._known.keys() - {row.number for row in pool.rows} - pool.unread.keys()
         for number in gone:
             # Nothing may be kept of them: on a long day ids are always new.
             self._known.pop(number, None)
             self._started.pop(number, None)
             self._destinations.forget(number)
         for row in pool.rows:
+            # Servers whose zone is not told are no group that drops repeats: each is by itself.
+            zone = self._zones.setdefault(row.zone, len(self._zones)) if row.zone else ~row.number
+            line = Listed(row.number, zone, row.cell, row.state, self._started_ns(row))
             if row.state != "gone":
-                self._known[row.number] = row.state
+                self._known[row.number] = line
                 self._destinations.place(row.number, row.address)
-            zone = self._zones.setdefault(row.zone, len(self._zones))
-            listed.append(Listed(row.number, zone, row.cell, row.state, self._started_ns(row)))
+            listed.append(line)
         self._facade.report(PoolNews(kind, listed))
 
     def _started_ns(self, row: Row) -> int:
@@ -163,7 +199,7 @@
 
     def _follow(self, discovery: _Discovery) -> None:
         while discovery is self._discovery:
-            self._wanted.wait()
+            discovery.wanted.wait()
             try:
                 while discovery is self._discovery:
                     self._ask(discovery)
@@ -174,7 +210,9 @@
                 logger.exception("the watch of the pool config failed", event="pool.fault")
             discovery.drop()
             if discovery is self._discovery:
-                # The list at hand stays in force; the module says when to try again.
+                # The list at hand stays in force; the module says when to try again.  A wake-up from before this
+                # failure would let the next call go without a pause.
+                discovery.wanted = Signal(self._hub)
                 self._facade.report(PoolNews("failed", []))
 
     def _ask(self, discovery: _Discovery) -> None:
@@ -182,7 +220,11 @@
         pool = discovery.ask()
         if discovery is not self._discovery:
             return      # moved meanwhile: only the new one counts
+        before = discovery.version
+        if before is not None and pool.version < before and not pool.full:
+            discovery.version = None    # it has begun anew: what it calls changes does not follow what we hold
+            return
         self._take(pool, "whole" if pool.full else "changes")
         discovery.version = pool.version
-        if not pool.rows and self._hub.now() - begun < EMPTY_PAUSE_NS:
+        if pool.version == before and self._hub.now() - begun < EMPTY_PAUSE_NS:
             self._hub.sleep(EMPTY_PAUSE_NS)
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -22,7 +23,7 @@
 from lugtally.hub.scheduler import MS, READ, Hub
 from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
 from lugtally.net.front import Front
-from lugtally.net.pool_config import PoolWatch
+from lugtally.net.pool_config import MOST_PAUSE_NS, PoolWatch
 from lugtally.overload.gate import MOST_ADVICE_NS, Bounds, Gate
 from lugtally.overload.probe import Probe, Told
 from lugtally.service.control import Control, ControlError
@@ -46,7 +47,9 @@
     """
     logs.start(level, form)
     hub = Hub()
-    facade = Facade(told.settings, told.seed, hub, decisions)
+    # Whatever the settings allow, the module's pauses after a failed call must leave a change's term time enough.
+    settings = replace(told.settings, ask_within_ns=min(told.settings.ask_within_ns or MOST_PAUSE_NS, MOST_PAUSE_NS))
+    facade = Facade(settings, told.seed, hub, decisions)
     # Descriptors: half for front sockets, three eighths for destinations, the rest for all else.
     limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), told.sockets * 3 // 8,
                     answer_limit(told.memory_mb))
