Ask once more before bytes go out; close client connections without cutting answers

To blame: Destinations.run asked nothing between the choice and the bytes, Front._exchange looked for the client's end from the next poll on. Now the last moment is the decision's (Balancer.may_begin: drained, gone, started anew, a keyed window over, the request over), asked by the place that writes before each part; there the client's end is looked for too. A connection taken and not used goes back with its age.

To blame, in front.py: - _serve closed over bytes that came after the request: the reset took the rest of an answer along. Descriptors: 8 of 64 were left for all else, which needs 9; now 16 at least, and the same as before from 128 on.

--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -95,10 +95,10 @@
 class Flight:
     """An attempt in flight."""
 
-    __slots__ = ("peer", "cls", "sent", "idle", "unused", "overdue", "stuck")
+    __slots__ = ("peer", "cls", "sent", "started", "idle", "unused", "overdue", "stuck")
 
     def __init__(self, peer: Peer, cls: int, sent: int, unused: int) -> None:
-        self.peer, self.cls, self.sent = peer, cls, sent
+        self.peer, self.cls, self.sent, self.started = peer, cls, sent, peer.started
         self.idle = not peer.out    # nothing else of ours was in flight there
         self.unused = unused        # how long its connection had not been used; 0: a fresh one
         self.overdue = False
@@ -311,13 +311,28 @@
 
     def _may_send(self, now: int, held: Held, peer: Peer) -> bool:
         """All four rules for one send; every send passes here."""
-        if peer.state is State.DRAINING or (peer.state is State.GONE and self.set.gone_binds):
+        if self._leaving(peer):
             return False
         if held.may_have_run and self._class(held.cls).effect is Effect.KEYED and (
                 self._group(held, peer) != held.ran_group):
             return False
         return self._may_repeat(now, held) and (not self._is_cold(now, peer) or self._cold_room(now, peer))
 
+    def _leaving(self, peer: Peer) -> bool:
+        return peer.state is State.DRAINING or (peer.state is State.GONE and self.set.gone_binds)
+
+    def may_begin(self, now: int, id: str, attempt: int) -> bool:
+        """Rules 2 to 4 once more right before an attempt's bytes go out: its connection may have come up late.
+
+        Meanwhile the server may have begun to drain, gone or started anew, or a keyed window closed.
+        """
+        held, flight = self.held.get(id), self.out.get((id, attempt))
+        if held is None or flight is None or self._leaving(flight.peer) or flight.peer.started != flight.started:
+            return False
+        cls = self._class(held.cls)
+        repeat = cls.effect is Effect.KEYED and len(held.may_have_run) > 1
+        return not repeat or now <= held.ran_at + cls.window_ns
+
     def _may_refuse(self, held: Held) -> bool:
         """Rule 2: a refusal promises that asking again does no harm."""
         cls = self._class(held.cls)
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -203,6 +203,13 @@
         self._feed(api.FirstByte(ask.id, number, ask.sent[number][0]))
         return True
 
+    def may_begin(self, ask: Ask, number: int) -> bool:
+        """Whether a step's bytes may go out now: asked right before each part of them is written."""
+        if ask.over or number not in ask.out:
+            return False
+        asked: Callable[[int, str, int], bool] | None = getattr(self._balancer, "may_begin", None)
+        return asked is None or asked(self._hub.now(), ask.id, number)
+
     def report(self, news: StepEnded | ClientGone | PoolNews) -> None:
         """Tell the module what has happened."""
         if isinstance(news, StepEnded):
--- a/lugtally/hub/scheduler.py
+++ b/lugtally/hub/scheduler.py
@@ -178,6 +178,13 @@
         if self._handlers.pop(fd, None) is not None:
             self._poll.unregister(fd)
 
+    @staticmethod
+    def ready(fd: int, events: int) -> bool:
+        """Whether the descriptor is ready at this moment; what came since the last poll is not yet handled."""
+        poll = select.poll()
+        poll.register(fd, events)
+        return bool(poll.poll(0))
+
     # ------------------------------------------------------------ the loop
 
     def stop(self) -> None:
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -9,6 +9,7 @@
 import errno
 import os
 import socket
+from bisect import insort
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -54,6 +55,14 @@
 """Asked with the head of a long answer: where to pass it on, or none where the request is not this step's."""
 
 
+May = Callable[[], bool]
+"""Asked right before bytes of a request go out: may they still?  Much may have changed since the step was chosen."""
+
+
+def _always() -> bool:
+    return True
+
+
 class _StepOver(Exception):
     """Ends a route step from inside."""
 
@@ -106,8 +115,8 @@
             while links and links[0].idle_since < before:
                 self._close(links.pop(0), watched=True)
 
-    def run(self, number: int, forward: Forward, until: int,
-            claim: Claim | None = None) -> tuple[Ending, Message | None]:
+    def run(self, number: int, forward: Forward, until: int, claim: Claim | None = None,
+            may: May = _always) -> tuple[Ending, Message | None]:
         """One route step, in its own task; interrupting the task calls the step off.
 
         A 200 with a long, chunked or unbounded body is passed on as it comes, where ``claim`` gives a sink; its
@@ -120,7 +129,10 @@
             left = until - self._hub.now()
             if left <= 0:
                 raise _StepOver(Ending.TIMED_OUT_UNSENT)    # the connection came up too late to send
-            self._write(link, forward.write(left), until)
+            if not may():
+                self._give_back(number, link)
+                return Ending.CANCELLED_UNSENT, None
+            self._write(link, forward.write(left), until, may)
             written = True
             answer = self._read(link, until)
             ending = self._pass_on(link, answer, claim, until) if answer.streamed else _judge(answer)
@@ -129,9 +141,9 @@
             if ending is Ending.BROKEN and not written:
                 ending = Ending.BROKEN_UNSENT
         if link is not None:
-            placed = link.address == self._addresses.get(number)    # else it is gone or has moved meanwhile
-            if answer is not None and answer.keep and not answer.streamed and link.parser.idle and placed:
-                self._rest(number, link)
+            if answer is not None and answer.keep and not answer.streamed and link.parser.idle:
+                link.idle_since = self._hub.now()
+                self._give_back(number, link)
             else:
                 self._close(link)
         return ending, answer
@@ -166,7 +178,7 @@
                     # A new connection would cost the destination more work than this costs time.
                     why = self._hub.wait(link.fd, READ, min(until, link.idle_since + SETTLE_NS))
                     if why is Woken.INTERRUPTED:
-                        self._close(link)
+                        self._give_back(number, link)
                         raise _StepOver(Ending.CANCELLED_UNSENT)
                 link.sock.recv(1, socket.MSG_PEEK)
             except BlockingIOError:
@@ -176,10 +188,13 @@
             self._close(link)       # it has ended, or holds bytes that belong to no answer
         return None
 
-    def _rest(self, number: int, link: Link) -> None:
+    def _give_back(self, number: int, link: Link) -> None:
         """Keep the connection for later; whatever comes on it meanwhile ends it."""
-        link.idle_since = self._hub.now()
-        self._idle.setdefault(number, []).append(link)
+        if link.address != self._addresses.get(number):     # the destination is gone or has moved meanwhile
+            self._close(link)
+            return
+        link.idle_since = link.idle_since or self._hub.now()    # one that was taken and not used is as old as before
+        insort(self._idle.setdefault(number, []), link, key=lambda other: other.idle_since)
 
         def ended(_: int) -> None:
             self._idle[number].remove(link)
@@ -240,9 +255,11 @@
         if why is not Woken.READY:
             raise _StepOver(late if why is Woken.TIMEOUT else called_off)
 
-    def _write(self, link: Link, data: bytes, until: int) -> None:
+    def _write(self, link: Link, data: bytes, until: int, may: May) -> None:
         view = memoryview(data)
         while view:
+            if not may():
+                raise _StepOver(Ending.CANCELLED_UNSENT)
             try:
                 view = view[link.sock.send(view):]
             except BlockingIOError:
@@ -336,6 +353,17 @@
     return Ending.ERRORED
 
 
+def shares(sockets: int) -> tuple[int, int]:
+    """How many descriptors front sockets and destinations may take: four to three of all but an eighth.
+
+    The rest, 16 at least, is for all else.  Discovery must be reached, and a listener kept, however many clients
+    rest and however many connections are in use.
+    """
+    free = sockets - max(16, sockets // 8)
+    front = free * 4 // 7
+    return front, free - front
+
+
 def answer_limit(memory_mb: int) -> int:
     """The longest body of an answer: destinations send longer ones than they take, but memory is short."""
     return max(MOST_BODY, min(memory_mb * 16 * 1024, 1024 * 1024))
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -24,12 +24,14 @@
 STALL_NS = 5_000 * MS       # an answer that the client does not take
 LINGER_NS = 1_000 * MS      # of silence, and in all, of a client that was told of its fault and sends on
 LINGER_MOST_NS = 4_000 * MS
+CLOSE_NS = 300 * MS         # the same of one whose answer ends its connection
 CLOSING_NS = 500 * MS       # half a request at the end of a planned restart
 ACCEPT_MOST = 16            # in one turn of the hub: hundreds at once must not hold up requests in progress
 ACCEPT_AFTER_TERM_NS = 500 * MS     # new connections keep coming that long at a planned restart
 ROOM_NS = 100 * MS          # how often another resting front socket gives way while there is no room
 NO_DESCRIPTOR_PAUSE_NS = 20 * MS
-DRAIN_EXTRA = 64            # front sockets beyond the usual most at the end of a planned restart
+SWEEP_NS = 100 * MS         # the last connections of a planned restart: how long to empty the backlog
+FRESH_NS = 100 * MS         # and how long their first bytes may be on the way
 RESET = struct.pack("ii", 1, 0)     # as SO_LINGER: the close resets the connection
 MOST_LEFT_S = 3600.0
 MOST_HEALTH = 200           # health calls a second that are answered at once, of all front sockets together
@@ -130,6 +132,7 @@
         self._open: set[FrontSocket] = set()
         self._ids: set[str] = set()     # of the requests in progress
         self._listener: socket.socket | None = None
+        self._accepting: Task | None = None
         self._inherited = False         # the platform holds the listener, and a successor will take its backlog
         self._room = Signal(hub)        # a front socket has been closed
         self._draining = False          # every answer from now on closes its connection
@@ -145,7 +148,7 @@
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(address)
         self._listener.listen(BACKLOG)
-        self._hub.spawn(self._accept, self._listener)
+        self._accepting = self._hub.spawn(self._accept, self._listener)
 
     def adopt(self, fd: int) -> None:
         """Accept front sockets on a listening socket that the platform passed; it is never bound here.
@@ -167,7 +170,7 @@
             raise ValueError(f"PROXY_SOCKET_FD: {fd} is no listening TCP socket")
         listener.setblocking(False)
         self._listener, self._inherited = listener, True
-        self._hub.spawn(self._accept, listener)
+        self._accepting = self._hub.spawn(self._accept, listener)
 
     def drain(self) -> None:
         """Planned restart: go on accepting for a while, answer all that is taken, close, stop the hub."""
@@ -189,11 +192,12 @@
     # ------------------------------------------------------------ connections
 
     def _accept(self, listener: socket.socket) -> None:
-        while listener.fileno() >= 0:
+        why = Woken.READY
+        while why is not Woken.INTERRUPTED:
             if len(self._open) >= self._most:
                 self._make_room()
-                self._room.wait(self._hub.now() + ROOM_NS)      # the others wait in the backlog
-            elif self._hub.wait(listener.fileno(), READ) is Woken.READY:
+                why = self._room.wait(self._hub.now() + ROOM_NS)    # the others wait in the backlog
+            elif (why := self._hub.wait(listener.fileno(), READ)) is Woken.READY:
                 self._accept_some(listener, self._most, ACCEPT_MOST)
 
     def _accept_some(self, listener: socket.socket, most: int, turn: int) -> None:
@@ -247,12 +251,11 @@
                 if not self._write(front, data):
                     return
                 if close:
-                    if at_fault or not front.parser.idle:
-                        self._linger(front)
+                    self._linger(front, LINGER_NS if at_fault or not front.parser.idle else CLOSE_NS)
                     return
         except BadMessage as error:
             if self._write(front, write_answer(*_complaint(error), close=True)):
-                self._linger(front)
+                self._linger(front, LINGER_NS)
         except OSError as error:
             logger.debug("a front socket broke: {why}", event="front.broke", why=str(error))
         finally:
@@ -280,7 +283,10 @@
                 told = True
                 self._write(front, b"HTTP/1.1 100 Continue\r\n\r\n")
             # Counted from the request's first byte: a trickle of bytes must not hold the socket for good.
-            span = IDLE_NS if front.resting else CLOSING_NS if self._closing else PARTIAL_NS
+            if self._closing:
+                span = FRESH_NS if front.resting else CLOSING_NS
+            else:
+                span = IDLE_NS if front.resting else PARTIAL_NS
             try:
                 if calm and not front.unwanted:
                     raise BlockingIOError       # just answered: most likely nothing is there yet, so wait first
@@ -295,7 +301,8 @@
                 if why is not Woken.TIMEOUT:
                     continue
                 if front.resting:
-                    return None
+                    front.unwanted = True       # a request may have come since the poll: look once more
+                    continue
                 raise BadMessage(408, "the request did not become whole in time") from None
             if not data:
                 return None
@@ -322,12 +329,16 @@
             return False        # a client that closes mid-answer costs its own connection
         return True
 
-    def _linger(self, front: FrontSocket) -> None:
-        """Let the client read the answer: closing at once over unread bytes would reset the connection."""
+    def _linger(self, front: FrontSocket, silence: int) -> None:
+        """Let the client read the answer: closing over bytes that are unread, or still come, resets the connection.
+
+        A reset takes along what the client has not read of its answer.  What it still sends is not a request that we
+        have taken: it has our end of the connection before it.
+        """
         until = self._hub.now() + LINGER_MOST_NS
         try:
             front.sock.shutdown(socket.SHUT_WR)
-            while (self._hub.wait(front.fd, READ, min(until, self._hub.now() + LINGER_NS)) is Woken.READY
+            while (self._hub.wait(front.fd, READ, min(until, self._hub.now() + silence)) is Woken.READY
                    and self._hub.now() < until and front.sock.recv(CHUNK)):
                 pass        # what it still sends is not kept
         except OSError as error:
@@ -368,18 +379,15 @@
                              message.names.get("x-repeat") == "1",
                              self._tenants.get(message.names.get("x-account", ""), UNKNOWN), front)
 
-        def left(_: int) -> None:
-            self._hub.unwatch(front.fd)
-            exchange.gone = True
-            self._facade.report(ClientGone(exchange.ask))
-
-        self._hub.watch(front.fd, LEFT, left)
+        self._hub.watch(front.fd, LEFT, lambda _: self._client_left(exchange))
         verdict = self._facade.pick(exchange.ask)
         while isinstance(verdict, RouteStep):
             exchange.tasks[verdict.number] = self._hub.spawn(self._step, exchange, verdict)
             verdict = self._facade.pick(exchange.ask)
         self._hub.unwatch(front.fd)
         exchange.release()
+        if exchange.streamed >= 0 and not exchange.gone and not front.cut:
+            self._linger(front, CLOSE_NS)
         if exchange.gone or exchange.streamed >= 0:
             return None     # the connection ends: its answer has been passed on, or half of it
         if isinstance(verdict, BusyReply):
@@ -419,7 +427,8 @@
         if not exchange.ask.over:
             try:
                 ending, answer = self._destinations.run(step.destination, exchange.forward, step.until,
-                                                        lambda head: self._claim(exchange, step, head))
+                                                        lambda head: self._claim(exchange, step, head),
+                                                        lambda: self._may_begin(exchange, step))
             except Exception:
                 # Every step must report its end, or the module would wait for it.
                 logger.exception("a route step failed", event="step.fault")
@@ -432,6 +441,20 @@
                      destination=step.destination, ending=ending.name)
         self._facade.report(StepEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
 
+    def _client_left(self, exchange: _Exchange) -> None:
+        self._hub.unwatch(exchange.front.fd)
+        exchange.gone = True
+        self._facade.report(ClientGone(exchange.ask))
+
+    def _may_begin(self, exchange: _Exchange, step: RouteStep) -> bool:
+        """Whether the request's bytes may go out now.
+
+        A client may have left since the last poll, or before its request was read: nothing is begun for it.
+        """
+        if not exchange.gone and self._hub.ready(exchange.front.fd, LEFT):
+            self._client_left(exchange)
+        return not exchange.gone and self._facade.may_begin(exchange.ask, step.number)
+
     def _claim(self, exchange: _Exchange, step: RouteStep, head: Message) -> Sink | None:
         """A step has a long answer: pass it on to the client as it comes, where the facade lets this step."""
         if exchange.gone or not self._facade.claim(exchange.ask, step.number):
@@ -445,17 +468,28 @@
 
     def _drain(self) -> None:
         self._hub.sleep(ACCEPT_AFTER_TERM_NS)
+        self._closing, self._closed_at = True, self._hub.now()
+        for front in self._open:
+            front.unwanted = front.asked    # the first request of one that has just come may be on its way
+            front.signal.set()
+        if self._accepting is not None:
+            self._hub.interrupt(self._accepting)
         if self._listener is not None:
             # What waits in the backlog has been taken too: closing the listener would reset it.  An inherited one
             # is shared with the successor, which takes its backlog: closing our copy resets nothing.
             if not self._inherited:
-                self._accept_some(self._listener, self._most + DRAIN_EXTRA, BACKLOG)
-            self._hub.unwatch(self._listener.fileno())
+                self._sweep(self._listener)
             self._listener.close()
-        self._closing, self._closed_at = True, self._hub.now()
-        for front in self._open:
-            front.unwanted = True
-            front.signal.set()
         while self._open:
             self._room.wait()
         self._hub.stop()
+
+    def _sweep(self, listener: socket.socket) -> None:
+        """Accept all that waits in the backlog, as others make room."""
+        until = self._hub.now() + SWEEP_NS
+        most = self._most + self._most // 8
+        while self._hub.ready(listener.fileno(), READ) and self._hub.now() < until:
+            if len(self._open) >= most:
+                self._room.wait(until)
+            else:
+                self._accept_some(listener, most, BACKLOG)
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -21,7 +21,7 @@
 from lugtally.control.listener import Listener
 from lugtally.facade import Decisions, Facade
 from lugtally.hub.scheduler import MS, READ, Hub
-from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit
+from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit, shares
 from lugtally.net.front import Front
 from lugtally.net.pool_config import MOST_PAUSE_NS, PoolWatch
 from lugtally.overload.gate import MOST_ADVICE_NS, Bounds, Gate
@@ -50,14 +50,14 @@
     # Whatever the settings allow, the module's pauses after a failed call must leave a change's term time enough.
     settings = replace(told.settings, ask_within_ns=min(told.settings.ask_within_ns or MOST_PAUSE_NS, MOST_PAUSE_NS))
     facade = Facade(settings, told.seed, hub, decisions)
-    # Descriptors: half for front sockets, three eighths for destinations, the rest for all else.
-    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), told.sockets * 3 // 8,
+    most_fronts, most_links = shares(told.sockets)
+    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), most_links,
                     answer_limit(told.memory_mb))
     fields = told.settings.load_fields if told.answers_report else ()
     destinations = Destinations(hub, limits, fields)
     pool = PoolWatch(hub, facade, destinations, told.discovery, told.zones)
     facade.register(destinations.close_idle, pool.watch)
-    front = Front(hub, facade, destinations, told.settings.classes, told.sockets // 2, told.settings.tenants)
+    front = Front(hub, facade, destinations, told.settings.classes, most_fronts, told.settings.tenants)
     gate: Gate | None = None
     if overload is not None:
         try:
--- a/tests/crossings/parties.py
+++ b/tests/crossings/parties.py
@@ -69,12 +69,16 @@
         except ConnectionResetError:
             return b""
 
+    def read_on(self) -> bool:
+        """Wait for more; false where the connection has ended instead."""
+        data = self.read()
+        self.got += data
+        return bool(data)
+
     def head(self) -> str:
         """The first line of the next message without a body."""
         while b"\r\n\r\n" not in self.got:
-            data = self.read()
-            assert data, "the connection ended"
-            self.got += data
+            assert self.read_on(), "the connection ended"
         head, _, self.got = self.got.partition(b"\r\n\r\n")
         return head.partition(b"\r\n")[0].decode()
 
--- /dev/null
+++ b/tests/crossings/test_attempts.py
@@ -0,0 +1,211 @@
+"""Crossings between the choice of a server and the last byte of an attempt: drains, windows, clients that leave."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+
+import pytest
+
+from lugtally import api
+from lugtally.config.pool import number_of, read_pool
+from lugtally.decide import Balancer
+from lugtally.hub.scheduler import MS, READ
+from lugtally.net.destination import Destinations
+from tests.crossings.parties import CLASSES, Link, Sidecar, request
+
+A, B = number_of("s-a"), number_of("s-b")
+
+
+def sending(sidecar: Sidecar) -> Callable[[api.Event], list[api.Action]]:
+    """Orders: send each request to A, and fail it when its attempt has ended."""
+    def orders(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Request):
+            return [api.Send(event.id, A, event.time_left_ns)]
+        if isinstance(event, api.Outcome) and not event.over:
+            return [api.Fail(event.id)]
+        return []
+    return orders
+
+
+def ready(sidecar: Sidecar) -> tuple[str, int]:
+    """Listening, with one server listed and every request sent there."""
+    sidecar.module.orders = sending(sidecar)
+    sidecar.watch.start(read_pool({"version": 1, "full": True, "servers": [sidecar.row("s-a")]}, "known"))
+    return sidecar.listen()
+
+
+@pytest.mark.parametrize("what", ["a fresh connection", "a kept connection"])
+def test_an_attempt_that_may_no_longer_begin_is_not_written(what: str) -> None:
+    """While its connection came up the server drained, or the window closed: the request went out all the same."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(ready(sidecar))
+        if what == "a kept connection":
+            client.send(request("read", "r0"))
+            link = sidecar.server.link()
+            link.head()
+            link.answer()
+            assert b"200 OK" in client.read()
+        sidecar.module.allowed = False
+        client.send(request("read"))
+        assert client.read().startswith(b"HTTP/1.1 502")
+        if what == "a fresh connection":
+            link = sidecar.server.link()
+        sidecar.module.allowed = True
+        client.send(request("read", "r2"))
+        assert link.head().startswith("GET /read")      # the connection itself is as good as before
+        assert b"r1" not in link.got
+        link.answer()
+        assert b"200 OK" in client.read()
+        assert sidecar.server.idle(), "a sound connection was thrown away"
+
+    sidecar.play(script)
+    assert api.Result.NEVER_SENT in sidecar.module.results()
+
+
+def test_a_long_request_is_broken_off_where_it_may_not_go_on() -> None:
+    """A keyed repeat whose last byte waits for a slow reader would come after its window."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(ready(sidecar))
+        sidecar.server.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        begun = Destinations._write
+        shrunk: list[int] = []
+
+        def small(self: Destinations, link: object, *more: object) -> None:
+            link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # type: ignore[attr-defined]
+            shrunk.append(1)
+            begun(self, link, *more)  # type: ignore[arg-type]
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Destinations, "_write", small)
+            client.send(request("write", method="POST", more="Idempotency-Key: k\r\nContent-Length: 65536\r\n"))
+            client.send(bytes(65536))
+            link = sidecar.server.link()
+            link.read()             # it has begun, and what is not read yet holds the rest back
+            sidecar.until(lambda: bool(shrunk))
+            sidecar.module.allowed = False
+            got = len(link.all())
+        assert got < 65536
+        assert client.read().startswith(b"HTTP/1.1 502")
+
+    sidecar.play(script)
+    assert sidecar.module.results() == [api.Result.NEVER_SENT]
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+@pytest.mark.parametrize("kept", [True, False])
+def test_nothing_is_begun_for_a_client_that_left_before_its_request_was_read(how: str, kept: bool) -> None:
+    """Its end was looked for at the next poll only: over a kept connection the request had gone out by then."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        where = ready(sidecar)
+        link: Link | None = None
+        if kept:
+            first = sidecar.client(where)
+            first.send(request("read", "r0"))
+            link = sidecar.server.link()
+            link.head()
+            link.answer()
+            assert b"200 OK" in first.read()
+        leaver = socket.create_connection(where)        # request and end lie in the backlog together
+        leaver.sendall(request("read"))
+        if how == "half":
+            leaver.shutdown(socket.SHUT_WR)
+        elif how == "reset":
+            leaver.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            leaver.close()
+        else:
+            leaver.close()
+        sidecar.hub.sleep(MS)       # its connection lies in the backlog, which the poll of this turn sees
+        sidecar.until(lambda: sidecar.front.open == (1 if kept else 0))
+        assert how == "reset" or any(isinstance(e, api.ClientLeft) for e in sidecar.module.told)
+        after = sidecar.client(where)
+        after.send(request("read", "r2"))
+        if link is None:
+            link = sidecar.server.link()
+            if not link.read_on():      # the connection begun for the leaver, given up before it was used
+                link = sidecar.server.link()
+        assert link.head().startswith("GET /read")
+        link.answer()
+        assert b"200 OK" in after.read()
+        assert sidecar.server.idle()
+
+    sidecar.play(script)
+    ids = [e for e in sidecar.module.told if isinstance(e, api.Outcome)]
+    assert sum(e.result is api.Result.OK for e in ids) == (2 if kept else 1)
+    assert not sidecar.module.results().count(api.Result.CANCELLED), "it was written before it was called off"
+
+
+def test_a_client_that_leaves_while_its_request_waits_to_be_sent_again_is_sent_nothing_for() -> None:
+    """Its backoff ends with it."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        def orders(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.id, A, event.time_left_ns)]
+            if isinstance(event, api.Outcome):
+                return [api.Wake(1, "again " + event.id)]
+            if isinstance(event, api.Timer):
+                return [api.Send(event.token.split()[1], A, api.SECOND)]
+            return []
+
+        client = sidecar.client(ready(sidecar))
+        sidecar.module.orders = orders
+        client.send(request("read"))
+        link = sidecar.server.link()
+        link.head()
+        client.sock.close()         # in the same poll as the end of its attempt, whichever is handled first
+        link.sock.close()
+        sidecar.until(lambda: any(isinstance(e, api.ClientLeft) for e in sidecar.module.told))
+        for _ in range(20):
+            sidecar.hub.sleep(0)
+        if sidecar.hub.ready(sidecar.server.sock.fileno(), READ):       # it may have begun to connect, no more
+            assert sidecar.server.link().all() == b""
+
+    sidecar.play(script)
+
+
+def real(**more: object) -> Balancer:
+    told = api.Settings(CLASSES, max_attempts=4, tick_ns=api.MS, **more)  # type: ignore[arg-type]
+    module = Balancer(told, 1)
+    module.handle(0, api.ServerList(api.ListKind.KEPT, [api.Server(A), api.Server(B)]))
+    return module
+
+
+def sent(actions: list[api.Action]) -> api.Send:
+    return next(a for a in actions if isinstance(a, api.Send))
+
+
+@pytest.mark.parametrize("news, may", [
+    ([], True),
+    ([api.Server(A, state=api.State.DRAINING), api.Server(B, state=api.State.DRAINING)], False),
+    ([api.Server(A, state=api.State.GONE), api.Server(B, state=api.State.GONE)], False),
+    ([api.Server(A, started_ns=5), api.Server(B, started_ns=5)], False),
+])
+def test_the_module_says_at_the_last_moment_whether_an_attempt_may_begin(news: list[api.Server], may: bool) -> None:
+    module = real()
+    send = sent(module.handle(1, api.Request("q", 0, 0, api.SECOND)))
+    module.handle(2, api.ServerList(api.ListKind.CHANGES, news))
+    assert module.may_begin(3, "q", 0) is may
+    assert not module.may_begin(3, "q", 1) and not module.may_begin(3, "other", 0)
+    module.handle(4, api.ClientLeft("q"))
+    assert send.server in (A, B) and not module.may_begin(5, "q", 0)
+
+
+def test_a_keyed_repeat_begins_only_within_its_window() -> None:
+    module = real()
+    window = CLASSES[1].window_ns
+    sent(module.handle(1, api.Request("q", 1, 0, 8 * api.SECOND)))
+    assert module.may_begin(window + 2, "q", 0), "a first try has no window"
+    server = module.out["q", 0].peer.id
+    wake = next(a for a in module.handle(api.SECOND, api.Outcome("q", 0, server, api.Result.RESET, False, api.SECOND))
+                if isinstance(a, api.Wake) and a.token == "rq")
+    sent(module.handle(api.SECOND + wake.after_ns, api.Timer(wake.token)))
+    assert module.may_begin(window + 1, "q", 1) and not module.may_begin(window + 2, "q", 1)
--- /dev/null
+++ b/tests/crossings/test_closing.py
@@ -0,0 +1,206 @@
+"""Crossings where a connection to a client is closed: a request that comes just then, an answer not yet read."""
+
+from __future__ import annotations
+
+import os
+import socket
+
+import pytest
+
+from lugtally import api
+from lugtally.config.pool import number_of, read_pool
+from lugtally.hub.scheduler import MS, Signal, Woken
+from lugtally.net import front
+from lugtally.net.destination import shares
+from tests.crossings.parties import Link, Sidecar, request
+
+A = number_of("s-a")
+
+
+def ready(sidecar: Sidecar) -> tuple[str, int]:
+    """Listening, with every request sent to the one server."""
+    def orders(event: api.Event) -> list[api.Action]:
+        return [api.Send(event.id, A, event.time_left_ns)] if isinstance(event, api.Request) else []
+
+    sidecar.module.orders = orders
+    sidecar.watch.start(read_pool({"version": 1, "full": True, "servers": [sidecar.row("s-a")]}, "known"))
+    return sidecar.listen()
+
+
+def slow_reader(sidecar: Sidecar, where: tuple[str, int]) -> Link:
+    """A client that takes in little at a time."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(where)
+    return Link(sidecar.hub, sock)
+
+
+@pytest.mark.parametrize("body", [60_000, 100_004])
+@pytest.mark.parametrize("draining", [False, True])
+def test_a_client_that_sends_on_still_gets_all_of_the_answer_that_closes(body: int, draining: bool) -> None:
+    """Closing over unread bytes resets the connection, and the reset takes along what is still on its way."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = slow_reader(sidecar, ready(sidecar))
+        client.send(request("read", more="" if draining else "Connection: close\r\n"))
+        link = sidecar.server.link()
+        link.head()
+        if draining:
+            sidecar.front.drain()
+        link.answer(b"x" * body)
+        sidecar.until(lambda: bool(sidecar.module.results()) and not sidecar.facade.in_progress)
+        for _ in range(3):
+            sidecar.hub.sleep(0)        # the front task has written its answer, as far as it is taken
+        client.send(b"GET /more HTTP/1.1\r\n")
+        got = client.all()
+        assert got.partition(b"\r\n\r\n")[2] == b"x" * body
+        client.sock.close()
+        sidecar.until(lambda: sidecar.front.open == 0)
+
+    sidecar.hub.stop = lambda: None if not sidecar.stopped else setattr(  # type: ignore[method-assign]
+        sidecar.hub, "_stopped", True)
+    sidecar.play(script)
+
+
+def test_a_request_that_comes_as_its_resting_connection_is_closed_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It came between the poll that saw nothing and the closing: the client got a reset."""
+    monkeypatch.setattr(front, "IDLE_NS", 20 * MS)
+    sidecar = Sidecar()
+    waited = Signal.wait
+    sent: list[int] = []
+
+    def script() -> None:
+        where = ready(sidecar)
+
+        def wait(self: Signal, until: int | None = None) -> Woken:
+            why = waited(self, until)
+            if why is Woken.TIMEOUT and not sent and any(self is one.signal for one in sidecar.front._open):
+                sent.append(1)
+                client.send(request("read"))
+            return why
+
+        monkeypatch.setattr(Signal, "wait", wait)
+        client = sidecar.client(where)
+        link = sidecar.server.link()
+        link.head()
+        link.answer()
+        assert client.read().startswith(b"HTTP/1.1 200")
+
+    sidecar.play(script)
+    assert sent
+
+
+def test_a_planned_restart_ends_with_every_place_taken() -> None:
+    """The task that accepts, waiting for room, made the one that ends the process miss its last wake-up."""
+    sidecar = Sidecar(most=1)
+
+    def script() -> None:
+        client = sidecar.client(ready(sidecar))
+        client.send(request("read"))
+        link = sidecar.server.link()
+        link.head()
+        sidecar.front.drain()
+        sidecar.until(lambda: sidecar.front._listener is not None and sidecar.front._listener.fileno() < 0)
+        sidecar.hub.sleep(2 * front.ROOM_NS)    # past the last time at which the accepting task looks for room
+        link.answer()
+        assert client.all().startswith(b"HTTP/1.1 200")
+        client.sock.close()
+        sidecar.until(lambda: ended == [True])
+
+    ended: list[bool] = []
+    stop = sidecar.hub.stop
+    sidecar.hub.stop = lambda: stop() if sidecar.stopped else ended.append(True)  # type: ignore[method-assign]
+    sidecar.play(script)
+
+
+def test_a_connection_of_the_last_sweep_is_given_time_for_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Taken from the backlog at the end, its bytes still on the way, it was closed without a word."""
+    monkeypatch.setattr(front, "FRESH_NS", 5_000 * MS)
+    monkeypatch.setattr(front, "SWEEP_NS", 5_000 * MS)
+    sidecar = Sidecar(most=1)
+
+    def script() -> None:
+        where = ready(sidecar)
+        first = sidecar.client(where)
+        first.send(request("read"))
+        link = sidecar.server.link()
+        link.head()
+        second = sidecar.client(where)          # waits in the backlog: the one place is taken
+        sidecar.front.drain()
+        sidecar.until(lambda: sidecar.front._closing)
+        link.answer()
+        assert first.all().startswith(b"HTTP/1.1 200")
+        first.sock.close()
+        sidecar.until(lambda: sidecar.front._listener is not None and sidecar.front._listener.fileno() < 0)
+        second.send(request("read", "r2"))
+        if link.read_on():
+            link.head()
+        else:
+            link = sidecar.server.link()
+            link.head()
+        link.answer()
+        assert second.all().startswith(b"HTTP/1.1 200")
+
+    stop = sidecar.hub.stop
+    sidecar.hub.stop = lambda: stop() if sidecar.stopped else None  # type: ignore[method-assign]
+    sidecar.play(script)
+
+
+def test_a_request_sent_on_a_connection_that_is_being_closed_goes_nowhere() -> None:
+    """It came after our end of the connection: its client sends it anew, so it must not run here as well."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(ready(sidecar))
+        client.send(request("once", method="POST", more="Connection: close\r\nContent-Length: 0\r\n"))
+        link = sidecar.server.link()
+        link.head()
+        link.answer()
+        assert client.all().startswith(b"HTTP/1.1 200")
+        client.send(request("once", "r2", method="POST", more="Content-Length: 0\r\n"))
+        client.sock.close()
+        sidecar.until(lambda: sidecar.front.open == 0)
+        assert sidecar.server.idle() and not sidecar.hub.ready(link.sock.fileno(), 1)
+
+    sidecar.play(script)
+    assert sum(isinstance(e, api.Request) for e in sidecar.module.told) == 1
+
+
+@pytest.mark.parametrize("sockets", [64, 100, 256, 1024, 65536])
+def test_descriptors_are_left_for_discovery_whatever_clients_and_servers_take(sockets: int) -> None:
+    """Of 64, 8 were left: the standard three, signals, the listeners, discovery and the file of drains need 9."""
+    fronts, links = shares(sockets)
+    assert fronts + fronts // 8 + links <= sockets - 10, "also with what the end of a planned restart takes"
+    assert fronts >= 16 and links >= 16
+
+
+def test_discovery_is_reached_with_every_other_descriptor_taken() -> None:
+    """Idle clients fill their share while discovery is down; its descriptor is not theirs."""
+    fronts, _ = shares(64)
+    sidecar = Sidecar(most=fronts)
+
+    def script() -> None:
+        where = ready(sidecar)
+        sidecar.watch.watch()
+        link = sidecar.discovery.link()
+        link.head()
+        link.list(1, False)
+        link.head()
+        crowd = [sidecar.client(where) for _ in range(fronts + 20)]
+        sidecar.until(lambda: sidecar.front.open >= fronts - 1)
+        before = len(os.listdir("/proc/self/fd"))
+        link.sock.close()
+        fresh = sidecar.discovery.link()
+        assert "from=1&" in fresh.head()
+        assert sidecar.front.open <= fronts and len(os.listdir("/proc/self/fd")) <= before + 2
+        late = sidecar.client(where)            # work is served all the same: one that rests gives way
+        late.send(request("read"))
+        server = sidecar.server.link()
+        server.head()
+        server.answer()
+        assert late.read().startswith(b"HTTP/1.1 200")
+        for client in crowd:
+            client.sock.close()
+
+    sidecar.play(script)
