--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -327,7 +327,9 @@
         Meanwhile the server may have begun to drain, gone or started anew, or a keyed window closed.
         """
         held, flight = self.held.get(id), self.out.get((id, attempt))
-        if held is None or flight is None or self._leaving(flight.peer) or flight.peer.started != flight.started:
+        if held is None or flight is None:
+            return False
+        if self._leaving(flight.peer) or flight.peer.started != flight.started:
             return False
         cls = self._class(held.cls)
         repeat = cls.effect is Effect.KEYED and len(held.may_have_run) > 1
