--- a/lugtally/decide.py
+++ b/lugtally/decide.py
@@ -322,7 +322,7 @@
         return peer.state is State.DRAINING or (peer.state is State.GONE and self.set.gone_binds)
 
     def may_begin(self, now: int, id: str, attempt: int) -> bool:
-        """Rules 2 to 4 once more right before an attempt's bytes go out: its connection may have come up late.
+        """Rules 2 to 4 once more right before bytes go out: the connection may have come up late.
 
         Meanwhile the server may have begun to drain, gone or started anew, or a keyed window closed.
         """
