Test the sum that 4, 20, 30 and 200 processes send to cold servers against their budget

Uneven traffic, seven in ten processes (the busiest) begun anew, a third of the servers back cold, loads of 0.6 and 0.95: no span of 1 or 3 s holds more than N + 2 root N + 2 sends.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -94,6 +94,16 @@
         for at in range(len(self.balancers)):
             self.tell(at, api.ListKind.WHOLE)
 
+    def restart(self, share: float) -> None:
+        """That share of the instances, the busiest first, begins anew with the list as it was and nothing learnt."""
+        order = sorted(range(len(self.balancers)), key=lambda at: -self.rates[at])
+        for at in order[:round(share * len(order))]:
+            self._count += 1
+            for name in [name for other, name in self.asked if other == at and not self.asked[at, name].ended]:
+                self._end(at, name, "lost")
+            self.balancers[at] = Balancer(self.told, self._count)
+            self.tell(at, api.ListKind.KEPT)
+
     def _machine(self, number: int, started: int = 0) -> Machine:
         line = api.Server(number, zone=number % 2, started_ns=started)
         traits = self.traits[number % len(self.traits)]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from dataclasses import replace
+from math import inf
 from statistics import mean
 
 import pytest
 
 from lugtally import api
 from tests.crowd import CHOKING, crowd, play
-from tests.fleet import TRAITS, Fleet
+from tests.fleet import TRAITS, Fleet, Machine
 from tests.world import MS, SAFE, S, lines, sent, settings, started
 
 COLD = {"warm_within_ns": int(TRAITS.cold_s * S), "cold_from": TRAITS.cold_from, "fall_multiple": TRAITS.fall_multiple}
@@ -41,6 +43,38 @@
     assert not any(machine.server.fallen for machine in cold), "all together pushed a cold server over"
 
 
+def past_budget(machine: Machine, started: int, span: int) -> float:
+    """By how much the most that was sent within such a span is over the budget and what is chance, in requests.
+
+    The budget N is the told multiple of what the server can do as the span begins; 2 x root of N + 2 is chance.
+    """
+    most = -inf
+    for at, begin in enumerate(machine.sends):
+        sends = bisect_left(machine.sends, begin + span) - at
+        ramp = TRAITS.cold_from + (1 - TRAITS.cold_from) * min(1.0, (begin - started) / (TRAITS.cold_s * S))
+        budget = TRAITS.fall_multiple * ramp * TRAITS.cores / WORK * span / S
+        most = max(most, sends - (budget + 2 * budget ** 0.5 + 2))
+    return most
+
+
+@pytest.mark.parametrize("load", [0.6, 0.95])
+@pytest.mark.parametrize(("sidecars", "servers"), [(4, 12), (20, 40), (30, 60), (200, 60)])
+def test_the_sum_of_all_processes_stays_within_a_cold_servers_budget(sidecars: int, servers: int, load: float) -> None:
+    """Each process starts with a part of a first send and counts its own traffic anew: what all of them send counts,
+    just as seven in ten of them, the busiest, begin anew and a third of the servers come back cold."""
+    world = fleet(sidecars, servers, load=load, seed=2)
+    world.run(6 * S)
+    world.restart(0.7)
+    part, started = servers // 3, world.now
+    new = range(1001, 1001 + part)
+    world.replace(list(range(1, part + 1)), list(new))
+    world.run(5 * S)
+    cold = [world.machines[number] for number in new]
+    assert max(past_budget(m, started, span * S) for m in cold for span in (1, 3)) <= 0
+    assert not any(m.server.fallen for m in cold)
+    assert mean(len(m.sends) for m in cold) > 5, "nothing was sent there at all"
+
+
 def test_a_small_burst_at_a_quiet_sidecar_does_not_pass_for_a_jam() -> None:
     """The window on requests in flight was a multiple of their mean.  A quiet sidecar's few scatter by as much as that:
     in calm seconds forty of them refused a quarter of all for it, with two in flight at each server of two cores."""
