Rename by the field's terms: route step is an attempt, pool config the server list

RouteStep, StepEnded, PoolWatch, PoolNews, PoolConfig and read_pool are Attempt, AttemptEnded, ListWatch, ListNews, ServerList and read_list; net/pool_config.py and config/pool.py are net/server_list.py and config/server_list.py. No behaviour changes. Names of log events stay, as collectors know them.

--- a/lugtally/config/pool.py
+++ b/lugtally/config/server_list.py
@@ -1,4 +1,4 @@
-"""The pool config as discovery writes it, decoded once into the few values that the program uses.
+"""The server list as discovery writes it, decoded once into the few values that the program uses.
 
 A ``ValueError`` names the field at fault.
 """
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True)
-class PoolConfig:
+class ServerList:
     """One list, decoded."""
 
     version: int
@@ -53,7 +53,7 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
-def read_pool(raw: Any, name: str, *, lenient: bool = False) -> PoolConfig:
+def read_list(raw: Any, name: str, *, lenient: bool = False) -> ServerList:
     """Decode a list; a ``ValueError`` names the field at fault.
 
     Where it is ``lenient``, a row that cannot be read is set apart as long as others can.
@@ -63,7 +63,7 @@
     version = raw.get("version")
     if not isinstance(version, int) or isinstance(version, bool):
         raise ValueError(f"{name}.version: {version!r} is no number")
-    pool = PoolConfig(version, bool(raw.get("full")), [])
+    pool = ServerList(version, bool(raw.get("full")), [])
     for at, row in enumerate(raw["servers"]):
         try:
             pool.rows.append(_read_row(row, f"{name}.servers[{at}]"))
--- a/lugtally/config/sidecar.py
+++ b/lugtally/config/sidecar.py
@@ -13,7 +13,7 @@
 import ujson
 
 from lugtally import api
-from lugtally.config.pool import PoolConfig, read_address, read_pool
+from lugtally.config.server_list import ServerList, read_address, read_list
 from lugtally.settings import read_settings
 
 LEAST_SOCKETS = 64
@@ -34,7 +34,7 @@
     sockets: int
     memory_mb: int
     cores: float
-    known: PoolConfig
+    known: ServerList
     settings: api.Settings
     zones: tuple[str, ...]
     keepalive_ns: int
@@ -127,7 +127,7 @@
         sockets=sockets,
         memory_mb=_positive(limits, "memory_mb", 192),
         cores=_cores(limits.get("cores")),
-        known=read_pool(raw.get("known") or {"version": 0, "full": True, "servers": []}, "known"),
+        known=read_list(raw.get("known") or {"version": 0, "full": True, "servers": []}, "known"),
         settings=settings,
         zones=tuple(str(zone) for zone in _part(told, "zones", list)),
         keepalive_ns=keepalive,
--- a/lugtally/control/counters.py
+++ b/lugtally/control/counters.py
@@ -15,7 +15,7 @@
         self.success = [0] * len(names)     # by class: served
         self.overload = [0] * len(names)    # a busy reply: asking again does no harm
         self.error = [0] * len(names)       # failed, or at fault
-        self.dispatches = 0                 # route steps whose last byte was written
+        self.dispatches = 0                 # attempts whose last byte was written
 
     def served(self, cls: int) -> None:
         """A request of that class was served."""
--- a/lugtally/ending.py
+++ b/lugtally/ending.py
@@ -1,4 +1,4 @@
-"""Every way in which a route step can end, and what each means to the decision module."""
+"""Every way in which an attempt can end, and what each means to the decision module."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Ending(Enum):
-    """How a route step ended.  ``UNSENT`` ones ended before the request's last byte was written."""
+    """How an attempt ended.  ``UNSENT`` ones ended before the request's last byte was written."""
 
     SERVED = "a whole 200 answer"
     ERRORED = "another answer that does not rule out that the request ran"
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True)
-class RouteStep:
+class Attempt:
     """Verdict: send the request to this destination."""
 
     number: int
@@ -51,7 +51,7 @@
     """Verdict: nothing is left to decide; a step was served, or the client is gone."""
 
 
-Verdict = RouteStep | BusyReply | Failed | Over
+Verdict = Attempt | BusyReply | Failed | Over
 
 
 class Ask:
@@ -75,8 +75,8 @@
 
 
 @dataclass(slots=True)
-class StepEnded:
-    """Report: how a route step ended."""
+class AttemptEnded:
+    """Report: how an attempt ended."""
 
     ask: Ask
     number: int
@@ -93,7 +93,7 @@
 
 @dataclass(slots=True)
 class Listed:
-    """A destination as the pool config lists it."""
+    """A destination as the server list lists it."""
 
     number: int
     zone: int
@@ -103,8 +103,8 @@
 
 
 @dataclass(slots=True)
-class PoolNews:
-    """Report: a pool config (``kept``, ``whole`` or ``changes``), or that asking for one ``failed``."""
+class ListNews:
+    """Report: a server list (``kept``, ``whole`` or ``changes``), or that asking for one ``failed``."""
 
     kind: str
     listed: list[Listed]
@@ -144,7 +144,7 @@
         self._eased: dict[int, int] = {}        # back from a ban: cold from then on, whatever the list says
 
     def register(self, close_idle: Callable[[int], None], watch: Callable[[], None]) -> None:
-        """Who closes idle connections to a destination, and who watches the pool config."""
+        """Who closes idle connections to a destination, and who watches the server list."""
         self._close_idle, self._watch = close_idle, watch
 
     def guard(self, gate: Gate) -> None:
@@ -210,9 +210,9 @@
         asked: Callable[[int, str, int], bool] | None = getattr(self._balancer, "may_begin", None)
         return asked is None or asked(self._hub.now(), ask.id, number)
 
-    def report(self, news: StepEnded | ClientGone | PoolNews) -> None:
+    def report(self, news: AttemptEnded | ClientGone | ListNews) -> None:
         """Tell the module what has happened."""
-        if isinstance(news, StepEnded):
+        if isinstance(news, AttemptEnded):
             self._step_ended(news)
         elif isinstance(news, ClientGone):
             if not news.ask.over:
@@ -283,7 +283,7 @@
             self._feed(api.Timer(heappop(self._timers)[2]))
         return self._timers[0][0] if self._timers else None
 
-    def _step_ended(self, news: StepEnded) -> None:
+    def _step_ended(self, news: AttemptEnded) -> None:
         ask = news.ask
         ask.out.discard(news.number)
         destination, sent = ask.sent[news.number]
@@ -335,7 +335,7 @@
                     number = len(ask.sent)
                     ask.sent.append((destination, now))
                     ask.out.add(number)
-                    ask.verdicts.append(RouteStep(number, destination, now + timeout))
+                    ask.verdicts.append(Attempt(number, destination, now + timeout))
                     ask.signal.set()
             case api.Refuse(id, retry_in):
                 if (ask := self._asks.get(id)) is not None and ask.streamed < 0:
--- a/lugtally/net/__init__.py
+++ b/lugtally/net/__init__.py
@@ -1,1 +1,1 @@
-"""The sidecar's sockets: scheduler, parsers, front sockets, destinations and the pool config."""
+"""The sidecar's sockets: scheduler, parsers, front sockets, destinations and the server list."""
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -1,4 +1,4 @@
-"""Connections to destinations, and one route step over one of them.
+"""Connections to destinations, and one attempt over one of them.
 
 A connection carries one request at a time.  It is used again only where the whole answer, and nothing more,
 has been read from it.
@@ -65,7 +65,7 @@
 
 
 class _StepOver(Exception):
-    """Ends a route step from inside."""
+    """Ends an attempt from inside."""
 
     def __init__(self, ending: Ending) -> None:
         super().__init__(ending.name)
@@ -119,7 +119,7 @@
 
     def run(self, number: int, forward: Forward, until: int, claim: Claim | None = None,
             may: May = _always) -> tuple[Ending, Message | None]:
-        """One route step, in its own task; interrupting the task calls the step off.
+        """One attempt, in its own task; interrupting the task calls the step off.
 
         A 200 with a long, chunked or unbounded body is passed on as it comes, where ``claim`` gives a sink; its
         answer is returned with ``streamed`` set and no body.  Without a sink that step is called off.
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -9,7 +9,7 @@
 
 from lugtally import api
 from lugtally.ending import Ending
-from lugtally.facade import UNKNOWN, Ask, BusyReply, ClientGone, Facade, RouteStep, StepEnded
+from lugtally.facade import UNKNOWN, Ask, Attempt, AttemptEnded, BusyReply, ClientGone, Facade
 from lugtally.hub.scheduler import LEFT, MS, READ, WRITE, Hub, Signal, Task, Woken
 from lugtally.net.destination import Destinations, Sink
 from lugtally.net.http1 import METHODS, BadMessage, Forward, Message, Parser, write_answer, write_streamed_head
@@ -71,7 +71,7 @@
 
 
 class _Exchange:
-    """One request and its route steps."""
+    """One request and its attempts."""
 
     __slots__ = ("hub", "ask", "forward", "tasks", "answer", "gone", "front", "streamed")
 
@@ -87,7 +87,7 @@
         self.ask = Ask(hub, cls, deadline, is_retry, self.cancel, tenant)
 
     def cancel(self, number: int) -> None:
-        """Call off a route step; it reports its own end."""
+        """Call off an attempt; it reports its own end."""
         if (task := self.tasks.get(number)) is not None:
             self.hub.interrupt(task)
 
@@ -382,7 +382,7 @@
 
         self._hub.watch(front.fd, LEFT, lambda _: self._client_left(exchange))
         verdict = self._facade.pick(exchange.ask)
-        while isinstance(verdict, RouteStep):
+        while isinstance(verdict, Attempt):
             exchange.tasks[verdict.number] = self._hub.spawn(self._step, exchange, verdict)
             verdict = self._facade.pick(exchange.ask)
         self._hub.unwatch(front.fd)
@@ -423,7 +423,7 @@
             raise BadMessage(400, "X-Time-Left is no number of seconds") from None
         return at, left
 
-    def _step(self, exchange: _Exchange, step: RouteStep) -> None:
+    def _step(self, exchange: _Exchange, step: Attempt) -> None:
         ending, answer = Ending.CANCELLED_UNSENT, None
         if not exchange.ask.over:
             try:
@@ -432,7 +432,7 @@
                                                         lambda: self._may_begin(exchange, step))
             except Exception:
                 # Every step must report its end, or the module would wait for it.
-                logger.exception("a route step failed", event="step.fault")
+                logger.exception("an attempt failed", event="step.fault")
                 ending = Ending.BROKEN
         if ending is Ending.SERVED and exchange.answer is None:
             exchange.answer = answer
@@ -440,14 +440,14 @@
             exchange.front.cut = True
         logger.debug("step {number} to {destination}: {ending}", event="step.ended", number=step.number,
                      destination=step.destination, ending=ending.name)
-        self._facade.report(StepEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
+        self._facade.report(AttemptEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
 
     def _client_left(self, exchange: _Exchange) -> None:
         self._hub.unwatch(exchange.front.fd)
         exchange.gone = True
         self._facade.report(ClientGone(exchange.ask))
 
-    def _may_begin(self, exchange: _Exchange, step: RouteStep) -> bool:
+    def _may_begin(self, exchange: _Exchange, step: Attempt) -> bool:
         """Whether the request's bytes may go out now.
 
         A client may have left since the last poll, or before its request was read: nothing is begun for it.
@@ -456,7 +456,7 @@
             self._client_left(exchange)
         return not exchange.gone and self._facade.may_begin(exchange.ask, step.number)
 
-    def _claim(self, exchange: _Exchange, step: RouteStep, head: Message) -> Sink | None:
+    def _claim(self, exchange: _Exchange, step: Attempt, head: Message) -> Sink | None:
         """A step has a long answer: pass it on to the client as it comes, where the facade lets this step."""
         if exchange.gone or not self._facade.claim(exchange.ask, step.number):
             return None
--- a/lugtally/net/http1.py
+++ b/lugtally/net/http1.py
@@ -357,7 +357,7 @@
 
 
 class Forward:
-    """A client's request as it goes to a destination; only the time left differs between route steps."""
+    """A client's request as it goes to a destination; only the time left differs between attempts."""
 
     __slots__ = ("_head", "_body")
 
@@ -373,7 +373,7 @@
         self._body = message.body
 
     def write(self, left_ns: int) -> bytes:
-        """The bytes of one route step."""
+        """The bytes of one attempt."""
         return b"%s\r\nX-Time-Left: %.3f\r\n\r\n%s" % (self._head, max(0, left_ns) / 1e9, self._body)
 
 
--- a/lugtally/net/pool_config.py
+++ b/lugtally/net/server_list.py
@@ -1,4 +1,4 @@
-"""The pool config: the list of destinations as discovery tells it, kept up to date by a watch."""
+"""The server list: the list of destinations as discovery tells it, kept up to date by a watch."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 import ujson
 from loguru import logger
 
-from lugtally.config.pool import PoolConfig, Row, read_pool
-from lugtally.facade import Facade, Listed, PoolNews
+from lugtally.config.server_list import Row, ServerList, read_list
+from lugtally.facade import Facade, Listed, ListNews
 from lugtally.hub.scheduler import MS, READ, WRITE, Hub, Signal, Task, Woken
 from lugtally.net.destination import Destinations
 from lugtally.net.http1 import BadMessage, Message, Parser, write_get
@@ -41,7 +41,7 @@
         self.version = version
         self.wanted = Signal(hub)   # its own: a follower of an earlier one must not take the wake-up of this one
 
-    def ask(self) -> PoolConfig:
+    def ask(self) -> ServerList:
         """What is new since the version at hand, or the whole list where there is none.
 
         After a silence, a reset or a refusal it is asked for changes as well: a whole list is work for discovery by
@@ -52,7 +52,7 @@
         answer = self._exchange(target)
         if answer.status != 200:
             raise ValueError(f"status {answer.status}")
-        return read_pool(ujson.loads(answer.body), "pool config", lenient=True)
+        return read_list(ujson.loads(answer.body), "server list", lenient=True)
 
     def drop(self) -> None:
         """Close the connection."""
@@ -71,7 +71,7 @@
         try:
             return self._once(target)
         except TimeoutError as silence:
-            logger.info("the watch of the pool config fell silent: {why}", event="pool.silent", why=str(silence))
+            logger.info("the watch of the server list fell silent: {why}", event="pool.silent", why=str(silence))
         except ConnectionError:
             if not used:
                 raise
@@ -114,8 +114,8 @@
             raise late
 
 
-class PoolWatch:
-    """Follows the pool config and tells the facade and the destinations what it says."""
+class ListWatch:
+    """Follows the server list and tells the facade and the destinations what it says."""
 
     def __init__(self, hub: Hub, facade: Facade, destinations: Destinations, discovery: tuple[str, int],
                  zones: tuple[str, ...]) -> None:
@@ -133,7 +133,7 @@
         """How many destinations are listed as ready."""
         return sum(line.state == "ready" for line in self._known.values())
 
-    def start(self, kept: PoolConfig) -> None:
+    def start(self, kept: ServerList) -> None:
         """Begin with the list kept over a restart, then watch whenever the module asks for it."""
         self._take(kept, "kept")
         self._discovery.version = kept.version
@@ -156,9 +156,9 @@
 
     # ------------------------------------------------------------ the list
 
-    def _take(self, pool: PoolConfig, kind: str) -> None:
+    def _take(self, pool: ServerList, kind: str) -> None:
         if pool.unread:
-            logger.warning("{count} rows of the pool config cannot be read: {why}", event="pool.bad-rows",
+            logger.warning("{count} rows of the server list cannot be read: {why}", event="pool.bad-rows",
                            count=len(pool.unread), why=next(iter(pool.unread.values())))
         # What is known of a row that cannot be read stays in force: the others must not be hidden by it, nor it go.
         listed = [self._known[number] for number in pool.unread if number in self._known]
@@ -178,7 +178,7 @@
                 self._known[row.number] = line
                 self._destinations.place(row.number, row.address)
             listed.append(line)
-        self._facade.report(PoolNews(kind, listed))
+        self._facade.report(ListNews(kind, listed))
 
     def _started_ns(self, row: Row) -> int:
         """Unix time to the module's clock; 0 stays "long ago".
@@ -204,16 +204,16 @@
                 while discovery is self._discovery:
                     self._ask(discovery)
             except (OSError, BadMessage, ValueError) as error:
-                logger.info("the watch of the pool config ended: {why}", event="pool.watch-ended", why=str(error))
+                logger.info("the watch of the server list ended: {why}", event="pool.watch-ended", why=str(error))
             except Exception:
                 # Whatever discovery sends, the watch goes on: without it the list would grow old unseen.
-                logger.exception("the watch of the pool config failed", event="pool.fault")
+                logger.exception("the watch of the server list failed", event="pool.fault")
             discovery.drop()
             if discovery is self._discovery:
                 # The list at hand stays in force; the module says when to try again.  A wake-up from before this
                 # failure would let the next call go without a pause.
                 discovery.wanted = Signal(self._hub)
-                self._facade.report(PoolNews("failed", []))
+                self._facade.report(ListNews("failed", []))
 
     def _ask(self, discovery: _Discovery) -> None:
         begun = self._hub.now()
--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -16,14 +16,14 @@
 
 from lugtally import __version__, api, logs
 from lugtally.config import sidecar as config
-from lugtally.config.pool import number_of
+from lugtally.config.server_list import number_of
 from lugtally.control.drains import BanFile
 from lugtally.control.listener import Listener
 from lugtally.facade import Decisions, Facade
 from lugtally.hub.scheduler import MS, READ, Hub
 from lugtally.net.destination import Destinations, Limits, answer_limit, idle_limit, shares
 from lugtally.net.front import Front
-from lugtally.net.pool_config import MOST_PAUSE_NS, PoolWatch
+from lugtally.net.server_list import MOST_PAUSE_NS, ListWatch
 from lugtally.overload.gate import MOST_ADVICE_NS, Bounds, Gate
 from lugtally.overload.probe import Probe, Told
 from lugtally.service.control import Control, ControlError
@@ -55,7 +55,7 @@
                     answer_limit(told.memory_mb))
     fields = told.settings.load_fields if told.answers_report else ()
     destinations = Destinations(hub, limits, fields)
-    pool = PoolWatch(hub, facade, destinations, told.discovery, told.zones)
+    pool = ListWatch(hub, facade, destinations, told.discovery, told.zones)
     facade.register(destinations.close_idle, pool.watch)
     front = Front(hub, facade, destinations, told.settings.classes, most_fronts, told.settings.tenants)
     gate: Gate | None = None
@@ -185,7 +185,7 @@
                   first=own.refuse_first, advice_ns=advice)
 
 
-def _keep_house(hub: Hub, destinations: Destinations, pool: PoolWatch, front: Front) -> None:
+def _keep_house(hub: Hub, destinations: Destinations, pool: ListWatch, front: Front) -> None:
     """Retire idle connections; be ready once there is somewhere to send to."""
     while True:
         front.ready = front.ready or pool.usable > 0
@@ -214,7 +214,7 @@
                            memory=reading.memory_share, descriptors=reading.descriptors_share)
 
 
-def _reread(pool: PoolWatch) -> None:
+def _reread(pool: ListWatch) -> None:
     """SIGHUP: move the watch where the configuration now says.  All else in it holds from the next start."""
     try:
         told = config.load(os.environ, again=True)
--- a/tests/control/test_drains.py
+++ b/tests/control/test_drains.py
@@ -12,7 +12,7 @@
 from lugtally import api
 from lugtally.control.drains import BanFile, decode, encode
 from lugtally.decide import Balancer
-from lugtally.facade import Facade, Listed, PoolNews
+from lugtally.facade import Facade, Listed, ListNews
 from lugtally.hub.scheduler import MS, Hub
 from lugtally.settings import read_settings
 from tests.player import SETTINGS
@@ -41,10 +41,10 @@
 def test_a_banned_server_drains_whatever_the_list_says() -> None:
     told = Told()
     facade = Facade(api.Settings(), 1, Hub(), lambda *_: told)
-    facade.report(PoolNews("whole", [line(1), line(2)]))
+    facade.report(ListNews("whole", [line(1), line(2)]))
     facade.ban(1)
-    facade.report(PoolNews("whole", [line(1), line(2)]))
-    facade.report(PoolNews("changes", [line(1)]))
+    facade.report(ListNews("whole", [line(1), line(2)]))
+    facade.report(ListNews("changes", [line(1)]))
     assert states(told)[1:] == [{1: api.State.DRAINING}, {1: api.State.DRAINING, 2: api.State.UP},
                                 {1: api.State.DRAINING}]
     assert facade.disabled() == 1 and facade.targets == 2
@@ -53,11 +53,11 @@
 def test_a_server_back_from_a_ban_is_cold_from_then_on_whatever_the_list_says() -> None:
     told, hub = Told(), Hub()
     facade = Facade(api.Settings(), 1, hub, lambda *_: told)
-    facade.report(PoolNews("whole", [line(1, started=5)]))
+    facade.report(ListNews("whole", [line(1, started=5)]))
     facade.ban(1)
     before = hub.now()
     facade.unban(1)
-    facade.report(PoolNews("whole", [line(1, started=5)]))
+    facade.report(ListNews("whole", [line(1, started=5)]))
     back, later = told.lists[-2].servers[0], told.lists[-1].servers[0]
     assert back.state is later.state is api.State.UP
     assert before <= back.started_ns == later.started_ns <= hub.now()
@@ -69,7 +69,7 @@
     facade = Facade(api.Settings(), 1, Hub(), lambda *_: told)
     facade.ban(3)       # read from the file of the process before
     assert not told.lists and not facade.listed(3)
-    facade.report(PoolNews("kept", [line(3)]))
+    facade.report(ListNews("kept", [line(3)]))
     assert states(told) == [{3: api.State.DRAINING}] and facade.listed(3)
 
 
@@ -78,7 +78,7 @@
     facade = Facade(read_settings(SETTINGS), 1, hub)
     module = facade._balancer
     assert isinstance(module, Balancer)
-    facade.report(PoolNews("whole", [line(1), line(2)]))
+    facade.report(ListNews("whole", [line(1), line(2)]))
     facade.ban(1)
     sends = []
     for at in range(200):
--- a/tests/crossings/parties.py
+++ b/tests/crossings/parties.py
@@ -16,7 +16,7 @@
 from lugtally.hub.scheduler import MS, READ, Hub, Woken
 from lugtally.net.destination import Destinations, Limits
 from lugtally.net.front import Front
-from lugtally.net.pool_config import PoolWatch
+from lugtally.net.server_list import ListWatch
 from tests.player import listener
 
 PATIENCE_NS = 10_000 * MS
@@ -139,7 +139,7 @@
         self.destinations = Destinations(self.hub, self.limits, ())
         self.discovery, self.second = Party(self.hub), Party(self.hub)
         self.server = Party(self.hub)
-        self.watch = PoolWatch(self.hub, self.facade, self.destinations, self.discovery.address, ("a",))
+        self.watch = ListWatch(self.hub, self.facade, self.destinations, self.discovery.address, ("a",))
         self.facade.register(self.destinations.close_idle, self.watch.watch)
         self.front = Front(self.hub, self.facade, self.destinations, CLASSES, most)
         self.stopped = False
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lugtally import api
-from lugtally.config.pool import number_of, read_pool
+from lugtally.config.server_list import number_of, read_list
 from lugtally.decide import Balancer
 from lugtally.hub.scheduler import MS, READ
 from lugtally.net import destination
@@ -33,7 +33,7 @@
 def ready(sidecar: Sidecar) -> tuple[str, int]:
     """Listening, with one server listed and every request sent there."""
     sidecar.module.orders = sending(sidecar)
-    sidecar.watch.start(read_pool({"version": 1, "full": True, "servers": [sidecar.row("s-a")]}, "known"))
+    sidecar.watch.start(read_list({"version": 1, "full": True, "servers": [sidecar.row("s-a")]}, "known"))
     return sidecar.listen()
 
 
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lugtally import api
-from lugtally.config.pool import number_of, read_pool
+from lugtally.config.server_list import number_of, read_list
 from lugtally.hub.scheduler import MS, Signal, Woken
 from lugtally.net import front
 from lugtally.net.destination import shares
@@ -23,7 +23,7 @@
         return [api.Send(event.id, A, event.time_left_ns)] if isinstance(event, api.Request) else []
 
     sidecar.module.orders = orders
-    sidecar.watch.start(read_pool({"version": 1, "full": True, "servers": [sidecar.row("s-a")]}, "known"))
+    sidecar.watch.start(read_list({"version": 1, "full": True, "servers": [sidecar.row("s-a")]}, "known"))
     return sidecar.listen()
 
 
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -12,10 +12,10 @@
 import pytest
 
 from lugtally import api
-from lugtally.config.pool import number_of, read_pool
+from lugtally.config.server_list import number_of, read_list
 from lugtally.decide import Balancer
 from lugtally.hub.scheduler import MS, Signal, Woken
-from lugtally.net import pool_config
+from lugtally.net import server_list
 from tests.crossings.parties import Link, Sidecar
 
 A, B = number_of("s-a"), number_of("s-b")
@@ -24,22 +24,22 @@
 def begun(sidecar: Sidecar) -> None:
     """Start with the kept list of version 1 and let the module ask once, never again."""
     kept = {"version": 1, "full": True, "servers": [sidecar.row("s-a"), sidecar.row("s-b")]}
-    sidecar.watch.start(read_pool(kept, "known"))
+    sidecar.watch.start(read_list(kept, "known"))
     sidecar.watch.watch()
 
 
 def test_the_time_to_a_fresh_list_is_one_sum_with_margin() -> None:
     """11.5 s to notice a silence, then a pause of up to 8 s, gave drains 12 s and more after they were told."""
-    margin = pool_config.TOLD_NS // 12
-    assert pool_config.SILENCE_TO_LIST_NS <= pool_config.TOLD_NS - margin
-    assert pool_config.RETURN_TO_LIST_NS <= pool_config.TOLD_NS - margin
+    margin = server_list.TOLD_NS // 12
+    assert server_list.SILENCE_TO_LIST_NS <= server_list.TOLD_NS - margin
+    assert server_list.RETURN_TO_LIST_NS <= server_list.TOLD_NS - margin
 
 
 @pytest.fixture
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
     """The same links in a fraction of their time: a silence is silence however long one waits for it."""
     for name, value in (("HOLD_MS", 30), ("ANSWER_NS", 30 * MS), ("CONNECT_NS", 200 * MS)):
-        monkeypatch.setattr(pool_config, name, value)
+        monkeypatch.setattr(server_list, name, value)
 
 
 @pytest.mark.usefixtures("soon")
@@ -114,16 +114,16 @@
 
 
 def test_the_modules_pauses_stay_within_their_part_of_the_sum() -> None:
-    told = api.Settings(ask_for_list=True, ask_within_ns=pool_config.MOST_PAUSE_NS)
+    told = api.Settings(ask_for_list=True, ask_within_ns=server_list.MOST_PAUSE_NS)
     pauses = []
     for seed in range(40):
         module = Balancer(told, seed)
         for _ in range(12):
             wakes = [a for a in module.handle(1, api.ServerList(api.ListKind.FAILED, [])) if isinstance(a, api.Wake)]
             pauses.append(wakes[0].after_ns)
-    assert max(pauses) <= pool_config.MOST_PAUSE_NS
+    assert max(pauses) <= server_list.MOST_PAUSE_NS
     # Hundreds that lost discovery at once must not come back in step.
-    assert max(pauses) - min(pauses) > pool_config.MOST_PAUSE_NS / 2
+    assert max(pauses) - min(pauses) > server_list.MOST_PAUSE_NS / 2
 
 
 @pytest.mark.usefixtures("soon")
@@ -276,10 +276,10 @@
 def test_servers_whose_cell_or_zone_is_not_told_share_no_group() -> None:
     """Unknown cells all read 0: a keyed repeat could go where its first try is not known."""
     rows = [{"id": name, "addr": "127.0.0.1:1", "state": "ready"} for name in ("s-a", "s-b")]
-    cells = [row.cell for row in read_pool({"version": 1, "servers": rows}, "known").rows]
+    cells = [row.cell for row in read_list({"version": 1, "servers": rows}, "known").rows]
     assert len(set(cells)) == 2
     sidecar = Sidecar()
-    sidecar.play(lambda: sidecar.watch.start(read_pool({"version": 1, "servers": rows}, "known")))
+    sidecar.play(lambda: sidecar.watch.start(read_list({"version": 1, "servers": rows}, "known")))
     lines = next(e.servers for e in sidecar.module.told if isinstance(e, api.ServerList))
     assert len({line.zone for line in lines}) == 2
 
--- a/tests/player.py
+++ b/tests/player.py
@@ -14,8 +14,8 @@
                     see nothing; ``shut``, ``half`` (its sending alone) and ``reset`` close, ``pause`` waits
     d1 want BYTES   the same for the next connection that any destination accepts
     d2 elsewhere d1     accepted by another destination than d1; ``d1 at B`` by B
-    p list JSON     the same for the pool config's connections, with answers of that body
-    hup NAME VALUE      a field of the configuration changes, SIGHUP; ``q`` is a second pool config, at @Q
+    p list JSON     the same for the server list's connections, with answers of that body
+    hup NAME VALUE      a field of the configuration changes, SIGHUP; ``q`` is a second server list, at @Q
     term            SIGTERM; ``exit 0`` waits for the end
     inherit         the player holds the front socket and passes it as descriptor 7 in ``$PROXY_SOCKET_FD``
 """
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,14 +16,14 @@
 
 from lugtally import api, facade
 from lugtally.config import sidecar as config
-from lugtally.config.pool import number_of, read_pool
+from lugtally.config.server_list import number_of, read_list
 from lugtally.decide import Balancer
 from lugtally.ending import RESULTS, Ending
 from lugtally.hub.scheduler import MS, Hub, Signal, Woken
 from lugtally.net.destination import SETTLE_NS, Destinations, Limits, idle_limit
 from lugtally.net.front import Front, FrontSocket
 from lugtally.net.http1 import Forward, Message
-from lugtally.net.pool_config import PoolWatch
+from lugtally.net.server_list import ListWatch
 from tests.player import ROOT, Player, listener
 
 
@@ -75,10 +75,10 @@
     def work() -> None:
         ask = facade.Ask(hub, 0, hub.now() + 5000 * MS, False, cancelled.append)
         first, second = front.pick(ask), front.pick(ask)
-        assert isinstance(first, facade.RouteStep) and isinstance(second, facade.RouteStep)
-        front.report(facade.StepEnded(ask, 1, Ending.SERVED))
+        assert isinstance(first, facade.Attempt) and isinstance(second, facade.Attempt)
+        front.report(facade.AttemptEnded(ask, 1, Ending.SERVED))
         assert isinstance(front.pick(ask), facade.Over) and cancelled == [0] and closed == [9]
-        front.report(facade.StepEnded(ask, 0, Ending.CANCELLED))
+        front.report(facade.AttemptEnded(ask, 0, Ending.CANCELLED))
         front.report(facade.ClientGone(ask))        # too late to mean anything
 
     run(hub, work, front)
@@ -227,14 +227,14 @@
     """A step of the wall clock used to look like a restart: a warm server would have turned cold."""
     hub = Hub()
     front = facade.Facade(api.Settings(), 1, hub)
-    pool = PoolWatch(hub, front, Destinations(hub, Limits(MS, MS, 9), ()), ("127.0.0.1", 9), ("a",))
+    pool = ListWatch(hub, front, Destinations(hub, Limits(MS, MS, 9), ()), ("127.0.0.1", 9), ("a",))
     lately = hub.wall() // MS - 700
     raw = {"version": 1, "full": True, "servers": [
         {"id": "s-1", "addr": "127.0.0.1:1", "zone": "b", "state": "ready", "started_ms": lately},
         {"id": "s-2", "addr": "127.0.0.1:2", "zone": "a", "state": "draining", "started_ms": 0}]}
-    run(hub, lambda: pool.start(read_pool(raw, "known")), front)
+    run(hub, lambda: pool.start(read_list(raw, "known")), front)
     monkeypatch.setattr(Hub, "wall", staticmethod(lambda: 5))
-    pool._take(read_pool(raw, "known"), "whole")
+    pool._take(read_list(raw, "known"), "whole")
     lists = [e.servers for e in scripted.told if isinstance(e, api.ServerList)]
     assert lists[0] == lists[1] and pool.usable == 1
     assert [(s.id, s.zone, s.state) for s in lists[0]] == [
@@ -247,13 +247,13 @@
     hub = Hub()
     front = facade.Facade(api.Settings(), 1, hub)
     destinations = Destinations(hub, Limits(MS, MS, 9), ())
-    pool = PoolWatch(hub, front, destinations, ("127.0.0.1", 9), ("a",))
+    pool = ListWatch(hub, front, destinations, ("127.0.0.1", 9), ("a",))
     module = Balancer(api.Settings(), 1)
     for n in range(1, 40):
         rows = [{"id": f"s-{at}", "addr": "127.0.0.1:1", "zone": "a", "state": state, "started_ms": 1000 * at}
                 for at, state in ((n, "ready"), (n - 1, "gone"))]
         kind = "whole" if n % 9 == 0 else "changes"
-        pool._take(read_pool({"version": n, "servers": rows}, "list"), kind)
+        pool._take(read_list({"version": n, "servers": rows}, "list"), kind)
         module.handle(n, scripted.told[-1])
     assert [len(table) for table in (pool._known, pool._started, destinations._addresses)] == [1, 1, 1]
     assert len(module.peers) == 1
@@ -393,7 +393,7 @@
     cls = api.RequestClass("campaign-read", api.Effect.SAFE, api.Group.ALL, 0, 2 * api.SECOND, 8 * api.SECOND)
     front_facade = facade.Facade(api.Settings((cls,), max_attempts=4), 1, hub)
     destinations = Destinations(hub, Limits(1000 * MS, 60_000 * MS, 9), ())
-    pool = PoolWatch(hub, front_facade, destinations, ("127.0.0.1", 9), ("a",))
+    pool = ListWatch(hub, front_facade, destinations, ("127.0.0.1", 9), ("a",))
     front_facade.register(destinations.close_idle, lambda: None)
     front = Front(hub, front_facade, destinations, (cls,), 9)
     front.listen(("127.0.0.1", 0))
@@ -401,7 +401,7 @@
     where = front._listener.getsockname()
     server = listener()
     host, port = server.getsockname()
-    pool.start(read_pool({"version": 1, "full": True, "servers": [
+    pool.start(read_list({"version": 1, "full": True, "servers": [
         {"id": "s", "addr": f"{host}:{port}", "zone": "a", "state": "ready"}]}, "known"))
     left: list[int] = []
 
@@ -500,11 +500,11 @@
         ask = facade.Ask(hub, 0, hub.now() + 5 * MS, False, cancelled.append)
         front.pick(ask), front.pick(ask)
         assert front.claim(ask, 1) and not front.claim(ask, 0) and not front.claim(ask, 1)
-        front.report(facade.StepEnded(ask, 0, Ending.SERVED))       # the other step's whole answer comes too late
+        front.report(facade.AttemptEnded(ask, 0, Ending.SERVED))       # the other step's whole answer comes too late
         front._act(hub.now(), api.Fail(ask.id))                      # and so does the module's verdict
         hub.sleep(30 * MS)                                           # past the deadline and the backstop
         assert not ask.over
-        front.report(facade.StepEnded(ask, 1, Ending.BROKEN))
+        front.report(facade.AttemptEnded(ask, 1, Ending.BROKEN))
         verdicts.append(front.pick(ask))
 
     run(hub, work, front)
