Keep a connection open whose request came as it was to be closed as resting

Read: a request found by the last look is answered, but the connection stayed marked to be closed and was closed right behind its answer, without a word of it, where the client's next request crosses. To blame: Front._read left `unwanted` set. The test of that crossing sends a second request now; it fails without the mend. Also, a step of a request that is over no longer looks at its front socket's descriptor, which may be another's by then (read, not seen).

--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -312,6 +312,7 @@
                 raise BadMessage(408, "the request did not become whole in time")
             message = front.parser.feed(data)
         front.asked, front.resting = True, False
+        front.unwanted = False      # it was to be closed as resting, and a request has come
         return message
 
     def _write(self, front: FrontSocket, data: bytes | memoryview) -> bool:
@@ -452,7 +453,9 @@
 
         A client may have left since the last poll, or before its request was read: nothing is begun for it.
         """
-        if not exchange.gone and self._hub.ready(exchange.front.fd, LEFT):
+        if exchange.gone or exchange.ask.over:
+            return False        # its front socket may be another's by now
+        if self._hub.ready(exchange.front.fd, LEFT):
             self._client_left(exchange)
         return not exchange.gone and self._facade.may_begin(exchange.ask, step.number)
 
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -77,6 +77,7 @@
             why = waited(self, until)
             if why is Woken.TIMEOUT and not sent and any(self is one.signal for one in sidecar.front._open):
                 sent.append(1)
+                monkeypatch.setattr(front, "IDLE_NS", 5_000 * MS)
                 client.send(request("read"))
             return why
 
@@ -86,6 +87,10 @@
         link.head()
         link.answer()
         assert client.read().startswith(b"HTTP/1.1 200")
+        client.send(request("read", "r2"))      # it is kept, as any other that has just been answered
+        link.head()
+        link.answer()
+        assert client.read().startswith(b"HTTP/1.1 200")
 
     sidecar.play(script)
     assert sent
