--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import os
+import signal
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
@@ -13,6 +18,7 @@
 from lugtally.net import front
 from lugtally.net.destination import shares
 from tests.crossings.parties import Link, Sidecar, request
+from tests.player import ROOT, Player
 
 A = number_of("s-a")
 
@@ -198,6 +204,25 @@
             sidecar.play(script)
 
 
+def test_a_planned_restart_before_the_first_list_answers_and_ends(tmp_path: Path) -> None:
+    """Told of no server, with a silent discovery: what it takes is refused, and SIGTERM ends it all the same."""
+    player = Player(tmp_path)
+    player.known = []
+    (tmp_path / "config.json").write_text(json.dumps(player.config()))
+    process = subprocess.Popen([sys.executable, "-B", "-m", "lugtally", "serve"], cwd=ROOT, stderr=subprocess.PIPE,
+                               env={**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"),
+                                    "TMPDIR": str(tmp_path)})
+    try:
+        assert process.stderr is not None and b" serves at " in process.stderr.readline()
+        player.on_send("c1", request("campaign-read").decode().replace("\r\n", "|"))
+        player.on_want("c1", "HTTP/1.1 503 Service Unavailable|Retry-After: *|Content-Length: 5||busy~")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
+        player.end()
+
+
 @pytest.mark.parametrize("sockets", [64, 100, 256, 1024, 65536])
 def test_descriptors_are_left_for_discovery_whatever_clients_and_servers_take(sockets: int) -> None:
     """Of 64, 8 were left: the standard three, signals, the listeners, discovery and the file of drains need 9."""
