--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -16,7 +17,7 @@
 from lugtally.config.server_list import number_of, read_list
 from lugtally.hub.scheduler import MS, Signal, Woken
 from lugtally.net import front
-from lugtally.net.destination import shares
+from lugtally.net.destination import Destinations, shares
 from tests.crossings.parties import Link, Sidecar, request
 from tests.player import ROOT, Player
 
@@ -26,6 +27,8 @@
 def ready(sidecar: Sidecar) -> tuple[str, int]:
     """Listening, with every request sent to the one server."""
     def orders(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Outcome) and not event.over:
+            return [api.Fail(event.id)]
         return [api.Send(event.id, A, event.time_left_ns)] if isinstance(event, api.Request) else []
 
     sidecar.module.orders = orders
@@ -260,3 +263,61 @@
             client.sock.close()
 
     sidecar.play(script)
+
+
+@pytest.mark.parametrize("how", ["end", "half a line"])
+def test_a_pledge_connection_that_ends_as_it_is_taken_is_no_reason_to_send_again(
+        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The other side ends it between the look at it and the write: the request may have run, so it fails, once."""
+    sidecar = Sidecar()
+    begun = Destinations._write
+
+    def script() -> None:
+        client = sidecar.client(ready(sidecar))
+        client.send(request("once", "r0", method="POST", more="Content-Length: 0\r\n"))
+        link = sidecar.server.link()
+        link.head()
+        link.answer()
+        assert client.read().startswith(b"HTTP/1.1 200")
+
+        def write(self: Destinations, *more: Any) -> None:
+            if how == "half a line":
+                link.send(b"HTTP/1.1 20")
+            link.sock.close()
+            begun(self, *more)
+
+        monkeypatch.setattr(Destinations, "_write", write)
+        client.send(request("once", "r1", method="POST", more="Content-Length: 0\r\n"))
+        assert client.read().startswith(b"HTTP/1.1 502")
+        assert sidecar.server.idle(), "it was sent again"
+
+    sidecar.play(script)
+    assert sidecar.module.results() == [api.Result.OK, api.Result.RESET]
+
+
+def test_a_client_that_never_reads_its_answer_does_not_hold_up_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An answer that is not taken for a while is given up, at a planned restart too."""
+    monkeypatch.setattr(front, "STALL_NS", 50 * MS)
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = slow_reader(sidecar, ready(sidecar))
+        client.send(request("read"))
+        link = sidecar.server.link()
+        link.head()
+        sidecar.front.drain()
+        link.send(b"HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n")
+        sidecar.hub.spawn(lambda: pour(link))
+        sidecar.until(lambda: ended == [True])
+
+    def pour(link: Link) -> None:
+        while sidecar.hub.wait(link.sock.fileno(), 4, sidecar.hub.now() + 5_000 * MS) is Woken.READY:
+            try:
+                link.sock.send(bytes(65536))
+            except OSError:
+                return
+
+    ended: list[bool] = []
+    stop = sidecar.hub.stop
+    sidecar.hub.stop = lambda: stop() if sidecar.stopped else ended.append(True)  # type: ignore[method-assign]
+    sidecar.play(script)
