--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -206,10 +206,12 @@
         where = ready(sidecar)
         first, second = sidecar.client(where), sidecar.client(where)
         first.send(request("read", "r0"))
-        link = sidecar.server.link()
-        link.head()
-        link.answer()
-        assert b"200 OK" in first.read()
+        second.send(request("read", "r00"))
+        links = [sidecar.server.link(), sidecar.server.link()]
+        for link in links:
+            link.head()
+            link.answer()
+        assert b"200 OK" in first.read() and b"200 OK" in second.read()
         first.send(request("read", "r1"))
         sidecar.until(lambda: A in sidecar.destinations._settling)
         second.send(request("read", "r2"))
