--- a/lugtally/rehearsal/load.py
+++ b/lugtally/rehearsal/load.py
@@ -45,6 +45,10 @@
         self.answered: Callable[[int, bytes, float], None] | None = None
         self.broke: Callable[[bool], None] | None = None
         self.extra: Callable[[], None] | None = None
+        self.made_for: Callable[[bytes], bool] | None = None    # whether a body was made for the request out now
+        # The same two of the request before: a second answer to it may come while another request is out.
+        self._extra_before: Callable[[], None] | None = None
+        self._made_for_before: Callable[[bytes], bool] | None = None
         self._transport: Any = None
         self._parser: Any = None
         self._body = b""
@@ -65,9 +69,13 @@
             broke(self._bytes)
 
     def send(self, data: bytes, answered: Callable[[int, bytes, float], None], broke: Callable[[bool], None],
-             extra: Callable[[], None]) -> None:
-        """Write a request; ``answered`` or ``broke`` is called once."""
-        self.answered, self.broke, self.extra = answered, broke, extra
+             extra: Callable[[], None], made_for: Callable[[bytes], bool]) -> None:
+        """Write a request; ``answered`` or ``broke`` is called once, ``extra`` for a second answer to it.
+
+        ``made_for`` tells whether the body of an answer was made for this request.
+        """
+        self._extra_before, self._made_for_before = self.extra, self.made_for
+        self.answered, self.broke, self.extra, self.made_for = answered, broke, extra, made_for
         self._parser = httptools.HttpResponseParser(self)
         self._body, self._advice, self._bytes, self._whole, self.keep = b"", -1.0, False, False, True
         self._transport.write(data)
@@ -92,6 +100,21 @@
             else:
                 self._transport.abort()
 
+    def _is_second_answer(self) -> bool:
+        """Whether the whole answer at hand belongs to the request before: its own answer came before this.
+
+        A second answer may come after this request was written.  It is told to the request that it was made for;
+        this one goes on waiting for its own, and the connection is of no further use after that.
+        """
+        if self._made_for_before is None or not self._made_for_before(self._body):
+            return False
+        self.keep = False
+        self._body, self._advice, self._bytes = b"", -1.0, False
+        if self._extra_before is not None:
+            extra, self._extra_before = self._extra_before, None
+            extra()
+        return True
+
     def _superfluous(self) -> None:
         """Bytes that belong to no request: the connection is of no further use."""
         self.keep = False
@@ -125,6 +148,8 @@
         status = self._parser.get_status_code()
         if self._whole or self.answered is None or status < 200:
             return
+        if status == 200 and self._is_second_answer():
+            return
         self._whole, self.used = True, True
         answered, self.answered, self.broke = self.answered, None, None
         answered(status, self._body, self._advice)
@@ -298,7 +323,7 @@
             return
         self.link = link
         self.one.sent = tool.clock()
-        link.send(self.data, self.answered, self.broke, self.extra)
+        link.send(self.data, self.answered, self.broke, self.extra, self.genuine)
 
     def extra(self) -> None:
         """Bytes came behind the answer."""
@@ -316,13 +341,13 @@
         assert link is not None
         ending = "failed"
         if status == 200:
-            ending = "served" if self._genuine(body) else "foreign"
+            ending = "served" if self.genuine(body) else "foreign"
         elif status in (429, 503):
             ending = "refused"
         self.finish(ending)
         tool.applications[one.sidecar].give_back(link)
 
-    def _genuine(self, body: bytes) -> bool:
+    def genuine(self, body: bytes) -> bool:
         """Whether a server made this body for this request."""
         head = body.partition(b"\n")[0].decode("latin-1")
         if f'"id":"{self.one.id}"' not in head:
--- a/tests/rehearsal/test_load.py
+++ b/tests/rehearsal/test_load.py
@@ -12,6 +12,7 @@
 import pytest
 
 from lugtally.rehearsal import judge, ledger, places, plan, report, scenario
+from lugtally.rehearsal.load import Link
 from lugtally.rehearsal.stand_ins import answer_body
 from lugtally.rehearsal.world import Specification
 from tests.rehearsal.offender import _answer, _read
@@ -112,3 +113,70 @@
     assert len(ledger.read([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
     found = judge.judge(judge.sort([]), plan.make(scenario.load("quiet"), 1), 0.0)
     assert report.verdict(found, scenario.Expect())[0] == "void"
+
+
+class _Transport(asyncio.Transport):
+    """Keeps what is written; the connection stays up until it is aborted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.aborted = False
+
+    def write(self, data: bytes | bytearray | memoryview[int]) -> None:
+        self.written += bytes(data)
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class _Heard:
+    """One request on a link, and all that the link says of it."""
+
+    def __init__(self, name: str) -> None:
+        self.body = answer_body(5, name, "s-000")
+        self.bytes = _answer(200, self.body)
+        self.events: list[tuple[str, bytes]] = []
+
+    def send(self, link: Link) -> None:
+        link.send(b"GET / HTTP/1.1\r\n\r\n", lambda status, body, advice: self.events.append(("answer", body)),
+                  lambda begun: self.events.append(("broke", b"begun" if begun else b"")),
+                  lambda: self.events.append(("extra", b"")), lambda body: body == self.body)
+
+
+@pytest.mark.parametrize("pieces", [1, 2, 150], ids=["at once", "in two", "byte by byte"])
+def test_a_second_answer_that_crosses_the_next_request_is_the_first_ones(pieces: int) -> None:
+    link, transport, first, second = Link(lambda _: None), _Transport(), _Heard("a"), _Heard("b")
+    link.connection_made(transport)
+    first.send(link)
+    link.data_received(first.bytes)
+    second.send(link)       # the connection was given back; the second copy is on its way
+    data = first.bytes + second.bytes
+    size = -(-len(data) // pieces)
+    for at in range(0, len(data), size):
+        link.data_received(data[at:at + size])
+    assert first.events == [("answer", first.body), ("extra", b"")]
+    assert second.events == [("answer", second.body)], "the first one's copy is no answer to it"
+    assert not link.keep, "a connection on which too much came is not used again"
+
+
+def test_a_foreign_body_is_told_to_the_request_that_is_out() -> None:
+    link, first, second, forged = Link(lambda _: None), _Heard("a"), _Heard("b"), _Heard("c")
+    link.connection_made(_Transport())
+    first.send(link)
+    link.data_received(first.bytes)
+    second.send(link)
+    link.data_received(forged.bytes)
+    assert first.events == [("answer", first.body)]
+    assert second.events == [("answer", forged.body)]
+
+
+def test_a_connection_that_ends_behind_a_second_answer_left_the_next_request_without_a_byte() -> None:
+    link, first, second = Link(lambda _: None), _Heard("a"), _Heard("b")
+    link.connection_made(_Transport())
+    first.send(link)
+    link.data_received(first.bytes)
+    second.send(link)
+    link.data_received(first.bytes)
+    link.connection_lost(None)
+    assert second.events == [("broke", b"")]
