--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 rehearse: .venv/kit.txt
 	@.venv/bin/python -m lugtally rehearse run short --html rehearsal.html
 
-# Lint, types, the decision module's size, and all tests.
+# Format, lint, types, the decision module's size, and all tests.
 test: .venv/kit.txt
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 	.venv/bin/python tests/size.py
--- a/benchmarks/gates.py
+++ b/benchmarks/gates.py
@@ -26,10 +26,10 @@
 from lugtally.rehearsal.streams import stream
 
 TAKE_US, GIVE_US, SHED_US = 110.0, 90.0, 20.0
-SUSTAINABLE = 1e6 / (TAKE_US + GIVE_US)     # requests a second that fill the core
+SUSTAINABLE = 1e6 / (TAKE_US + GIVE_US)  # requests a second that fill the core
 # class: share, worth, aim, deadline (seconds); the brief's
 CLASSES = ((0.45, 1.0, 0.3, 0.8), (0.35, 3.0, 0.5, 1.0), (0.20, 2.0, 1.0, 3.0))
-ORDER = (0, 2, 1)       # refused first to last, by worth
+ORDER = (0, 2, 1)  # refused first to last, by worth
 SERVICE_S = 0.04
 RETRIES = 3
 # What clients do after a refusal: at once, or as in the brief: after 100 ms, three in ten as long as they are told.
@@ -89,7 +89,7 @@
     """Proportional and integral: RFC 8033, 4.2, with the gains scaled down while little is refused."""
 
     name = "PIE on standing delay"
-    alpha, beta = 1.25, 6.25    # a second of delay, for a period of 20 ms
+    alpha, beta = 1.25, 6.25  # a second of delay, for a period of 20 ms
 
     def __init__(self) -> None:
         super().__init__()
@@ -136,15 +136,24 @@
 class Result:
     """One run."""
 
-    worth: float        # served in time during the load, against what the core can serve of that mix
-    p99_ms: float       # own delay of what was admitted
-    swing: float        # standard deviation of the refused share by 100 ms, after the first second
-    recovery_s: float   # from the load's end until nothing is refused and the delay is under the target
-    refused: float      # share of what was asked, before the load and after its recovery: false alarms
-
-
-def simulate(make: Callable[[], Gate], load: float, seed: int, *, clients: str = BRIEF, core: float = CORE,
-             length: float = 10.0, calm: float = 3.0, base: float = 0.5) -> Result:
+    worth: float  # served in time during the load, against what the core can serve of that mix
+    p99_ms: float  # own delay of what was admitted
+    swing: float  # standard deviation of the refused share by 100 ms, after the first second
+    recovery_s: float  # from the load's end until nothing is refused and the delay is under the target
+    refused: float  # share of what was asked, before the load and after its recovery: false alarms
+
+
+def simulate(
+    make: Callable[[], Gate],
+    load: float,
+    seed: int,
+    *,
+    clients: str = BRIEF,
+    core: float = CORE,
+    length: float = 10.0,
+    calm: float = 3.0,
+    base: float = 0.5,
+) -> Result:
     """``calm`` seconds at half load, ``length`` at ``load`` times the sustainable rate, calm again."""
     random = stream(seed, "gates", load, core)
     gate = make()
@@ -185,7 +194,7 @@
             if now >= period_end:
                 gate.update(now, sum(delays) / len(delays), min(delays))
                 period_end, delays = now + PERIOD_S, []
-            age = now - polled + turn       # what the daemon can know: an upper bound of the true one
+            age = now - polled + turn  # what the daemon can know: an upper bound of the true one
             delays.append(age)
             if kind == 1:
                 now += GIVE_US / 1e6 / core
@@ -233,8 +242,13 @@
         best += take * CLASSES[cls][1]
         room -= take
     swings = [float(np.mean(v)) for v in shares.values() if v]
-    return Result(served / (best * rate * length), 1000 * float(np.quantile(ages, 0.99)) if ages else 0.0,
-                  float(np.std(swings)) if swings else 0.0, last_trouble - end, false_alarms / max(1, asked_calm))
+    return Result(
+        served / (best * rate * length),
+        1000 * float(np.quantile(ages, 0.99)) if ages else 0.0,
+        float(np.std(swings)) if swings else 0.0,
+        last_trouble - end,
+        false_alarms / max(1, asked_calm),
+    )
 
 
 def main() -> None:
@@ -242,17 +256,24 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=5)
     told = parser.parse_args()
-    print("| gate | clients | load | worth of the best (least to most) | own delay p99 ms | swing | recovery s "
-          "| false alarms |")
+    print(
+        "| gate | clients | load | worth of the best (least to most) | own delay p99 ms | swing | recovery s "
+        "| false alarms |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for make in GATES:
         for clients, load in product((BRIEF, AT_ONCE), (0.9, 1.5, 2.0, 4.0, 10.0)):
             runs = [simulate(make, load, seed, clients=clients, core=0.25, length=6.0) for seed in range(told.seeds)]
             worths = [r.worth for r in runs]
-            means = [float(np.mean([getattr(r, name) for r in runs]))
-                     for name in ("worth", "p99_ms", "swing", "recovery_s", "refused")]
-            print(f"| {make().name} | {clients} | {load:g} | {means[0]:.2f} ({min(worths):.2f} to {max(worths):.2f}) "
-                  f"| {means[1]:.0f} | {means[2]:.2f} | {means[3]:.1f} | {means[4]:.3f} |", flush=True)
+            means = [
+                float(np.mean([getattr(r, name) for r in runs]))
+                for name in ("worth", "p99_ms", "swing", "recovery_s", "refused")
+            ]
+            print(
+                f"| {make().name} | {clients} | {load:g} | {means[0]:.2f} ({min(worths):.2f} to {max(worths):.2f}) "
+                f"| {means[1]:.0f} | {means[2]:.2f} | {means[3]:.1f} | {means[4]:.3f} |",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/saturate.py
+++ b/benchmarks/saturate.py
@@ -76,8 +76,9 @@
     def data_received(self, data: bytes) -> None:
         """A call: nothing new for ten seconds."""
         body = b'{"version":1,"full":false,"servers":[]}'
-        asyncio.get_running_loop().call_later(10, self.transport.write, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
-                                              % len(body) + body)
+        asyncio.get_running_loop().call_later(
+            10, self.transport.write, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        )
 
 
 def serve(block: int, ready: Any, cores: set[int]) -> None:
@@ -119,8 +120,10 @@
         self.parser = httptools.HttpResponseParser(self)
         self.close = False
         self.begun = time.perf_counter()
-        self.transport.write(b"GET /read HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: %016x\r\nX-Service-Class: read\r\n"
-                             b"X-Time-Left: %d\r\n\r\n" % (self.told.serial, DEADLINE_MS // 1000))
+        self.transport.write(
+            b"GET /read HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: %016x\r\nX-Service-Class: read\r\n"
+            b"X-Time-Left: %d\r\n\r\n" % (self.told.serial, DEADLINE_MS // 1000)
+        )
 
     def data_received(self, data: bytes) -> None:
         """Bytes of an answer."""
@@ -186,9 +189,14 @@
         told.counting = False
         span = time.perf_counter() - begun
         told.took.sort()
-        pipe.send({"statuses": told.statuses, "seconds": span,
-                   "p50_ms": 1000 * told.took[len(told.took) // 2] if told.took else 0.0,
-                   "p99_ms": 1000 * told.took[int(len(told.took) * 0.99)] if told.took else 0.0})
+        pipe.send(
+            {
+                "statuses": told.statuses,
+                "seconds": span,
+                "p50_ms": 1000 * told.took[len(told.took) // 2] if told.took else 0.0,
+                "p99_ms": 1000 * told.took[int(len(told.took) * 0.99)] if told.took else 0.0,
+            }
+        )
         told.over = True
 
     uvloop.run(run())
@@ -208,15 +216,20 @@
     sidecar = run.sidecars[0]
     told = {**run.configuration(sidecar), "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}}
     (folder / "config.json").write_text(json.dumps(told))
-    child = subprocess.Popen([sys.executable, "-B", "-m", "lugtally", "serve", "--log-level", "ERROR"],
-                             env={**os.environ, "PROXY_CONFIG": str(folder / "config.json")})
+    child = subprocess.Popen(
+        [sys.executable, "-B", "-m", "lugtally", "serve", "--log-level", "ERROR"],
+        env={**os.environ, "PROXY_CONFIG": str(folder / "config.json")},
+    )
     try:
         os.sched_setaffinity(child.pid, {every[0]})
         while not run.healthy(sidecar):
             time.sleep(0.02)
         here, there = multiprocessing.Pipe()
-        clients = multiprocessing.Process(target=load, daemon=True, args=(
-            places.front(block.number, 0), connections, seconds, pause, {every[2 % len(every)]}, there))
+        clients = multiprocessing.Process(
+            target=load,
+            daemon=True,
+            args=(places.front(block.number, 0), connections, seconds, pause, {every[2 % len(every)]}, there),
+        )
         clients.start()
         process = psutil.Process(child.pid)
         assert here.recv() == "begin"
@@ -227,11 +240,17 @@
         cpu = after.user + after.system - before.user - before.system
         answers = sum(seen["statuses"].values())
         clients.join(5)
-        return {"connections": connections, "served_per_s": seen["statuses"].get(200, 0) / seen["seconds"],
-                "refused": seen["statuses"].get(503, 0), "other": answers - sum(
-                    seen["statuses"].get(s, 0) for s in (200, 503)),
-                "p50_ms": seen["p50_ms"], "p99_ms": seen["p99_ms"], "cores": cpu / seen["seconds"],
-                "cpu_us": 1e6 * cpu / max(1, answers), "rss_mb": most}
+        return {
+            "connections": connections,
+            "served_per_s": seen["statuses"].get(200, 0) / seen["seconds"],
+            "refused": seen["statuses"].get(503, 0),
+            "other": answers - sum(seen["statuses"].get(s, 0) for s in (200, 503)),
+            "p50_ms": seen["p50_ms"],
+            "p99_ms": seen["p99_ms"],
+            "cores": cpu / seen["seconds"],
+            "cpu_us": 1e6 * cpu / max(1, answers),
+            "rss_mb": most,
+        }
     finally:
         child.terminate()
         try:
@@ -260,9 +279,12 @@
         rows += runs
         middle = {name: statistics.median(run[name] for run in runs) for name in runs[0]}
         served = [run["served_per_s"] for run in runs]
-        print(f"| {connections} | {middle['served_per_s']:,.0f} ({min(served):,.0f} to {max(served):,.0f}) | "
-              f"{middle['refused']:,.0f} | {middle['other']:,.0f} | {middle['p50_ms']:.2f} | {middle['p99_ms']:.1f} | "
-              f"{middle['cpu_us']:.0f} | {max(run['rss_mb'] for run in runs):.1f} |", flush=True)
+        print(
+            f"| {connections} | {middle['served_per_s']:,.0f} ({min(served):,.0f} to {max(served):,.0f}) | "
+            f"{middle['refused']:,.0f} | {middle['other']:,.0f} | {middle['p50_ms']:.2f} | {middle['p99_ms']:.1f} | "
+            f"{middle['cpu_us']:.0f} | {max(run['rss_mb'] for run in runs):.1f} |",
+            flush=True,
+        )
     if told.json:
         told.json.write_text(json.dumps(rows, indent=1))
 
--- a/lugtally/adapter.py
+++ b/lugtally/adapter.py
@@ -39,9 +39,7 @@
 def read_servers(raw: list[list[Any]]) -> list[api.Server]:
     """Translate the lines of a ``define_list``."""
     return [
-        api.Server(row[0], row[1] or 0, row[3] or 0, STATES.get(row[4], api.State.GONE),
-                   row[6] or 0)
-        for row in raw
+        api.Server(row[0], row[1] or 0, row[3] or 0, STATES.get(row[4], api.State.GONE), row[6] or 0) for row in raw
     ]
 
 
--- a/lugtally/api.py
+++ b/lugtally/api.py
@@ -16,9 +16,9 @@
 class Effect(Enum):
     """What a class allows once one of its attempts may have run."""
 
-    SAFE = "safe"        # repeat and refuse at will
-    KEYED = "keyed"      # repeat only where, and only while, duplicates are dropped
-    UNSAFE = "unsafe"    # repeat or refuse only when it is certain that nothing ran
+    SAFE = "safe"  # repeat and refuse at will
+    KEYED = "keyed"  # repeat only where, and only while, duplicates are dropped
+    UNSAFE = "unsafe"  # repeat or refuse only when it is certain that nothing ran
 
 
 class Group(Enum):
@@ -34,7 +34,7 @@
 
     OK = "ok"
     ERROR = "error"
-    DECLINED = "declined"   # the request itself is at fault; no other server would do better
+    DECLINED = "declined"  # the request itself is at fault; no other server would do better
     REJECTED = "rejected"
     TIMEOUT = "timeout"
     NO_CONNECTION = "no_connection"
@@ -125,7 +125,7 @@
     max_advice_ns: int = 0
     ask_for_list: bool = False
     gone_binds: bool = True
-    ask_within_ns: int = 0      # how long the list may go unasked; 0: not told
+    ask_within_ns: int = 0  # how long the list may go unasked; 0: not told
     cold_from: float = 0.1
     warm_within_ns: int = 30 * SECOND
     fall_multiple: float = 2.0
@@ -133,7 +133,7 @@
     tick_ns: int = 5 * MS
     load_fields: tuple[str, ...] = ()
     tenants: tuple[Tenant, ...] = ()
-    over_share_worth: float = 1.0       # part of its worth that a request past its tenant's share still has
+    over_share_worth: float = 1.0  # part of its worth that a request past its tenant's share still has
 
     def __post_init__(self) -> None:
         _check(self, positive=("balancers", "max_attempts", "fall_multiple", "tick_ns"))
--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -57,16 +57,20 @@
     try:
         if operator is not None:
             own = _operator(operator)
-            print(f"{operator}: log {own.log.format} from {own.log.level} on, "
-                  f"own overload {'guarded' if own.overload.enabled else 'not guarded'}")
+            print(
+                f"{operator}: log {own.log.format} from {own.log.level} on, "
+                f"own overload {'guarded' if own.overload.enabled else 'not guarded'}"
+            )
             if file is None and "PROXY_CONFIG" not in os.environ:
                 return 0
         told = sidecar.load(os.environ, file)
     except ValueError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return 2
-    print(f"{told.name}: {len(told.settings.classes)} classes, {len(told.known.rows)} known destinations,"
-          f" listens at {told.listen[0]}:{told.listen[1]}")
+    print(
+        f"{told.name}: {len(told.settings.classes)} classes, {len(told.known.rows)} known destinations,"
+        f" listens at {told.listen[0]}:{told.listen[1]}"
+    )
     return 0
 
 
--- a/lugtally/cli/experiment.py
+++ b/lugtally/cli/experiment.py
@@ -22,8 +22,9 @@
     try:
         told = experiments.read(file)
         if told.measure not in compare.MEASURES:
-            raise scenario.ScenarioError(f"{file.name}: measure: {told.measure!r} is none of "
-                                         f"{', '.join(compare.MEASURES)}")
+            raise scenario.ScenarioError(
+                f"{file.name}: measure: {told.measure!r} is none of {', '.join(compare.MEASURES)}"
+            )
     except scenario.ScenarioError as error:
         return rehearse.complain(error)
     return rehearse.play(told, out or file.with_suffix(""), at_once, table=True)
--- a/lugtally/cli/rehearse.py
+++ b/lugtally/cli/rehearse.py
@@ -79,14 +79,18 @@
     from rich.console import Console
     from rich.progress import Progress, TextColumn
 
-    with Progress(TextColumn("{task.description}"), *Progress.get_default_columns()[1:],
-                  console=Console(stderr=True), transient=True) as bar:
+    with Progress(
+        TextColumn("{task.description}"),
+        *Progress.get_default_columns()[1:],
+        console=Console(stderr=True),
+        transient=True,
+    ) as bar:
         task = bar.add_task(title, total=total)
         yield lambda at, what: bar.update(task, completed=at, description=f"{title}: {what}")
 
 
 def _terminate(_number: int, _frame: Any) -> None:
-    raise KeyboardInterrupt     # a planned stop ends a run as Ctrl-C does: no process is left
+    raise KeyboardInterrupt  # a planned stop ends a run as Ctrl-C does: no process is left
 
 
 @click.group()
@@ -134,8 +138,10 @@
     except scenario.ScenarioError as error:
         return complain(error)
     told = drawn.scenario
-    print(f"{told.name}: {told.length_s:g} s, {told.fleet.servers} servers, {told.fleet.sidecars} sidecars, "
-          f"{drawn.rate:.0f} first tries/s, {len(drawn.arrivals)} in all, the list {drawn.notice:.1f} s late")
+    print(
+        f"{told.name}: {told.length_s:g} s, {told.fleet.servers} servers, {told.fleet.sidecars} sidecars, "
+        f"{drawn.rate:.0f} first tries/s, {len(drawn.arrivals)} in all, the list {drawn.notice:.1f} s late"
+    )
     for event in drawn.events:
         where = ", ".join(drawn.machines[at].id for at in event.servers[:6])
         print(f"{event.at:7.2f} s  {'begin' if event.begins else 'end  '} {event.trouble.kind:14} {where}")
@@ -144,16 +150,23 @@
 
 @rehearse.command()
 @click.argument("names", nargs=-1, required=True)
-@click.option("--seed", "--seeds", "seeds", default="1", show_default=True, callback=seeds_of,
-              help="3, 1-5 or 1,4,9")
+@click.option("--seed", "--seeds", "seeds", default="1", show_default=True, callback=seeds_of, help="3, 1-5 or 1,4,9")
 @click.option("--policy", default="module", show_default=True, help="module, or a baseline of the kit")
 @click.option("--operator", type=click.Path(path_type=Path, exists=True), help="an operator's file for the sidecars")
 @click.option("--json", "json_file", type=click.Path(path_type=Path), help="write the reports there")
 @click.option("--html", "html_file", type=click.Path(path_type=Path), help="write a page on the last run there")
 @click.option("--keep", type=click.Path(path_type=Path), help="keep books, logs and configurations in this folder")
 @click.option("--progress/--no-progress", default=None, help="a bar on the terminal")
-def run(names: tuple[str, ...], seeds: tuple[int, ...], policy: str, operator: Path | None, json_file: Path | None,
-        html_file: Path | None, keep: Path | None, progress: bool | None) -> int:
+def run(
+    names: tuple[str, ...],
+    seeds: tuple[int, ...],
+    policy: str,
+    operator: Path | None,
+    json_file: Path | None,
+    html_file: Path | None,
+    keep: Path | None,
+    progress: bool | None,
+) -> int:
     """Play scenarios, shipped ones by name or files, and judge each run."""
     need_kit()
     from lugtally.rehearsal import render, runner, scenario
@@ -190,8 +203,7 @@
     return INTERRUPTED if interrupted else status_of(done)
 
 
-def _play(told: Scenario, seed: int, policy: str, operator: Path | None, folder: Path | None,
-          shown: bool) -> Report:
+def _play(told: Scenario, seed: int, policy: str, operator: Path | None, folder: Path | None, shown: bool) -> Report:
     from lugtally.rehearsal.runner import Run
 
     with _progress(shown, f"{told.name} {seed}", told.length_s) as watch:
@@ -201,8 +213,13 @@
 @rehearse.command("all")
 @click.option("--seed", "--seeds", "seeds", default="1", show_default=True, callback=seeds_of)
 @click.option("--policy", default="module", show_default=True)
-@click.option("--out", type=click.Path(path_type=Path), default=Path("rehearsal"), show_default=True,
-              help="folder of the reports; runs whose report is there are not played again")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    default=Path("rehearsal"),
+    show_default=True,
+    help="folder of the reports; runs whose report is there are not played again",
+)
 @click.option("--at-once", type=int, default=None, help="runs side by side  [default: a run for each 4 cores]")
 def all_(seeds: tuple[int, ...], policy: str, out: Path, at_once: int | None) -> int:
     """The full rehearsal: every shipped scenario, side by side within the cores there are."""
@@ -222,8 +239,9 @@
     todo = experiment.cells(told)
     with _progress(sys.stderr.isatty(), told.name, len(todo)) as watch:
         try:
-            found = experiment.play(todo, out, at_once or experiment.at_once(told.cores_each),
-                                    lambda done, _of, what: watch(done, what))
+            found = experiment.play(
+                todo, out, at_once or experiment.at_once(told.cores_each), lambda done, _of, what: watch(done, what)
+            )
         except KeyboardInterrupt:
             print(f"lugtally: interrupted; the same command goes on from {out}", file=sys.stderr)
             return INTERRUPTED
@@ -281,7 +299,14 @@
         table.add_column(name, justify="right")
     table.add_column("")
     for one in differences:
-        table.add_row(one.measure, str(one.pairs), f"{one.a:.4f}", f"{one.b:.4f}", f"{one.mean:+.4f}",
-                      f"{one.low:+.4f} to {one.high:+.4f}", one.word)
+        table.add_row(
+            one.measure,
+            str(one.pairs),
+            f"{one.a:.4f}",
+            f"{one.b:.4f}",
+            f"{one.mean:+.4f}",
+            f"{one.low:+.4f} to {one.high:+.4f}",
+            one.word,
+        )
     render.wide().print(table)
     return 0
--- a/lugtally/config/operator.py
+++ b/lugtally/config/operator.py
@@ -38,7 +38,7 @@
 class Control(Struct, frozen=True, forbid_unknown_fields=True):
     """``[control]``: a Unix socket that says how the sidecar is."""
 
-    socket: str = ""        # its path; empty: none
+    socket: str = ""  # its path; empty: none
 
 
 class Operator(Struct, frozen=True, forbid_unknown_fields=True):
--- a/lugtally/config/server_list.py
+++ b/lugtally/config/server_list.py
@@ -10,7 +10,7 @@
 from hashlib import blake2b
 from typing import Any
 
-UNNAMED = -1    # in the place of a destination's number, where a row does not even name it
+UNNAMED = -1  # in the place of a destination's number, where a row does not even name it
 
 
 @dataclass(slots=True)
@@ -32,7 +32,7 @@
     version: int
     full: bool
     rows: list[Row]
-    unread: dict[int, str] = field(default_factory=dict)    # destinations whose row cannot be read -> what is wrong
+    unread: dict[int, str] = field(default_factory=dict)  # destinations whose row cannot be read -> what is wrong
 
 
 def read_address(text: Any, field: str) -> tuple[str, int]:
@@ -83,7 +83,7 @@
     state, cell, started = raw.get("state"), raw.get("cell"), raw.get("started_ms") or 0
     number = number_of(raw["id"])
     if cell is None:
-        cell = ~number      # not told: no group that drops repeats, so it is by itself
+        cell = ~number  # not told: no group that drops repeats, so it is by itself
     if not isinstance(state, str):
         raise ValueError(f"{field}.state: {state!r} is no text")
     if not isinstance(cell, int) or isinstance(cell, bool):
--- a/lugtally/config/sidecar.py
+++ b/lugtally/config/sidecar.py
@@ -39,9 +39,9 @@
     zones: tuple[str, ...]
     keepalive_ns: int
     connect_timeout_ns: int
-    answers_report: bool    # answers carry load reports
-    inherited: int | None = None    # the front socket's descriptor, where the platform holds it
-    operators: tuple[str, int] | None = None    # the address for operators' calls; none: off
+    answers_report: bool  # answers carry load reports
+    inherited: int | None = None  # the front socket's descriptor, where the platform holds it
+    operators: tuple[str, int] | None = None  # the address for operators' calls; none: off
 
 
 def load(environment: Mapping[str, str], path: str | None = None, *, again: bool = False) -> Config:
--- a/lugtally/control/counters.py
+++ b/lugtally/control/counters.py
@@ -12,10 +12,10 @@
 
     def __init__(self, names: tuple[str, ...]) -> None:
         self._names = names
-        self.success = [0] * len(names)     # by class: served
-        self.overload = [0] * len(names)    # a busy reply: asking again does no harm
-        self.error = [0] * len(names)       # failed, or at fault
-        self.dispatches = 0                 # attempts whose last byte was written
+        self.success = [0] * len(names)  # by class: served
+        self.overload = [0] * len(names)  # a busy reply: asking again does no harm
+        self.error = [0] * len(names)  # failed, or at fault
+        self.dispatches = 0  # attempts whose last byte was written
 
     def served(self, cls: int) -> None:
         """A request of that class was served."""
@@ -35,8 +35,10 @@
     def figures(self, concurrent: int, targets: int, disabled: int) -> dict[str, Any]:
         """The object of the page, with what the books hold and what is in force now."""
         return {
-            "replies": {name: {"success": self.success[at], "overload": self.overload[at], "error": self.error[at]}
-                        for at, name in enumerate(self._names)},
+            "replies": {
+                name: {"success": self.success[at], "overload": self.overload[at], "error": self.error[at]}
+                for at, name in enumerate(self._names)
+            },
             "dispatches": self.dispatches,
             "concurrent": concurrent,
             "targets": targets,
--- a/lugtally/control/drains.py
+++ b/lugtally/control/drains.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 FORMAT = 1
-MOST_BANS = 4096        # more than any list holds; a larger file is no file of ours
+MOST_BANS = 4096  # more than any list holds; a larger file is no file of ours
 
 
 class BanFile:
@@ -23,7 +23,7 @@
     def __init__(self, folder: str, name: str) -> None:
         safe = "".join(c if c.isalnum() or c in "-_." else "_" for c in name)[:64] or "sidecar"
         self.path = Path(folder) / f"lugtally-{safe}-drains.json"
-        self._seen: tuple[int, int, int] | None = None      # what the file was when last read or written
+        self._seen: tuple[int, int, int] | None = None  # what the file was when last read or written
 
     def read(self) -> set[str] | None:
         """The bans in the file; none where there is no file, or it has not changed since it was last seen.
@@ -46,8 +46,13 @@
             return decode(self.path.read_bytes())
         except (OSError, ValueError) as error:
             aside = self.path.with_suffix(".bad")
-            logger.error("the drains by hand in {path} are not used: {why}; the file is kept as {aside}",
-                         event="drains.refused", path=str(self.path), why=str(error), aside=aside.name)
+            logger.error(
+                "the drains by hand in {path} are not used: {why}; the file is kept as {aside}",
+                event="drains.refused",
+                path=str(self.path),
+                why=str(error),
+                aside=aside.name,
+            )
             try:
                 os.replace(self.path, aside)
             except OSError:
--- a/lugtally/control/listener.py
+++ b/lugtally/control/listener.py
@@ -14,7 +14,7 @@
 from lugtally.hub.scheduler import MS, READ, WRITE, Hub, Signal, Woken
 from lugtally.net.http1 import BadMessage, Parser, write_answer
 
-WHOLE_NS = 2000 * MS        # from connecting to the end of the call
+WHOLE_NS = 2000 * MS  # from connecting to the end of the call
 WRITE_NS = 1000 * MS
 MOST_CALLERS = 32
 MOST_BODY = 1024
@@ -74,8 +74,9 @@
             except (BlockingIOError, ConnectionAbortedError):
                 continue
             except OSError as error:
-                logger.warning("the operators' address cannot accept: {why}", event="control.cannot-accept",
-                               why=error.strerror)
+                logger.warning(
+                    "the operators' address cannot accept: {why}", event="control.cannot-accept", why=error.strerror
+                )
                 self._hub.sleep(20 * MS)
                 continue
             sock.setblocking(False)
@@ -87,8 +88,7 @@
         try:
             status, body = self._call(caller)
             if status:
-                self._write(caller, write_answer(status, body, [("Content-Type", _kind(status, body))],
-                                                 close=True))
+                self._write(caller, write_answer(status, body, [("Content-Type", _kind(status, body))], close=True))
         except OSError as error:
             logger.debug("an operator's call broke: {why}", event="control.broke", why=str(error))
         finally:
@@ -133,7 +133,7 @@
         until = self._hub.now() + WRITE_NS
         while view:
             try:
-                view = view[caller.sock.send(view):]
+                view = view[caller.sock.send(view) :]
             except BlockingIOError:
                 if self._hub.wait(caller.sock.fileno(), WRITE, until) is not Woken.READY:
                     return
--- a/lugtally/ending.py
+++ b/lugtally/ending.py
@@ -45,5 +45,8 @@
 
 
 WRITTEN = frozenset(ending for ending in Ending if not ending.name.endswith("_UNSENT")) - {
-    Ending.REFUSED, Ending.CONNECT_SLOW, Ending.NO_SOCKET}
+    Ending.REFUSED,
+    Ending.CONNECT_SLOW,
+    Ending.NO_SOCKET,
+}
 """Endings of steps whose last byte was written: the attempts that the counters call dispatches."""
--- a/lugtally/facade.py
+++ b/lugtally/facade.py
@@ -22,7 +22,7 @@
 from lugtally.overload.gate import Gate
 
 BACKSTOP_NS = 20 * api.MS
-UNKNOWN = -1    # the tenant of a request that names none, or one that the settings do not know
+UNKNOWN = -1  # the tenant of a request that names none, or one that the settings do not know
 
 
 @dataclass(slots=True)
@@ -57,21 +57,35 @@
 class Ask:
     """One request as the facade sees it, from its arrival to its final answer."""
 
-    __slots__ = ("id", "cls", "tenant", "deadline", "is_retry", "cancel", "verdicts", "signal", "sent", "out", "over",
-                 "begun", "streamed")
-
-    def __init__(self, hub: Hub, cls: int, deadline: int, is_retry: bool,
-                 cancel: Callable[[int], None], tenant: int = UNKNOWN) -> None:
+    __slots__ = (
+        "id",
+        "cls",
+        "tenant",
+        "deadline",
+        "is_retry",
+        "cancel",
+        "verdicts",
+        "signal",
+        "sent",
+        "out",
+        "over",
+        "begun",
+        "streamed",
+    )
+
+    def __init__(
+        self, hub: Hub, cls: int, deadline: int, is_retry: bool, cancel: Callable[[int], None], tenant: int = UNKNOWN
+    ) -> None:
         self.id = ""
         self.cls, self.deadline, self.is_retry, self.tenant = cls, deadline, is_retry, tenant
-        self.cancel = cancel                    # calls off the step of that number; reports it later
+        self.cancel = cancel  # calls off the step of that number; reports it later
         self.verdicts: deque[Verdict] = deque()
         self.signal = Signal(hub)
-        self.sent: list[tuple[int, int]] = []   # by step: destination, when
+        self.sent: list[tuple[int, int]] = []  # by step: destination, when
         self.out: set[int] = set()
         self.over = False
         self.begun = False
-        self.streamed = -1      # the step whose answer is passed on as it comes: the request is bound to it
+        self.streamed = -1  # the step whose answer is passed on as it comes: the request is bound to it
 
 
 @dataclass(slots=True)
@@ -133,15 +147,15 @@
         self._count = 0
         self._timers: list[tuple[int, int, str]] = []
         self._gate: Gate | None = None
-        self._ends = {"left": 0, "own_overload": 0}     # the rest is in the counters
-        self._usual: dict[int, float] = {}      # class -> how long an answer usually takes, nanoseconds
+        self._ends = {"left": 0, "own_overload": 0}  # the rest is in the counters
+        self._usual: dict[int, float] = {}  # class -> how long an answer usually takes, nanoseconds
         self._close_idle: Callable[[int], None] = lambda _: None
         self._watch: Callable[[], None] = lambda: None
         self.counters = Counters(tuple(cls.name for cls in settings.classes))
-        self._lines: dict[int, Listed] = {}     # each listed destination as discovery last told it
-        self._ever: set[int] = set()            # every destination listed since the start
-        self._banned: set[int] = set()          # drained by hand: the module hears of them as draining
-        self._eased: dict[int, int] = {}        # back from a ban: cold from then on, whatever the list says
+        self._lines: dict[int, Listed] = {}  # each listed destination as discovery last told it
+        self._ever: set[int] = set()  # every destination listed since the start
+        self._banned: set[int] = set()  # drained by hand: the module hears of them as draining
+        self._eased: dict[int, int] = {}  # back from a ban: cold from then on, whatever the list says
 
     def register(self, close_idle: Callable[[int], None], watch: Callable[[], None]) -> None:
         """Who closes idle connections to a destination, and who watches the server list."""
@@ -169,21 +183,26 @@
     def counted(self) -> dict[str, int]:
         """Requests by how they ended so far, and those in progress."""
         books = self.counters
-        return {"in_progress": len(self._asks), "served": sum(books.success),
-                "busy": sum(books.overload) - self._ends["own_overload"], "failed": sum(books.error), **self._ends}
+        return {
+            "in_progress": len(self._asks),
+            "served": sum(books.success),
+            "busy": sum(books.overload) - self._ends["own_overload"],
+            "failed": sum(books.error),
+            **self._ends,
+        }
 
     def pick(self, ask: Ask) -> Verdict:
         """Block until the next verdict on a request; the first call hands it to the module."""
         if not ask.begun:
             ask.begun = True
             self._count += 1
-            ask.id = str(self._count)   # our own: a client that repeats an id in flight must not lose one
+            ask.id = str(self._count)  # our own: a client that repeats an id in flight must not lose one
             self._asks[ask.id] = ask
             left = max(0, ask.deadline - self._hub.now())
             self._feed(api.Request(ask.id, ask.cls, ask.tenant, left, ask.is_retry))
         while not ask.verdicts:
             if ask.streamed >= 0:
-                ask.signal.wait()       # its answer has begun: the stream's own end ends it, however long it takes
+                ask.signal.wait()  # its answer has begun: the stream's own end ends it, however long it takes
                 continue
             ask.signal.wait(ask.deadline + BACKSTOP_NS)
             if not ask.verdicts and ask.streamed < 0 and self._hub.now() >= ask.deadline + BACKSTOP_NS:
@@ -235,10 +254,14 @@
 
     def _server(self, line: Listed) -> api.Server:
         """A line of the list as the module is told it: a server drained by hand drains, whatever the list says."""
-        state = api.State.DRAINING if line.number in self._banned and line.state != "gone" else (
-            STATES.get(line.state, api.State.GONE))
-        return api.Server(line.number, line.zone, line.cell, state, max(line.started_ns,
-                                                                         self._eased.get(line.number, 0)))
+        state = (
+            api.State.DRAINING
+            if line.number in self._banned and line.state != "gone"
+            else (STATES.get(line.state, api.State.GONE))
+        )
+        return api.Server(
+            line.number, line.zone, line.cell, state, max(line.started_ns, self._eased.get(line.number, 0))
+        )
 
     # ------------------------------------------------------------ drains by hand
 
@@ -292,15 +315,18 @@
         took = self._hub.now() - sent
         if news.ending in WRITTEN:
             self.counters.dispatches += 1
-        self._feed(api.Outcome(ask.id, news.number, destination, RESULTS[news.ending], won or ask.over or bound,
-                               took, news.load))
+        self._feed(
+            api.Outcome(
+                ask.id, news.number, destination, RESULTS[news.ending], won or ask.over or bound, took, news.load
+            )
+        )
         if won:
             usual = self._usual.setdefault(ask.cls, float(took))
             self._usual[ask.cls] = usual + 0.1 * (took - usual)
             self.counters.served(ask.cls)
             self._end(ask, Over())
         elif bound:
-            self._end(ask, Failed())    # half an answer has gone out: the client's connection ends
+            self._end(ask, Failed())  # half an answer has gone out: the client's connection ends
 
     def _end(self, ask: Ask, verdict: Verdict) -> None:
         """The request is over: its last verdict, and an end to the steps that are still out."""
--- a/lugtally/hub/scheduler.py
+++ b/lugtally/hub/scheduler.py
@@ -19,8 +19,8 @@
 
 MS = 1_000_000
 LONGEST_POLL_NS = 1000 * MS
-WAITED_NS = 100_000     # a poll that took longer found nothing ready and waited
-FEW_TIMERS = 256        # not worth clearing of those that have ended
+WAITED_NS = 100_000  # a poll that took longer found nothing ready and waited
+FEW_TIMERS = 256  # not worth clearing of those that have ended
 READ = select.POLLIN
 WRITE = select.POLLOUT
 LEFT = select.POLLRDHUP
@@ -42,7 +42,7 @@
     def __init__(self, task: Task) -> None:
         self.task = task
         self.done = False
-        self.timed = False      # it stands in the heap of timers
+        self.timed = False  # it stands in the heap of timers
 
 
 class Task:
@@ -64,14 +64,14 @@
         self._handlers: dict[int, Callable[[int], None]] = {}
         self._timers: list[tuple[int, int, _Wait]] = []
         self._count = 0
-        self._ended = 0         # timers in the heap whose wait is over
+        self._ended = 0  # timers in the heap whose wait is over
         self._ready: deque[tuple[_Wait, Woken]] = deque()
         self._main = greenlet.getcurrent()
         self._current: Task | None = None
         self._stopped = False
-        self.latest_ns = 0      # the most that a timer was late since it was last read
-        self._polled = 0        # when the last poll returned
-        self._turn_ns = 0       # how long the turn before it took; 0 where the poll had to wait
+        self.latest_ns = 0  # the most that a timer was late since it was last read
+        self._polled = 0  # when the last poll returned
+        self._turn_ns = 0  # how long the turn before it took; 0 where the poll had to wait
 
     # ------------------------------------------------------------ clocks
 
@@ -196,7 +196,7 @@
         while True:
             self._run_ready()
             if self._stopped:
-                return      # before the poll, which might last a second longer
+                return  # before the poll, which might last a second longer
             due = tick()
             if self._ready:
                 continue
@@ -247,7 +247,7 @@
 
     def set(self) -> None:
         """Wake the waiting tasks, or let the next wait pass."""
-        live = [wait for wait in self._waits if not wait.done]     # one that timed out in this turn was not woken
+        live = [wait for wait in self._waits if not wait.done]  # one that timed out in this turn was not woken
         self._set = not live
         for wait in live:
             self._hub._resume(wait, Woken.READY)
--- a/lugtally/logs.py
+++ b/lugtally/logs.py
@@ -18,16 +18,20 @@
 
 TEXT = "{time:HH:mm:ss.SSS} {level: <7} {message}"
 Format = Literal["text", "json"]
-UNNAMED = "unnamed"     # a line without an event's name would be a slip of ours
+UNNAMED = "unnamed"  # a line without an event's name would be a slip of ours
 
 
 def _json(message: Message) -> None:
     """One object: time, level, event, text, the event's fields, and the trace of what was raised."""
     record = message.record
     fields = dict(record["extra"])
-    line = {"time": record["time"].astimezone(UTC).isoformat(timespec="milliseconds"),
-            "level": record["level"].name.lower(), "event": fields.pop("event", UNNAMED), "text": record["message"],
-            **fields}
+    line = {
+        "time": record["time"].astimezone(UTC).isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "event": fields.pop("event", UNNAMED),
+        "text": record["message"],
+        **fields,
+    }
     if (raised := record["exception"]) is not None and raised.value is not None:
         line["raised"] = "".join(traceback.format_exception(raised.value))
     sys.stderr.write(ujson.dumps(line, default=str, escape_forward_slashes=False) + "\n")
--- a/lugtally/net/destination.py
+++ b/lugtally/net/destination.py
@@ -22,7 +22,7 @@
 from lugtally.hub.scheduler import MS, READ, WRITE, Hub, Woken
 from lugtally.net.http1 import MOST_BODY, BadMessage, BodyFrame, Forward, Message, Parser
 
-STREAM_STALL_NS = 5000 * MS     # a streamed answer that does not move for this long is broken off
+STREAM_STALL_NS = 5000 * MS  # a streamed answer that does not move for this long is broken off
 
 CHUNK = 64 * 1024
 # An answer may bring more than belongs to it, some milliseconds behind.  A connection is used again only after this
@@ -77,9 +77,9 @@
     """What the settings and the machine allow for connections."""
 
     connect_ns: int
-    idle_ns: int        # an idle connection is retired after this; the server closes it a little later
-    most: int           # connections to all destinations together
-    most_answer: int = MOST_BODY    # the longest body of an answer: it is held whole until it is passed on
+    idle_ns: int  # an idle connection is retired after this; the server closes it a little later
+    most: int  # connections to all destinations together
+    most_answer: int = MOST_BODY  # the longest body of an answer: it is held whole until it is passed on
 
 
 class Destinations:
@@ -90,8 +90,8 @@
         self._limits = limits
         self._load_fields = load_fields
         self._addresses: dict[int, tuple[str, int]] = {}
-        self._idle: dict[int, list[Link]] = {}      # the most recently used last
-        self._settling: set[int] = set()    # destinations where a step waits for a connection to settle
+        self._idle: dict[int, list[Link]] = {}  # the most recently used last
+        self._settling: set[int] = set()  # destinations where a step waits for a connection to settle
         self.open = 0
 
     def place(self, number: int, address: tuple[str, int]) -> None:
@@ -117,8 +117,9 @@
             while links and links[0].idle_since < before:
                 self._close(links.pop(0), watched=True)
 
-    def run(self, number: int, forward: Forward, until: int, claim: Claim | None = None,
-            may: May = _always) -> tuple[Ending, Message | None]:
+    def run(
+        self, number: int, forward: Forward, until: int, claim: Claim | None = None, may: May = _always
+    ) -> tuple[Ending, Message | None]:
         """One attempt, in its own task; interrupting the task calls the step off.
 
         A 200 with a long, chunked or unbounded body is passed on as it comes, where ``claim`` gives a sink; its
@@ -130,7 +131,7 @@
             link = self._reuse(number, until) or self._connect(number, until)
             left = until - self._hub.now()
             if left <= 0:
-                raise _StepOver(Ending.TIMED_OUT_UNSENT)    # the connection came up too late to send
+                raise _StepOver(Ending.TIMED_OUT_UNSENT)  # the connection came up too late to send
             if not may():
                 self._give_back(number, link)
                 return Ending.CANCELLED_UNSENT, None
@@ -159,7 +160,7 @@
             report = ujson.loads(text)
             load = tuple(float(report[name]) for name in self._load_fields)
         except (ValueError, KeyError, TypeError, ArithmeticError):
-            return None     # a report that cannot be read is as good as none
+            return None  # a report that cannot be read is as good as none
         return load if all(0 <= value < inf for value in load) else None
 
     # ------------------------------------------------------------ connections
@@ -169,13 +170,13 @@
         links = self._idle.get(number)
         while links:
             settled = self._hub.now() - SETTLE_NS
-            calm = sum(link.idle_since <= settled for link in links)    # they stand first
+            calm = sum(link.idle_since <= settled for link in links)  # they stand first
             if not calm and number in self._settling:
-                return None     # a second one would wait as well: this rate of requests needs another connection
+                return None  # a second one would wait as well: this rate of requests needs another connection
             link = links.pop(max(0, calm - 1))
             self._hub.unwatch(link.fd)
             if link.idle_since < settled - self._limits.idle_ns:
-                self._close(link)       # the other side closes it about now: a request would end as a reset
+                self._close(link)  # the other side closes it about now: a request would end as a reset
                 continue
             try:
                 if link.idle_since > settled:
@@ -191,15 +192,15 @@
                 return link
             except OSError:
                 pass
-            self._close(link)       # it has ended, or holds bytes that belong to no answer
+            self._close(link)  # it has ended, or holds bytes that belong to no answer
         return None
 
     def _give_back(self, number: int, link: Link) -> None:
         """Keep the connection for later; whatever comes on it meanwhile ends it."""
-        if link.address != self._addresses.get(number):     # the destination is gone or has moved meanwhile
+        if link.address != self._addresses.get(number):  # the destination is gone or has moved meanwhile
             self._close(link)
             return
-        link.idle_since = link.idle_since or self._hub.now()    # one that was taken and not used is as old as before
+        link.idle_since = link.idle_since or self._hub.now()  # one that was taken and not used is as old as before
         insort(self._idle.setdefault(number, []), link, key=lambda other: other.idle_since)
 
         def ended(_: int) -> None:
@@ -216,8 +217,7 @@
 
     def _make_room(self) -> None:
         """Close the connection that has been idle longest, so that a step is not refused a descriptor."""
-        oldest = min((links for links in self._idle.values() if links), key=lambda ls: ls[0].idle_since,
-                     default=None)
+        oldest = min((links for links in self._idle.values() if links), key=lambda ls: ls[0].idle_since, default=None)
         if oldest is not None:
             self._close(oldest.pop(0), watched=True)
 
@@ -228,7 +228,7 @@
                 raise _StepOver(Ending.NO_SOCKET)
         address = self._addresses.get(number)
         if address is None:
-            raise _StepOver(Ending.REFUSED)     # it went while the step was on its way
+            raise _StepOver(Ending.REFUSED)  # it went while the step was on its way
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         try:
             sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -246,8 +246,13 @@
                 self._await(link, WRITE, min(limit, until), late, Ending.CANCELLED_UNSENT)
                 code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
-                logger.debug("connecting to {host}:{port}: {why}", event="destination.refused", host=address[0],
-                             port=address[1], why=os.strerror(code))
+                logger.debug(
+                    "connecting to {host}:{port}: {why}",
+                    event="destination.refused",
+                    host=address[0],
+                    port=address[1],
+                    why=os.strerror(code),
+                )
                 raise _StepOver(Ending.REFUSED)
         except BaseException:
             self._close(link)
@@ -267,7 +272,7 @@
             if not may():
                 raise _StepOver(Ending.CANCELLED_UNSENT)
             try:
-                view = view[link.sock.send(view):]
+                view = view[link.sock.send(view) :]
             except BlockingIOError:
                 self._await(link, WRITE, until, Ending.TIMED_OUT_UNSENT, Ending.CANCELLED_UNSENT)
             except OSError as error:
@@ -292,7 +297,6 @@
             if not data:
                 raise _StepOver(Ending.BROKEN)
 
-
     def _pass_on(self, link: Link, answer: Message, claim: Claim | None, until: int) -> Ending:
         """Pump a long answer's body to the client as it comes; beyond its beginning a read of it at most is held."""
         frame, data = link.parser.rest()
@@ -302,7 +306,7 @@
                 held, ended = self._hold(link, frame, data, until)
                 data = b""
                 if ended and frame.until_close:
-                    answer.body, answer.streamed = held, False      # whole: an answer like any other
+                    answer.body, answer.streamed = held, False  # whole: an answer like any other
                     return Ending.SERVED
             sink = claim(answer) if claim is not None else None
             if sink is None or not sink.send(held):
@@ -310,7 +314,7 @@
             while True:
                 count = frame.feed(data)
                 if count and not sink.send(memoryview(data)[:count]):
-                    return Ending.CANCELLED     # the client went, or stopped reading
+                    return Ending.CANCELLED  # the client went, or stopped reading
                 if frame.done:
                     return Ending.SERVED
                 why = self._hub.wait(link.fd, READ, self._hub.now() + STREAM_STALL_NS)
@@ -334,7 +338,7 @@
         Nothing of it has reached the client yet: where the connection breaks, or the body does not end in time, the
         request can still be tried elsewhere or answered as failed.
         """
-        told = bytearray(data[:frame.feed(data)])
+        told = bytearray(data[: frame.feed(data)])
         while not frame.done and len(told) <= MOST_BODY:
             self._await(link, READ, until, Ending.TIMED_OUT, Ending.CANCELLED)
             try:
@@ -345,7 +349,7 @@
                 if frame.until_close:
                     return bytes(told), True
                 raise _StepOver(Ending.BROKEN)
-            told += data[:frame.feed(data)]
+            told += data[: frame.feed(data)]
         return bytes(told), frame.done
 
 
@@ -353,7 +357,7 @@
     if answer.status == 200:
         return Ending.SERVED
     if answer.status in (503, 504) and answer.names.get("x-unprocessed") == "1":
-        return Ending.TURNED_AWAY       # only the mark proves that the request never ran
+        return Ending.TURNED_AWAY  # only the mark proves that the request never ran
     if 400 <= answer.status < 500 and answer.status not in (408, 425, 429):
         return Ending.DECLINED
     return Ending.ERRORED
@@ -378,5 +382,3 @@
 def idle_limit(keepalive_ns: int) -> int:
     """When to retire an idle connection: early enough that no request crosses the other side's closing."""
     return keepalive_ns - min(2000 * MS, keepalive_ns // 5)
-
-
--- a/lugtally/net/front.py
+++ b/lugtally/net/front.py
@@ -15,31 +15,42 @@
 from lugtally.net.http1 import METHODS, BadMessage, Forward, Message, Parser, write_answer, write_streamed_head
 
 HEALTH = "/_health"
-CHUNK = 16 * 1024          # small, as each front socket may hold that much of what it has not parsed
+CHUNK = 16 * 1024  # small, as each front socket may hold that much of what it has not parsed
 BACKLOG = 1024
 # A front socket without a request.  Clients may hold only so many, and some ask once and keep theirs for
 # good: what rests for longer keeps out requests that have come.
 IDLE_NS = 2_050 * MS
-PARTIAL_NS = 2_500 * MS     # from a request's first byte, or from connecting, until it is whole
-STALL_NS = 5_000 * MS       # an answer that the client does not take
-LINGER_NS = 1_000 * MS      # of silence, and in all, of a client that was told of its fault and sends on
+PARTIAL_NS = 2_500 * MS  # from a request's first byte, or from connecting, until it is whole
+STALL_NS = 5_000 * MS  # an answer that the client does not take
+LINGER_NS = 1_000 * MS  # of silence, and in all, of a client that was told of its fault and sends on
 LINGER_MOST_NS = 2_500 * MS
-CLOSE_NS = 300 * MS         # both, where the answer alone ends the connection, or the fault took long to see
-CLOSING_NS = 500 * MS       # half a request at the end of a planned restart
-ACCEPT_MOST = 16            # in one turn of the hub: hundreds at once must not hold up requests in progress
-ACCEPT_AFTER_TERM_NS = 500 * MS     # new connections keep coming that long at a planned restart
-ROOM_NS = 100 * MS          # how often another resting front socket gives way while there is no room
+CLOSE_NS = 300 * MS  # both, where the answer alone ends the connection, or the fault took long to see
+CLOSING_NS = 500 * MS  # half a request at the end of a planned restart
+ACCEPT_MOST = 16  # in one turn of the hub: hundreds at once must not hold up requests in progress
+ACCEPT_AFTER_TERM_NS = 500 * MS  # new connections keep coming that long at a planned restart
+ROOM_NS = 100 * MS  # how often another resting front socket gives way while there is no room
 NO_DESCRIPTOR_PAUSE_NS = 20 * MS
-SWEEP_NS = 100 * MS         # the last connections of a planned restart: how long to empty the backlog
-FRESH_NS = 100 * MS         # and how long their first bytes may be on the way
-RESET = struct.pack("ii", 1, 0)     # as SO_LINGER: the close resets the connection
+SWEEP_NS = 100 * MS  # the last connections of a planned restart: how long to empty the backlog
+FRESH_NS = 100 * MS  # and how long their first bytes may be on the way
+RESET = struct.pack("ii", 1, 0)  # as SO_LINGER: the close resets the connection
 MOST_LEFT_S = 3600.0
-MOST_HEALTH = 200           # health calls a second that are answered at once, of all front sockets together
-HEALTH_PAUSE_NS = 50 * MS   # each further one waits that long: a tight loop of them must not eat the core
+MOST_HEALTH = 200  # health calls a second that are answered at once, of all front sockets together
+HEALTH_PAUSE_NS = 50 * MS  # each further one waits that long: a tight loop of them must not eat the core
 
 # Of a destination's answer, what concerns the connection to it alone.
-_OWN = frozenset({"connection", "keep-alive", "content-length", "transfer-encoding", "trailer", "upgrade",
-                  "proxy-connection", "x-backend-load", "x-unprocessed"})
+_OWN = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "content-length",
+        "transfer-encoding",
+        "trailer",
+        "upgrade",
+        "proxy-connection",
+        "x-backend-load",
+        "x-unprocessed",
+    }
+)
 
 Answer = tuple[int, bytes, list[tuple[str, str]]]
 
@@ -63,11 +74,11 @@
         self.fd = sock.fileno()
         self.parser = Parser(responses=False)
         self.signal = Signal(hub)
-        self.since = hub.now()      # when it came to rest, or its present request began
-        self.asked = False          # a whole request has come on it
-        self.resting = False        # nothing of a request has come
-        self.unwanted = False       # it is to be closed unless a request has come
-        self.cut = False            # its answer has begun and cannot be finished: the end must not look like one
+        self.since = hub.now()  # when it came to rest, or its present request began
+        self.asked = False  # a whole request has come on it
+        self.resting = False  # nothing of a request has come
+        self.unwanted = False  # it is to be closed unless a request has come
+        self.cut = False  # its answer has begun and cannot be finished: the end must not look like one
 
 
 class _Exchange:
@@ -75,15 +86,16 @@
 
     __slots__ = ("hub", "ask", "forward", "tasks", "answer", "gone", "front", "streamed")
 
-    def __init__(self, hub: Hub, forward: Forward, cls: int, deadline: int, is_retry: bool, tenant: int,
-                 front: FrontSocket) -> None:
+    def __init__(
+        self, hub: Hub, forward: Forward, cls: int, deadline: int, is_retry: bool, tenant: int, front: FrontSocket
+    ) -> None:
         self.hub = hub
         self.forward = forward
         self.tasks: dict[int, Task] = {}
-        self.answer: Message | None = None      # of the step that was served first
+        self.answer: Message | None = None  # of the step that was served first
         self.gone = False
         self.front = front
-        self.streamed = -1          # the step that has begun to pass its answer on: no other answer may follow
+        self.streamed = -1  # the step that has begun to pass its answer on: no other answer may follow
         self.ask = Ask(hub, cls, deadline, is_retry, self.cancel, tenant)
 
     def cancel(self, number: int) -> None:
@@ -91,7 +103,6 @@
         if (task := self.tasks.get(number)) is not None:
             self.hub.interrupt(task)
 
-
     def release(self) -> None:
         """The last verdict has come, and all steps are called off: let go of what would hold itself in a ring.
 
@@ -121,8 +132,15 @@
 class Front:
     """All front sockets of this sidecar."""
 
-    def __init__(self, hub: Hub, facade: Facade, destinations: Destinations,
-                 classes: tuple[api.RequestClass, ...], most: int, tenants: tuple[api.Tenant, ...] = ()) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        facade: Facade,
+        destinations: Destinations,
+        classes: tuple[api.RequestClass, ...],
+        most: int,
+        tenants: tuple[api.Tenant, ...] = (),
+    ) -> None:
         self._hub = hub
         self._facade = facade
         self._destinations = destinations
@@ -130,14 +148,14 @@
         self._tenants = {tenant.name: at for at, tenant in enumerate(tenants)}
         self._most = most
         self._open: set[FrontSocket] = set()
-        self._ids: set[str] = set()     # of the requests in progress
+        self._ids: set[str] = set()  # of the requests in progress
         self._listener: socket.socket | None = None
         self._accepting: Task | None = None
-        self._inherited = False         # the platform holds the listener, and a successor will take its backlog
-        self._room = Signal(hub)        # a front socket has been closed
-        self._draining = False          # every answer from now on closes its connection
-        self._closing = False           # front sockets without a request are closed
-        self._closed_at = 0             # since when
+        self._inherited = False  # the platform holds the listener, and a successor will take its backlog
+        self._room = Signal(hub)  # a front socket has been closed
+        self._draining = False  # every answer from now on closes its connection
+        self._closing = False  # front sockets without a request are closed
+        self._closed_at = 0  # since when
         self._health_since = self._health_calls = 0
         self.ready = False
 
@@ -196,7 +214,7 @@
         while why is not Woken.INTERRUPTED:
             if len(self._open) >= self._most:
                 self._make_room()
-                why = self._room.wait(self._hub.now() + ROOM_NS)    # the others wait in the backlog
+                why = self._room.wait(self._hub.now() + ROOM_NS)  # the others wait in the backlog
             elif (why := self._hub.wait(listener.fileno(), READ)) is Woken.READY:
                 self._accept_some(listener, self._most, ACCEPT_MOST)
 
@@ -208,7 +226,7 @@
             except BlockingIOError:
                 return
             except ConnectionAbortedError:
-                continue        # that client has gone again
+                continue  # that client has gone again
             except OSError as error:
                 # Most likely no descriptor is free.  The backlog stays readable, so without a pause this
                 # would spin; and it must not raise, or nothing would be accepted any more.
@@ -247,7 +265,7 @@
                 crowded = len(self._open) > self._most // 2
                 close = self._draining or not message.keep or at_fault or crowded
                 data = write_answer(*answer, close=close)
-                answer = None       # a slow client takes long: its answer is then held once, not twice
+                answer = None  # a slow client takes long: its answer is then held once, not twice
                 if not self._write(front, data):
                     return
                 if close:
@@ -270,7 +288,7 @@
     def _read(self, front: FrontSocket) -> Message | None:
         """The next request; none where the connection is over."""
         if not front.parser.idle:
-            self._hub.sleep(0)      # one that came together with the last lets others go first
+            self._hub.sleep(0)  # one that came together with the last lets others go first
         message = front.parser.feed(b"")
         told = False
         if front.asked:
@@ -289,7 +307,7 @@
                 span = IDLE_NS if front.resting else PARTIAL_NS
             try:
                 if calm and not front.unwanted:
-                    raise BlockingIOError       # just answered: most likely nothing is there yet, so wait first
+                    raise BlockingIOError  # just answered: most likely nothing is there yet, so wait first
                 data = front.sock.recv(CHUNK)
             except BlockingIOError:
                 calm = False
@@ -301,7 +319,7 @@
                 if why is not Woken.TIMEOUT:
                     continue
                 if front.resting:
-                    front.unwanted = True       # a request may have come since the poll: look once more
+                    front.unwanted = True  # a request may have come since the poll: look once more
                     continue
                 raise BadMessage(408, "the request did not become whole in time") from None
             if not data:
@@ -312,7 +330,7 @@
                 raise BadMessage(408, "the request did not become whole in time")
             message = front.parser.feed(data)
         front.asked, front.resting = True, False
-        front.unwanted = False      # it was to be closed as resting, and a request has come
+        front.unwanted = False  # it was to be closed as resting, and a request has come
         return message
 
     def _write(self, front: FrontSocket, data: bytes | memoryview) -> bool:
@@ -321,13 +339,13 @@
         try:
             while view:
                 try:
-                    view = view[front.sock.send(view):]
+                    view = view[front.sock.send(view) :]
                 except BlockingIOError:
                     until = self._hub.now() + STALL_NS
                     if self._hub.wait(front.fd, WRITE, until) is not Woken.READY:
                         return False
         except OSError:
-            return False        # a client that closes mid-answer costs its own connection
+            return False  # a client that closes mid-answer costs its own connection
         return True
 
     def _linger(self, front: FrontSocket, sends_on: bool) -> None:
@@ -340,9 +358,12 @@
         until = self._hub.now() + most
         try:
             front.sock.shutdown(socket.SHUT_WR)
-            while (self._hub.wait(front.fd, READ, min(until, self._hub.now() + silence)) is Woken.READY
-                   and self._hub.now() < until and front.sock.recv(CHUNK)):
-                pass        # what it still sends is not kept
+            while (
+                self._hub.wait(front.fd, READ, min(until, self._hub.now() + silence)) is Woken.READY
+                and self._hub.now() < until
+                and front.sock.recv(CHUNK)
+            ):
+                pass  # what it still sends is not kept
         except OSError as error:
             logger.debug("the client did not wait for the end: {why}", event="front.left-early", why=str(error))
 
@@ -377,9 +398,15 @@
             self._hub.sleep(HEALTH_PAUSE_NS)
 
     def _exchange(self, front: FrontSocket, message: Message, cls: int, left_ns: int) -> Answer | None:
-        exchange = _Exchange(self._hub, Forward(message), cls, self._hub.now() + left_ns,
-                             message.names.get("x-repeat") == "1",
-                             self._tenants.get(message.names.get("x-account", ""), UNKNOWN), front)
+        exchange = _Exchange(
+            self._hub,
+            Forward(message),
+            cls,
+            self._hub.now() + left_ns,
+            message.names.get("x-repeat") == "1",
+            self._tenants.get(message.names.get("x-account", ""), UNKNOWN),
+            front,
+        )
 
         self._hub.watch(front.fd, LEFT, lambda _: self._client_left(exchange))
         verdict = self._facade.pick(exchange.ask)
@@ -391,12 +418,15 @@
         if exchange.streamed >= 0 and not exchange.gone and not front.cut:
             self._linger(front, False)
         if exchange.gone or exchange.streamed >= 0:
-            return None     # the connection ends: its answer has been passed on, or half of it
+            return None  # the connection ends: its answer has been passed on, or half of it
         if isinstance(verdict, BusyReply):
             return _busy(verdict)
         if exchange.answer is not None:
-            return 200, exchange.answer.body, [
-                (name, value) for name, value in exchange.answer.headers if name.lower() not in _OWN]
+            return (
+                200,
+                exchange.answer.body,
+                [(name, value) for name, value in exchange.answer.headers if name.lower() not in _OWN],
+            )
         return 502, b"failed\n", []
 
     def _check(self, message: Message) -> tuple[int, int]:
@@ -414,7 +444,7 @@
             raise BadMessage(400, "the class is unknown")
         at, cls = self._classes[name]
         if cls.effect is api.Effect.KEYED and not message.names.get("idempotency-key"):
-            raise BadMessage(400, "Idempotency-Key is missing")     # without it no repeat would be dropped
+            raise BadMessage(400, "Idempotency-Key is missing")  # without it no repeat would be dropped
         text = message.names.get("x-time-left")
         try:
             left = cls.deadline_ns if text is None else int(float(text) * api.SECOND)
@@ -428,9 +458,13 @@
         ending, answer = Ending.CANCELLED_UNSENT, None
         if not exchange.ask.over:
             try:
-                ending, answer = self._destinations.run(step.destination, exchange.forward, step.until,
-                                                        lambda head: self._claim(exchange, step, head),
-                                                        lambda: self._may_begin(exchange, step))
+                ending, answer = self._destinations.run(
+                    step.destination,
+                    exchange.forward,
+                    step.until,
+                    lambda head: self._claim(exchange, step, head),
+                    lambda: self._may_begin(exchange, step),
+                )
             except Exception:
                 # Every step must report its end, or the module would wait for it.
                 logger.exception("an attempt failed", event="step.fault")
@@ -439,8 +473,13 @@
             exchange.answer = answer
         elif exchange.streamed == step.number:
             exchange.front.cut = True
-        logger.debug("step {number} to {destination}: {ending}", event="step.ended", number=step.number,
-                     destination=step.destination, ending=ending.name)
+        logger.debug(
+            "step {number} to {destination}: {ending}",
+            event="step.ended",
+            number=step.number,
+            destination=step.destination,
+            ending=ending.name,
+        )
         self._facade.report(AttemptEnded(exchange.ask, step.number, ending, self._destinations.load_of(answer)))
 
     def _client_left(self, exchange: _Exchange) -> None:
@@ -454,7 +493,7 @@
         A client may have left since the last poll, or before its request was read: nothing is begun for it.
         """
         if exchange.gone or exchange.ask.over:
-            return False        # its front socket may be another's by now
+            return False  # its front socket may be another's by now
         if self._hub.ready(exchange.front.fd, LEFT):
             self._client_left(exchange)
         return not exchange.gone and self._facade.may_begin(exchange.ask, step.number)
@@ -474,7 +513,7 @@
         self._hub.sleep(ACCEPT_AFTER_TERM_NS)
         self._closing, self._closed_at = True, self._hub.now()
         for front in self._open:
-            front.unwanted = front.asked    # the first request of one that has just come may be on its way
+            front.unwanted = front.asked  # the first request of one that has just come may be on its way
             front.signal.set()
         if self._accepting is not None:
             self._hub.interrupt(self._accepting)
--- a/lugtally/net/http1.py
+++ b/lugtally/net/http1.py
@@ -11,14 +11,22 @@
 
 MOST_HEAD = 16 * 1024
 MOST_BODY = 64 * 1024
-MOST_STREAMED = 256 * 1024 * 1024   # a told length beyond is taken for a fault of the destination
-MOST_INTERIM = 16       # 1xx answers in front of one answer: an endless row of them is none
-MOST_LINE = 256         # of a chunk's size or a trailer
+MOST_STREAMED = 256 * 1024 * 1024  # a told length beyond is taken for a fault of the destination
+MOST_INTERIM = 16  # 1xx answers in front of one answer: an endless row of them is none
+MOST_LINE = 256  # of a chunk's size or a trailer
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 408: "Request Timeout",
-    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
-    404: "Not Found", 500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+    200: "OK",
+    400: "Bad Request",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    404: "Not Found",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
 }
 METHODS = frozenset({"GET", "POST", "PUT", "PATCH", "DELETE"})
 
@@ -29,14 +37,26 @@
 _ONCE = frozenset({"connection", "transfer-encoding", "content-length"})
 # Heads of answers that were read before: the message, whether it is chunked, how long its body is.
 LONGEST_KNOWN = 512
-MOST_KNOWN = 128        # at most 128 KiB; beyond, all are forgotten
+MOST_KNOWN = 128  # at most 128 KiB; beyond, all are forgotten
 _KNOWN: dict[bytes, tuple[Message, bool, int]] = {}
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?")
 _NUMBER = re.compile(r"[0-9]{1,10}")
 
 # What concerns one connection only, and what the sidecar writes anew.
-_OWN = frozenset({"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
-                  "upgrade", "expect", "content-length", "x-time-left"})
+_OWN = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+        "x-time-left",
+    }
+)
 
 
 class BadMessage(Exception):
@@ -55,11 +75,11 @@
     target: str = ""
     status: int = 0
     headers: list[tuple[str, str]] = field(default_factory=list)
-    names: dict[str, str] = field(default_factory=dict)     # by lower-case name; the first of a repeated one
+    names: dict[str, str] = field(default_factory=dict)  # by lower-case name; the first of a repeated one
     body: bytes = b""
-    keep: bool = True           # the connection may carry another message
-    expects: bool = False       # the client waits for "100 Continue" before it sends the body
-    streamed: bool = False      # an answer whose body is passed on as it comes: the parser gave its head alone
+    keep: bool = True  # the connection may carry another message
+    expects: bool = False  # the client waits for "100 Continue" before it sends the body
+    streamed: bool = False  # an answer whose body is passed on as it comes: the parser gave its head alone
 
 
 class Parser:
@@ -68,14 +88,14 @@
     def __init__(self, *, responses: bool, most_body: int = MOST_BODY, streams: bool = False) -> None:
         self._responses = responses
         self._most_body = most_body
-        self._streams = streams     # a 200 with a long, chunked or unbounded body is given by its head alone
+        self._streams = streams  # a 200 with a long, chunked or unbounded body is given by its head alone
         self._buffer = bytearray()
         self._head: Message | None = None
-        self._left = 0              # of a body of told length; -1: until the connection ends
+        self._left = 0  # of a body of told length; -1: until the connection ends
         self._chunked = False
         self._body = bytearray()
         self._interim = 0
-        self._phase = "size"        # of a chunked body: size, data, end, trailer, done
+        self._phase = "size"  # of a chunked body: size, data, end, trailer, done
 
     @property
     def idle(self) -> bool:
@@ -106,7 +126,7 @@
             if done.status >= 200 or not self._responses:
                 self._interim = 0
                 return done
-            self._interim += 1      # an interim response is passed over
+            self._interim += 1  # an interim response is passed over
             if done.status == 101 or self._interim > MOST_INTERIM:
                 raise BadMessage(400, "an interim response that was not asked for")
 
@@ -129,14 +149,14 @@
 
     def _read_head(self) -> Message | None:
         if not self._responses:
-            while self._buffer[:2] == b"\r\n":     # left behind a body by some old clients
+            while self._buffer[:2] == b"\r\n":  # left behind a body by some old clients
                 del self._buffer[:2]
         end = self._buffer.find(b"\r\n\r\n", 0, MOST_HEAD + 4)
         if end < 0:
             if len(self._buffer) > MOST_HEAD:
                 raise BadMessage(431, "the head is too large")
             if self._buffer.find(b"\n\n") >= 0 or self._buffer.startswith(b"\x16\x03"):
-                raise BadMessage(400, "the head is malformed")      # it would never become whole
+                raise BadMessage(400, "the head is malformed")  # it would never become whole
             return None
         if self._responses and end <= LONGEST_KNOWN:
             return self._known_head(end)
@@ -147,18 +167,24 @@
         head = bytes(self._buffer[:end])
         known = _KNOWN.get(head)
         if known is not None and known[2] <= self._most_body:
-            del self._buffer[:end + 4]
+            del self._buffer[: end + 4]
             seen, self._chunked, self._left = known
             self._phase = "size"
             # Headers are shared between messages of the same head: nothing may change them.
-            return Message(status=seen.status, headers=seen.headers, names=seen.names, keep=seen.keep,
-                           expects=seen.expects)
+            return Message(
+                status=seen.status, headers=seen.headers, names=seen.names, keep=seen.keep, expects=seen.expects
+            )
         message = self._new_head(end)
         if 0 <= self._left <= self._most_body and not message.streamed:
             if len(_KNOWN) >= MOST_KNOWN:
                 _KNOWN.clear()
-            copy = Message(status=message.status, headers=message.headers, names=message.names, keep=message.keep,
-                           expects=message.expects)
+            copy = Message(
+                status=message.status,
+                headers=message.headers,
+                names=message.names,
+                keep=message.keep,
+                expects=message.expects,
+            )
             _KNOWN[head] = copy, self._chunked, self._left
         return message
 
@@ -166,7 +192,7 @@
         first = self._buffer.find(b"\r\n")
         sound = _HEADERS.fullmatch(self._buffer, first, end) is not None
         lines = self._buffer[:end].decode("latin-1").split("\r\n")
-        del self._buffer[:end + 4]
+        del self._buffer[: end + 4]
         message, minor = self._read_start(lines[0])
         if not sound:
             raise BadMessage(400, "a header is malformed")
@@ -233,7 +259,7 @@
     def _grow(self, count: int) -> None:
         if len(self._body) + count > self._most_body:
             raise BadMessage(413, "the body is too large")
-        if count == len(self._buffer):      # the usual case: one copy less of a long body
+        if count == len(self._buffer):  # the usual case: one copy less of a long body
             self._body += self._buffer
             self._buffer.clear()
         else:
@@ -256,7 +282,7 @@
                 raise BadMessage(400, "a line of the chunked body is too long")
             return None
         line = bytes(self._buffer[:end])
-        del self._buffer[:end + 2]
+        del self._buffer[: end + 2]
         return line
 
     def _read_chunks(self) -> bool:
@@ -319,12 +345,12 @@
                 if not self._left:
                     self._phase = "end"
                 continue
-            end = bytes(data[at:at + MOST_LINE + 2]).find(b"\n")
+            end = bytes(data[at : at + MOST_LINE + 2]).find(b"\n")
             if end < 0:
                 self._line += data[at:]
                 at = len(data)
             else:
-                self._line += data[at:at + end + 1]
+                self._line += data[at : at + end + 1]
                 at += end + 1
             if len(self._line) > MOST_LINE + 2:
                 raise BadMessage(400, "a line of the chunked body is too long")
--- a/lugtally/net/server_list.py
+++ b/lugtally/net/server_list.py
@@ -16,15 +16,15 @@
 # A change counts as told this long after discovery had it and could be reached, whether it arrived or not.
 TOLD_NS = 6000 * MS
 # The times that a call may take.  Together they keep that term, as the two sums below say; the rest of it is margin.
-HOLD_MS = 2500              # a watch without news; 200 sidecars make 80 such calls a second
-ANSWER_NS = 1000 * MS       # beyond the hold, for an answer to come
+HOLD_MS = 2500  # a watch without news; 200 sidecars make 80 such calls a second
+ANSWER_NS = 1000 * MS  # beyond the hold, for an answer to come
 CONNECT_NS = 500 * MS
-MOST_PAUSE_NS = 1500 * MS   # after a failure: the module draws a part of it
+MOST_PAUSE_NS = 1500 * MS  # after a failure: the module draws a part of it
 # A watch falls silent as it begins: that is noticed, then the call is made anew at once.
 SILENCE_TO_LIST_NS = HOLD_MS * MS + ANSWER_NS + CONNECT_NS + ANSWER_NS
 # Discovery comes back just as a connection to it was begun that never comes up: that, and twice a pause and a call.
 RETURN_TO_LIST_NS = CONNECT_NS + 2 * (MOST_PAUSE_NS + CONNECT_NS) + ANSWER_NS
-EMPTY_PAUSE_NS = 100 * MS   # where answers come at once without news; well under the 200 ms of a watch
+EMPTY_PAUSE_NS = 100 * MS  # where answers come at once without news; well under the 200 ms of a watch
 CHUNK = 64 * 1024
 MOST_LIST = 4 * 1024 * 1024
 PATH = "/catalog/members"
@@ -39,7 +39,7 @@
         self._sock: socket.socket | None = None
         self._parser = Parser(responses=True, most_body=MOST_LIST)
         self.version = version
-        self.wanted = Signal(hub)   # its own: a follower of an earlier one must not take the wake-up of this one
+        self.wanted = Signal(hub)  # its own: a follower of an earlier one must not take the wake-up of this one
 
     def ask(self) -> ServerList:
         """What is new since the version at hand, or the whole list where there is none.
@@ -117,8 +117,9 @@
 class ListWatch:
     """Follows the server list and tells the facade and the destinations what it says."""
 
-    def __init__(self, hub: Hub, facade: Facade, destinations: Destinations, discovery: tuple[str, int],
-                 zones: tuple[str, ...]) -> None:
+    def __init__(
+        self, hub: Hub, facade: Facade, destinations: Destinations, discovery: tuple[str, int], zones: tuple[str, ...]
+    ) -> None:
         self._hub = hub
         self._facade = facade
         self._destinations = destinations
@@ -126,7 +127,7 @@
         self._task: Task | None = None
         self._zones = {name: at for at, name in enumerate(zones)}
         self._started: dict[int, tuple[int, int]] = {}  # started_ms as last told, and on the hub's clock
-        self._known: dict[int, Listed] = {}     # the known list
+        self._known: dict[int, Listed] = {}  # the known list
 
     @property
     def usable(self) -> int:
@@ -151,19 +152,23 @@
         if self._task is not None:
             self._hub.interrupt(self._task)
         self._discovery = _Discovery(self._hub, address, None)
-        self._discovery.wanted.set()    # at once, whatever pause the module keeps after a failure of the old one
+        self._discovery.wanted.set()  # at once, whatever pause the module keeps after a failure of the old one
         self._task = self._hub.spawn(self._follow, self._discovery)
 
     # ------------------------------------------------------------ the list
 
     def _take(self, pool: ServerList, kind: str) -> None:
         if pool.unread:
-            logger.warning("{count} rows of the server list cannot be read: {why}", event="pool.bad-rows",
-                           count=len(pool.unread), why=next(iter(pool.unread.values())))
+            logger.warning(
+                "{count} rows of the server list cannot be read: {why}",
+                event="pool.bad-rows",
+                count=len(pool.unread),
+                why=next(iter(pool.unread.values())),
+            )
         # What is known of a row that cannot be read stays in force: the others must not be hidden by it, nor it go.
         listed = [self._known[number] for number in pool.unread if number in self._known]
         gone = {row.number for row in pool.rows if row.state == "gone"}
-        if kind != "changes":       # a full list lacks them
+        if kind != "changes":  # a full list lacks them
             gone |= self._known.keys() - {row.number for row in pool.rows} - pool.unread.keys()
         for number in gone:
             # Nothing may be kept of them: on a long day ids are always new.
@@ -219,10 +224,10 @@
         begun = self._hub.now()
         pool = discovery.ask()
         if discovery is not self._discovery:
-            return      # moved meanwhile: only the new one counts
+            return  # moved meanwhile: only the new one counts
         before = discovery.version
         if before is not None and pool.version < before and not pool.full:
-            discovery.version = None    # it has begun anew: what it calls changes does not follow what we hold
+            discovery.version = None  # it has begun anew: what it calls changes does not follow what we hold
             return
         self._take(pool, "whole" if pool.full else "changes")
         discovery.version = pool.version
--- a/lugtally/overload/gate.py
+++ b/lugtally/overload/gate.py
@@ -19,14 +19,14 @@
 class Bounds:
     """What the operator may set; times in nanoseconds, shares of what the sidecar was told it may have."""
 
-    target_ns: int = 10 * MS        # own delay that is no trouble
-    period_ns: int = 20 * MS        # between two looks
-    memory: float = 0.9             # resident memory from which nothing more is let in
+    target_ns: int = 10 * MS  # own delay that is no trouble
+    period_ns: int = 20 * MS  # between two looks
+    memory: float = 0.9  # resident memory from which nothing more is let in
     descriptors: float = 0.9
-    most: float = 0.97              # refused at most for delay: some must be let in to see that it is over
-    needed: float = 0.5             # part of the usual answer time that must be left for a request to be let in
-    first: tuple[str, ...] = ()     # classes refused before the others, in that order
-    advice_ns: int = 0              # the longest Retry-After; 0: clients are given none
+    most: float = 0.97  # refused at most for delay: some must be let in to see that it is over
+    needed: float = 0.5  # part of the usual answer time that must be left for a request to be let in
+    first: tuple[str, ...] = ()  # classes refused before the others, in that order
+    advice_ns: int = 0  # the longest Retry-After; 0: clients are given none
 
 
 class Why(Enum):
@@ -45,12 +45,12 @@
         self.bounds = bounds
         self.meter = Meter(bounds.period_ns, now)
         self.order = Order(classes, bounds.first)
-        self.cut = 0.0                  # share of all requests to refuse for delay
+        self.cut = 0.0  # share of all requests to refuse for delay
         self.refused: dict[Why, int] = dict.fromkeys(Why, 0)
         self.let_in = 0
         self._random = Random(seed)
-        self._old_ns = 0.0          # standing delay of the period before
-        self._before_ns = 0.0       # mean delay of the period before
+        self._old_ns = 0.0  # standing delay of the period before
+        self._before_ns = 0.0  # mean delay of the period before
 
     def ask(self, now: int, cls: int, left_ns: int, delay_ns: int, usual_ns: float) -> Why | None:
         """None where the request of that class may come in, else why not.
@@ -87,18 +87,27 @@
     def shown(self) -> dict[str, object]:
         """How it is, for people."""
         reading = self.meter.reading
-        return {"refusing": self.refusing, "share": round(self.cut, 4), "let_in": self.let_in,
-                "refused": {why.name.lower(): count for why, count in self.refused.items()},
-                "delay_ms": round(self.meter.delay_ns / MS, 3), "worst_ms": round(self.meter.worst_ns / MS, 3),
-                "cpu": round(reading.cpu_share, 3), "memory": round(reading.memory_share, 3),
-                "descriptors": round(reading.descriptors_share, 3)}
+        return {
+            "refusing": self.refusing,
+            "share": round(self.cut, 4),
+            "let_in": self.let_in,
+            "refused": {why.name.lower(): count for why, count in self.refused.items()},
+            "delay_ms": round(self.meter.delay_ns / MS, 3),
+            "worst_ms": round(self.meter.worst_ns / MS, 3),
+            "cpu": round(reading.cpu_share, 3),
+            "memory": round(reading.memory_share, 3),
+            "descriptors": round(reading.descriptors_share, 3),
+        }
 
     @property
     def refusing(self) -> bool:
         """Whether requests are refused for delay or for want of memory or descriptors."""
         reading = self.meter.reading
-        return (self.cut > 0.0 or reading.memory_share >= self.bounds.memory
-                or reading.descriptors_share >= self.bounds.descriptors)
+        return (
+            self.cut > 0.0
+            or reading.memory_share >= self.bounds.memory
+            or reading.descriptors_share >= self.bounds.descriptors
+        )
 
     def advice(self) -> int:
         """When to come back: the longer, the more is refused, and spread so that not all come back at once."""
@@ -113,7 +122,7 @@
             return
         self._look(period)
         if not period.count:
-            for _ in range(min(spans, MOST_SPANS) - 1):     # each empty one counts, as it would have by itself
+            for _ in range(min(spans, MOST_SPANS) - 1):  # each empty one counts, as it would have by itself
                 self._look(period)
 
     def read(self, reading: Reading) -> None:
@@ -130,7 +139,7 @@
         self._before_ns = period.mean
         grown = standing - self._old_ns
         if standing < target:
-            grown = min(0.0, grown)     # what grows under the target is no trouble yet
+            grown = min(0.0, grown)  # what grows under the target is no trouble yet
         step = 1e-9 * (ALPHA * (standing - target) + BETA * grown)
         scale = 0.25 if self.cut < 0.01 else 0.5 if self.cut < 0.1 else 1.0
         self.cut = min(self.bounds.most, max(0.0, self.cut + min(MOST_STEP, scale * step)))
@@ -143,8 +152,8 @@
 
 LEAST_ADVICE_NS = 100 * MS
 MOST_ADVICE_NS = 2000 * MS
-ALPHA = 1.25        # of the share, a second of delay beyond the target and period
-BETA = 6.25         # of the share, a second of growth
+ALPHA = 1.25  # of the share, a second of delay beyond the target and period
+BETA = 6.25  # of the share, a second of growth
 MOST_STEP = 0.1
-MOST_SPANS = 200    # of 20 ms; by then nothing is refused any more
+MOST_SPANS = 200  # of 20 ms; by then nothing is refused any more
 FADE = 0.98
--- a/lugtally/overload/meter.py
+++ b/lugtally/overload/meter.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 MS = 1_000_000
-SMOOTHED = 0.3      # weight of a new reading in what is shown
+SMOOTHED = 0.3  # weight of a new reading in what is shown
 
 
 @dataclass(slots=True)
@@ -22,8 +22,8 @@
 class Reading:
     """What the machine says of the process: since the last reading, or at its time."""
 
-    cpu_share: float        # of the told cores, since the last reading
-    memory_share: float     # resident memory against the told limit
+    cpu_share: float  # of the told cores, since the last reading
+    memory_share: float  # resident memory against the told limit
     descriptors_share: float
 
 
@@ -40,8 +40,8 @@
         self._period_ns = period_ns
         self._begun = now
         self._clear()
-        self.delay_ns = 0.0         # smoothed mean of the periods, for show
-        self.worst_ns = 0           # since it was last shown
+        self.delay_ns = 0.0  # smoothed mean of the periods, for show
+        self.worst_ns = 0  # since it was last shown
         self.reading = Reading(0.0, 0.0, 0.0)
 
     def _clear(self) -> None:
--- a/lugtally/overload/order.py
+++ b/lugtally/overload/order.py
@@ -10,7 +10,7 @@
 from lugtally.api import Effect
 
 RANK = {Effect.SAFE: 0, Effect.KEYED: 1, Effect.UNSAFE: 2}
-SHARE_S = 2.0       # over which the shares of the traffic are smoothed
+SHARE_S = 2.0  # over which the shares of the traffic are smoothed
 
 
 class Order:
@@ -23,8 +23,10 @@
             if name not in by_name:
                 raise ValueError(f"{name!r} is no class")
         first = [by_name[name] for name in named]
-        rest = sorted((at for at in range(len(classes)) if at not in first),
-                      key=lambda at: (RANK[classes[at].effect], classes[at].worth, at))
+        rest = sorted(
+            (at for at in range(len(classes)) if at not in first),
+            key=lambda at: (RANK[classes[at].effect], classes[at].worth, at),
+        )
         self.order = first + rest
         self._asked = [1.0] * len(classes)
         self._total = float(len(classes))
--- a/lugtally/overload/probe.py
+++ b/lugtally/overload/probe.py
@@ -29,7 +29,7 @@
         try:
             self._statm: int | None = os.open(statm, os.O_RDONLY | os.O_CLOEXEC)
         except OSError:
-            self._statm = None      # no such file system: memory then counts as free
+            self._statm = None  # no such file system: memory then counts as free
         self._wall, self._cpu = time.monotonic_ns(), time.process_time_ns()
 
     def read(self) -> Reading:
--- a/lugtally/rehearsal/baselines.py
+++ b/lugtally/rehearsal/baselines.py
@@ -14,7 +14,7 @@
 from lugtally.api import Effect, Group, State
 
 MOST_RETRIES = 3
-TRY_SHARE = 0.5     # of the time left that an attempt gets where another may follow
+TRY_SHARE = 0.5  # of the time left that an attempt gets where another may follow
 RETRY = "+retry"
 PICKS = ("random", "round-robin", "least-in-flight")
 NAMES = tuple(pick + again for pick in PICKS for again in ("", RETRY))
@@ -28,8 +28,8 @@
     def __init__(self, cls: api.RequestClass, deadline: int) -> None:
         self.cls = cls
         self.deadline = deadline
-        self.sent: list[int] = []           # servers, by attempt
-        self.ran: list[tuple[int, int]] = []    # attempts that may have run: server, when sent
+        self.sent: list[int] = []  # servers, by attempt
+        self.ran: list[tuple[int, int]] = []  # attempts that may have run: server, when sent
         self.out = 0
 
 
@@ -137,8 +137,9 @@
     from lugtally.config import sidecar
     from lugtally.service import serve
 
-    return serve.serve(sidecar.load(os.environ), "WARNING",
-                       decisions=lambda settings, seed: Baseline(name, settings, seed))
+    return serve.serve(
+        sidecar.load(os.environ), "WARNING", decisions=lambda settings, seed: Baseline(name, settings, seed)
+    )
 
 
 if __name__ == "__main__":
--- a/lugtally/rehearsal/catalog.py
+++ b/lugtally/rehearsal/catalog.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-KEPT = 512      # changes remembered; who is further behind gets the whole list
+KEPT = 512  # changes remembered; who is further behind gets the whole list
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +40,11 @@
 
     def since(self, version: int | None) -> tuple[bool, list[Row]]:
         """Whether this is the whole list, and its rows: the last of each server that changed after a version."""
-        behind = version is None or version > self.version or (
-            version < self.version and (not self._changes or self._changes[0][0] > version + 1))
+        behind = (
+            version is None
+            or version > self.version
+            or (version < self.version and (not self._changes or self._changes[0][0] > version + 1))
+        )
         if behind or version is None:
             return True, list(self.rows.values())
         changed = {row.id: row for at, row in self._changes if at > version}
--- a/lugtally/rehearsal/compare.py
+++ b/lugtally/rehearsal/compare.py
@@ -16,9 +16,9 @@
 
 RESAMPLES = 10_000
 LEVEL = 0.95
-LEAST_PAIRS = 4     # with fewer, resampling says nothing of the spread
+LEAST_PAIRS = 4  # with fewer, resampling says nothing of the spread
 
-MEASURES: dict[str, tuple[Callable[[Report], float], bool]] = {     # and whether more is better
+MEASURES: dict[str, tuple[Callable[[Report], float], bool]] = {  # and whether more is better
     "service": (lambda r: r.findings.service, True),
     "net": (lambda r: r.findings.net, True),
     "whole": (lambda r: r.findings.whole, True),
@@ -37,10 +37,10 @@
 
     measure: str
     pairs: int
-    a: float            # means
+    a: float  # means
     b: float
     mean: float
-    low: float          # of the interval; equal to ``mean`` where there is none
+    low: float  # of the interval; equal to ``mean`` where there is none
     high: float
     word: str
 
@@ -51,6 +51,7 @@
 
 def paired(a: list[Report], b: list[Report]) -> list[tuple[Report, Report]]:
     """Runs of the same scenario and seed in both sets; void ones say nothing and are left out."""
+
     def keyed(reports: list[Report]) -> dict[tuple[str, int], Report]:
         return {(r.scenario, r.seed): r for r in reports if r.verdict != VOID}
 
@@ -86,6 +87,7 @@
             word = "no difference seen"
         else:
             word = "B is better" if (mean > 0) == more_is_better else "B is worse"
-        found.append(Difference(name, len(pairs), float(np.mean(firsts)), float(np.mean(seconds)), mean, low, high,
-                                word))
+        found.append(
+            Difference(name, len(pairs), float(np.mean(firsts)), float(np.mean(seconds)), mean, low, high, word)
+        )
     return found
--- a/lugtally/rehearsal/experiment.py
+++ b/lugtally/rehearsal/experiment.py
@@ -23,8 +23,8 @@
 from lugtally.rehearsal.report import VOID, Report
 from lugtally.rehearsal.scenario import ScenarioError, checked, library
 
-CORES_EACH = 4      # of a run: two for the kit, two for its sidecars
-TURNS = 3           # of a void cell
+CORES_EACH = 4  # of a run: two for the kit, two for its sidecars
+TURNS = 3  # of a void cell
 POLL_S = 0.1
 
 
@@ -33,7 +33,7 @@
 
     name: str
     set: dict[str, Any] = {}
-    operator: str = ""      # an operator's file for the sidecars, beside the experiment's own or by its path
+    operator: str = ""  # an operator's file for the sidecars, beside the experiment's own or by its path
 
 
 class Experiment(Struct, frozen=True, forbid_unknown_fields=True):
@@ -113,12 +113,21 @@
 
 def cells(told: Experiment) -> list[Cell]:
     """All runs, seeds outermost: what an interrupt leaves is whole for the first seeds."""
-    return [Cell(setting, scenario, seed, policy) for seed in told.seeds for scenario in told.scenarios
-            for policy in told.policies for setting in told.settings]
-
-
-def play(todo: list[Cell], folder: Path, at_once: int,
-         watch: Callable[[int, int, str], None] = lambda _done, _of, _what: None) -> dict[str, Report]:
+    return [
+        Cell(setting, scenario, seed, policy)
+        for seed in told.seeds
+        for scenario in told.scenarios
+        for policy in told.policies
+        for setting in told.settings
+    ]
+
+
+def play(
+    todo: list[Cell],
+    folder: Path,
+    at_once: int,
+    watch: Callable[[int, int, str], None] = lambda _done, _of, _what: None,
+) -> dict[str, Report]:
     """Play the cells that have no report yet; returns all reports by the cells' names."""
     folder.mkdir(parents=True, exist_ok=True)
     found = {cell.name: _finished(folder, cell) for cell in todo}
@@ -138,7 +147,7 @@
             watch(sum(r is not None for r in found.values()), len(todo), ", ".join(c.name for c, _ in running.values()))
     finally:
         for child in running:
-            child.terminate()       # SIGTERM ends a run as Ctrl-C does
+            child.terminate()  # SIGTERM ends a run as Ctrl-C does
         for child in running:
             child.wait()
     return {name: result for name, result in found.items() if result is not None}
@@ -149,10 +158,28 @@
     path.write_text(changed(cell.scenario, cell.setting), encoding="utf-8")
     with (folder / f"{cell.name}.log").open("ab") as log:
         return subprocess.Popen(
-            [sys.executable, "-B", "-m", "lugtally", "rehearse", "run", str(path), "--seed", str(cell.seed), "--policy",
-             cell.policy, "--json", str(folder / f"{cell.name}.json"), "--no-progress",
-             *(["--operator", cell.setting.operator] if cell.setting.operator else [])],
-            stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+            [
+                sys.executable,
+                "-B",
+                "-m",
+                "lugtally",
+                "rehearse",
+                "run",
+                str(path),
+                "--seed",
+                str(cell.seed),
+                "--policy",
+                cell.policy,
+                "--json",
+                str(folder / f"{cell.name}.json"),
+                "--no-progress",
+                *(["--operator", cell.setting.operator] if cell.setting.operator else []),
+            ],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            start_new_session=True,
+        )
 
 
 def _finished(folder: Path, cell: Cell) -> Report | None:
--- a/lugtally/rehearsal/judge.py
+++ b/lugtally/rehearsal/judge.py
@@ -17,11 +17,11 @@
 from lugtally.rehearsal.ledger import Attempt, Call, Change, Fall, Late, Life, Load, Probe, Record, Stranger, Told, Try
 from lugtally.rehearsal.plan import Plan
 
-SOCKETS_S = 0.05            # every limit is that much longer on sockets
-ANSWER_SLACK_S = 0.1        # after the client's patience; told to the sidecar as answer_slack_ns
+SOCKETS_S = 0.05  # every limit is that much longer on sockets
+ANSWER_SLACK_S = 0.1  # after the client's patience; told to the sidecar as answer_slack_ns
 DRAIN_GRACE_S = 1.5
-FAILED_CALL = 4             # times ask_within, after a call that failed
-INFORMED = 2 / 3            # of what pushed a cold server over
+FAILED_CALL = 4  # times ask_within, after a call that failed
+INFORMED = 2 / 3  # of what pushed a cold server over
 WINDOW_S = 10.0
 # Weights and prices of the operators' brief.
 WHOLE, WORST_10S, WORST_CLASS = 0.65, 0.15, 0.2
@@ -50,10 +50,10 @@
     """A broken rule."""
 
     name: str
-    rule: int       # of the protocol: 1 answers, 2 effects, 3 drains, 4 cold servers
-    at: float       # seconds from the start of the run
-    what: str       # the request or the server
-    text: str       # what happened and what was allowed
+    rule: int  # of the protocol: 1 answers, 2 effects, 3 drains, 4 cold servers
+    at: float  # seconds from the start of the run
+    what: str  # the request or the server
+    text: str  # what happened and what was allowed
 
 
 class ClassService(Struct):
@@ -61,9 +61,9 @@
 
     name: str
     asked: int
-    served: int         # within the aim
-    late: int           # after the aim, within the deadline
-    refused: int        # the last word was a refusal
+    served: int  # within the aim
+    late: int  # after the aim, within the deadline
+    refused: int  # the last word was a refusal
     failed: int
     service: float
 
@@ -75,16 +75,16 @@
     whole: float
     worst_10s: float
     worst_class: float
-    service: float          # weighted as in the brief
-    net: float              # less the prices
+    service: float  # weighted as in the brief
+    net: float  # less the prices
     classes: list[ClassService]
-    prices: dict[str, float]        # the measured shares, before their weights
+    prices: dict[str, float]  # the measured shares, before their weights
     tries: int
     attempts: int
-    retries: int                    # attempts beyond the first of a try
-    lost: int                       # of a killed sidecar: no breach
-    void: list[str]                 # why the run says nothing; empty where it does
-    per_second: dict[str, list[float]]      # worth served by second and class, as a part of the worth asked
+    retries: int  # attempts beyond the first of a try
+    lost: int  # of a killed sidecar: no breach
+    void: list[str]  # why the run says nothing; empty where it does
+    per_second: dict[str, list[float]]  # worth served by second and class, as a part of the worth asked
 
 
 @dataclass
@@ -146,8 +146,10 @@
     breaches += _drains(books, plan, start)
     breaches += _cold(books, start)
     breaches += _crashes(books.lives, start)
-    breaches += [Breach(ALTERED, 1, s.at - start, s.server, f"sidecar {s.sidecar} sent what no client did: {s.what}")
-                 for s in books.strangers]
+    breaches += [
+        Breach(ALTERED, 1, s.at - start, s.server, f"sidecar {s.sidecar} sent what no client did: {s.what}")
+        for s in books.strangers
+    ]
     breaches.sort(key=lambda b: b.at)
     return _service(books, by_id, plan, start, breaches, lost)
 
@@ -182,8 +184,15 @@
         elif life.what == "ended":
             why = asked.pop(life.sidecar, "")
             if not why or (why == "term" and life.status != 0):
-                found.append(Breach(CRASHED, 1, life.at - start, f"sidecar {life.sidecar}",
-                                    f"ended with status {life.status}" + (" after SIGTERM" if why else " unasked")))
+                found.append(
+                    Breach(
+                        CRASHED,
+                        1,
+                        life.at - start,
+                        f"sidecar {life.sidecar}",
+                        f"ended with status {life.status}" + (" after SIGTERM" if why else " unasked"),
+                    )
+                )
     return found
 
 
@@ -206,16 +215,25 @@
         if one.ending in ("dropped", "none"):
             stopping = any(a <= one.ended and one.sent <= b for a, b in stops.get(one.sidecar, ()))
             if stopping and one.ending == "dropped" and one.id not in by_id:
-                continue    # it came across the end of a planned restart, and nothing was sent on for it
+                continue  # it came across the end of a planned restart, and nothing was sent on for it
             how = "the connection ended without a whole answer" if one.ending == "dropped" else "nothing came"
-            found.append(Breach(DROPPED, 1, at, one.id, f"sidecar {one.sidecar}: {how}; an answer was due by "
-                                f"{limit - start:.3f} s"))
+            found.append(
+                Breach(
+                    DROPPED, 1, at, one.id, f"sidecar {one.sidecar}: {how}; an answer was due by {limit - start:.3f} s"
+                )
+            )
         elif one.ended > limit:
-            found.append(Breach(LATE, 1, at, one.id, f"sidecar {one.sidecar} answered at {at:.3f} s, due by "
-                                f"{limit - start:.3f} s"))
+            found.append(
+                Breach(
+                    LATE, 1, at, one.id, f"sidecar {one.sidecar} answered at {at:.3f} s, due by {limit - start:.3f} s"
+                )
+            )
         if one.ending == "foreign" or (one.ending == "served" and one.id not in served):
-            found.append(Breach(FOREIGN, 1, at, one.id, f"sidecar {one.sidecar} served a body that no server made "
-                                "for this request"))
+            found.append(
+                Breach(
+                    FOREIGN, 1, at, one.id, f"sidecar {one.sidecar} served a body that no server made for this request"
+                )
+            )
     return found, lost
 
 
@@ -241,14 +259,37 @@
             for before in ran:
                 at = attempt.last - start
                 if cls.effect == "unsafe":
-                    found.append(Breach(REPEATED, 2, at, one.id, f"sent to {attempt.server} after {before.server} "
-                                        f"had it whole at {before.last - start:.3f} s"))
+                    found.append(
+                        Breach(
+                            REPEATED,
+                            2,
+                            at,
+                            one.id,
+                            f"sent to {attempt.server} after {before.server} "
+                            f"had it whole at {before.last - start:.3f} s",
+                        )
+                    )
                 elif cls.key_scope != "all" and before.zone != attempt.zone:
-                    found.append(Breach(OTHER_GROUP, 2, at, one.id, f"sent to {attempt.server} in {attempt.zone} "
-                                        f"after {before.server} in {before.zone}"))
+                    found.append(
+                        Breach(
+                            OTHER_GROUP,
+                            2,
+                            at,
+                            one.id,
+                            f"sent to {attempt.server} in {attempt.zone} after {before.server} in {before.zone}",
+                        )
+                    )
                 elif attempt.last - before.last > cls.key_ttl_ms / 1000 + SOCKETS_S:
-                    found.append(Breach(EXPIRED_REPEAT, 2, at, one.id, f"sent again {attempt.last - before.last:.3f} s "
-                                        f"after the first; {cls.key_ttl_ms / 1000 + SOCKETS_S:.3f} s allowed"))
+                    found.append(
+                        Breach(
+                            EXPIRED_REPEAT,
+                            2,
+                            at,
+                            one.id,
+                            f"sent again {attempt.last - before.last:.3f} s "
+                            f"after the first; {cls.key_ttl_ms / 1000 + SOCKETS_S:.3f} s allowed",
+                        )
+                    )
                 else:
                     continue
                 break
@@ -258,12 +299,27 @@
                 effects[one.first].append(attempt)
         wide = cls.effect == "keyed" and cls.key_scope == "all"
         if one.ending == "refused" and ran and not wide:
-            found.append(Breach(REFUSED_RAN, 2, one.ended - start, one.id, f"answered {one.status} although "
-                                f"{ran[0].server} had it whole at {ran[0].last - start:.3f} s"))
+            found.append(
+                Breach(
+                    REFUSED_RAN,
+                    2,
+                    one.ended - start,
+                    one.id,
+                    f"answered {one.status} although {ran[0].server} had it whole at {ran[0].last - start:.3f} s",
+                )
+            )
     for first, attempts in effects.items():
         if len(attempts) > 1:
-            found.append(Breach(TWO_EFFECTS, 2, attempts[1].last - start, first, "ran with effect at " + " and ".join(
-                f"{a.server} ({a.id}, {a.last - start:.3f} s)" for a in attempts)))
+            found.append(
+                Breach(
+                    TWO_EFFECTS,
+                    2,
+                    attempts[1].last - start,
+                    first,
+                    "ran with effect at "
+                    + " and ".join(f"{a.server} ({a.id}, {a.last - start:.3f} s)" for a in attempts),
+                )
+            )
     return found
 
 
@@ -309,9 +365,16 @@
         runs = since.get((attempt.sidecar, attempt.server), [])
         at = bisect_right(runs, (attempt.first, True)) - 1
         if at >= 0 and not runs[at][1] and attempt.first > runs[at][0] + grace:
-            found.append(Breach(DRAINED, 3, attempt.first - start, attempt.server,
-                                f"sidecar {attempt.sidecar} sent {attempt.id} there "
-                                f"{attempt.first - runs[at][0]:.3f} s after it was told; {grace:.3f} s allowed"))
+            found.append(
+                Breach(
+                    DRAINED,
+                    3,
+                    attempt.first - start,
+                    attempt.server,
+                    f"sidecar {attempt.sidecar} sent {attempt.id} there "
+                    f"{attempt.first - runs[at][0]:.3f} s after it was told; {grace:.3f} s allowed",
+                )
+            )
     return found
 
 
@@ -321,28 +384,39 @@
 def _cold(books: Books, start: float) -> list[Breach]:
     found: list[Breach] = []
     for fall in books.falls:
-        knew = {line.sidecar for line in books.told
-                if line.server == fall.server and line.started is not None and line.at <= fall.at}
+        knew = {
+            line.sidecar
+            for line in books.told
+            if line.server == fall.server and line.started is not None and line.at <= fall.at
+        }
         total = sum(fall.by.values())
         informed = sum(work for sidecar, work in fall.by.items() if int(sidecar) in knew)
         if total and informed / total >= INFORMED:
-            found.append(Breach(PUSHED_OVER, 4, fall.at - start, fall.server,
-                                f"{fall.at - fall.started:.3f} s after its start; {informed / total:.0%} of what came "
-                                "was from sidecars that knew"))
+            found.append(
+                Breach(
+                    PUSHED_OVER,
+                    4,
+                    fall.at - start,
+                    fall.server,
+                    f"{fall.at - fall.started:.3f} s after its start; {informed / total:.0%} of what came "
+                    "was from sidecars that knew",
+                )
+            )
     return found
 
 
 # ---------------------------------------------------------------- service and prices
 
 
-def _service(books: Books, by_id: dict[str, list[Attempt]], plan: Plan, start: float, breaches: list[Breach],
-             lost: int) -> Findings:
+def _service(
+    books: Books, by_id: dict[str, list[Attempt]], plan: Plan, start: float, breaches: list[Breach], lost: int
+) -> Findings:
     classes = plan.scenario.classes
     firsts: dict[str, list[Try]] = defaultdict(list)
     for one in books.tries:
         if one.ending != "extra":
             firsts[one.first].append(one)
-    asked: list[tuple[float, int, float, float]] = []     # when, class, worth, worth earned
+    asked: list[tuple[float, int, float, float]] = []  # when, class, worth, worth earned
     rows = [ClassService(cls.name, 0, 0, 0, 0, 0, 0.0) for cls in classes]
     late_failed = 0.0
     for tries in firsts.values():
@@ -363,7 +437,7 @@
             if final.ended - begun > cls.aim_ms / 1000:
                 late_failed += cls.worth
         asked.append((begun - start, tries[0].cls, cls.worth, cls.worth * share))
-    counted = [a for a in asked if a[0] >= 1.0] or asked      # from the first second on
+    counted = [a for a in asked if a[0] >= 1.0] or asked  # from the first second on
     whole = _share(counted)
     for at, row in enumerate(rows):
         row.service = _share([a for a in counted if a[1] == at])
@@ -374,16 +448,36 @@
     worst = min((_share(w) for w in windows if w), default=whole)
     service = WHOLE * whole + WORST_10S * worst + WORST_CLASS * worst_class
     prices = _prices(books, by_id, plan, max(1, len(firsts)), late_failed / (sum(a[2] for a in asked) or 1))
-    seconds = {cls.name: [_share([a for a in asked if a[1] == at and second <= a[0] < second + 1])
-                          for second in range(int(length + 0.999))] for at, cls in enumerate(classes)}
+    seconds = {
+        cls.name: [
+            _share([a for a in asked if a[1] == at and second <= a[0] < second + 1])
+            for second in range(int(length + 0.999))
+        ]
+        for at, cls in enumerate(classes)
+    }
     count = sum(len(t) for t in firsts.values())
     return Findings(
-        breaches, whole, worst, worst_class, service,
-        service - PRICE_WASTE * prices["waste"] - PRICE_LATE * prices["late_fail"]
-        - PRICE_CONNECTIONS * prices["connections"] - PRICE_HANDSHAKE * prices["handshakes"]
-        - PRICE_CROSSING * prices["crossings"] - PRICE_PROBE * prices["probes"],
-        rows, prices, count, len(books.attempts),
-        sum(max(0, len(attempts) - 1) for attempts in by_id.values()), lost, _void(books), seconds)
+        breaches,
+        whole,
+        worst,
+        worst_class,
+        service,
+        service
+        - PRICE_WASTE * prices["waste"]
+        - PRICE_LATE * prices["late_fail"]
+        - PRICE_CONNECTIONS * prices["connections"]
+        - PRICE_HANDSHAKE * prices["handshakes"]
+        - PRICE_CROSSING * prices["crossings"]
+        - PRICE_PROBE * prices["probes"],
+        rows,
+        prices,
+        count,
+        len(books.attempts),
+        sum(max(0, len(attempts) - 1) for attempts in by_id.values()),
+        lost,
+        _void(books),
+        seconds,
+    )
 
 
 def _share(asked: list[tuple[float, int, float, float]]) -> float:
@@ -391,8 +485,9 @@
     return sum(a[3] for a in asked) / total if total else 1.0
 
 
-def _prices(books: Books, by_id: dict[str, list[Attempt]], plan: Plan, firsts: int,
-            late_fail: float) -> dict[str, float]:
+def _prices(
+    books: Books, by_id: dict[str, list[Attempt]], plan: Plan, firsts: int, late_fail: float
+) -> dict[str, float]:
     """Shares as the brief prices them: 1 costs the whole price."""
     delivered = {one.id for one in books.tries if one.ending == "served" and one.ended <= one.until}
     wasted = offered = 0.0
@@ -418,8 +513,9 @@
     seen = {late.party for late in books.late}
     for late in books.late:
         if late.p99_ms > LATE_P99_MS:
-            reasons.append(f"{late.party} ran late: {late.p99_ms:.1f} ms at the 99th percentile, "
-                           f"{LATE_P99_MS:g} allowed")
+            reasons.append(
+                f"{late.party} ran late: {late.p99_ms:.1f} ms at the 99th percentile, {LATE_P99_MS:g} allowed"
+            )
         if late.worst_ms > LATE_WORST_MS:
             reasons.append(f"{late.party} ran late: {late.worst_ms:.0f} ms at worst, {LATE_WORST_MS:g} allowed")
     reasons += [f"the book of the {party} is not whole" for party in ("load", "stand-ins") if party not in seen]
--- a/lugtally/rehearsal/lateness.py
+++ b/lugtally/rehearsal/lateness.py
@@ -25,6 +25,10 @@
     def record(self) -> Late:
         """What the judge needs: a run whose kit ran late is void."""
         used = resource.getrusage(resource.RUSAGE_SELF)
-        return Late(self.party, self._histogram.get_total_count(),
-                    self._histogram.get_value_at_percentile(99) / 1000,
-                    self._histogram.get_max_value() / 1000, used.ru_utime + used.ru_stime)
+        return Late(
+            self.party,
+            self._histogram.get_total_count(),
+            self._histogram.get_value_at_percentile(99) / 1000,
+            self._histogram.get_max_value() / 1000,
+            used.ru_utime + used.ru_stime,
+        )
--- a/lugtally/rehearsal/ledger.py
+++ b/lugtally/rehearsal/ledger.py
@@ -20,17 +20,17 @@
     server: str
     zone: str
     sidecar: int
-    first: float            # its first byte
-    last: float             # its last byte
-    work: float = 0.0       # core-seconds
+    first: float  # its first byte
+    last: float  # its last byte
+    work: float = 0.0  # core-seconds
     key: str = ""
-    started: float = -1.0   # it took a slot
-    ended: float = -1.0     # its answer was written, or it was given up
-    outcome: str = "unanswered"     # served, errored, turned-away, spoilt, reset, gone, unanswered, faulty
-    worked: float = 0.0     # core-seconds spent on it
-    effect: bool = False    # it had an effect of its own (a dropped repeat has none)
-    repeat: bool = False    # dropped as a repeat of its key
-    fresh: bool = False     # the first on its connection
+    started: float = -1.0  # it took a slot
+    ended: float = -1.0  # its answer was written, or it was given up
+    outcome: str = "unanswered"  # served, errored, turned-away, spoilt, reset, gone, unanswered, faulty
+    worked: float = 0.0  # core-seconds spent on it
+    effect: bool = False  # it had an effect of its own (a dropped repeat has none)
+    repeat: bool = False  # dropped as a repeat of its key
+    fresh: bool = False  # the first on its connection
 
 
 class Told(Struct, tag="told", omit_defaults=True):
@@ -40,7 +40,7 @@
     sidecar: int
     server: str
     state: str
-    started: float | None = None    # of a restart, none where it has always run
+    started: float | None = None  # of a restart, none where it has always run
 
 
 class Change(Struct, tag="change", omit_defaults=True):
@@ -102,19 +102,19 @@
     """One try of a client, from outside the sidecar."""
 
     id: str
-    first: str          # the id of the first try
-    number: int         # 0: the first try
+    first: str  # the id of the first try
+    number: int  # 0: the first try
     sidecar: int
     cls: int
-    intended: float     # when it was to be sent; for the first try, drawn ahead
-    sent: float         # when its last byte was written
-    until: float        # the end of the client's patience with this try
+    intended: float  # when it was to be sent; for the first try, drawn ahead
+    sent: float  # when its last byte was written
+    until: float  # the end of the client's patience with this try
     ended: float = -1.0
-    ending: str = "none"    # served, refused, failed, dropped, unreached, foreign, left, none
+    ending: str = "none"  # served, refused, failed, dropped, unreached, foreign, left, none
     status: int = 0
-    extra: bool = False     # bytes came behind the answer
-    resent: bool = False    # sent once more, as the connection was closed across it
-    advice: float = -1.0    # Retry-After, seconds
+    extra: bool = False  # bytes came behind the answer
+    resent: bool = False  # sent once more, as the connection was closed across it
+    advice: float = -1.0  # Retry-After, seconds
 
 
 class Life(Struct, tag="life", omit_defaults=True):
--- a/lugtally/rehearsal/load.py
+++ b/lugtally/rehearsal/load.py
@@ -28,10 +28,10 @@
 from lugtally.rehearsal.streams import unit
 from lugtally.rehearsal.world import METHODS, Specification, mark_of, read_specification
 
-WATCHED_S = 0.4         # beyond a client's patience, to see whether an answer comes late or never
-BODY = b"v" * 200       # of a POST
+WATCHED_S = 0.4  # beyond a client's patience, to see whether an answer comes late or never
+BODY = b"v" * 200  # of a POST
 CONNECT_S = 2.0
-TAIL_S = 0.3            # after the last answer, for bytes that come behind it
+TAIL_S = 0.3  # after the last answer, for bytes that come behind it
 
 
 class Link(asyncio.Protocol):
@@ -45,7 +45,7 @@
         self.answered: Callable[[int, bytes, float], None] | None = None
         self.broke: Callable[[bool], None] | None = None
         self.extra: Callable[[], None] | None = None
-        self.made_for: Callable[[bytes], bool] | None = None    # whether a body was made for the request out now
+        self.made_for: Callable[[bytes], bool] | None = None  # whether a body was made for the request out now
         # The same two of the request before: a second answer to it may come while another request is out.
         self._extra_before: Callable[[], None] | None = None
         self._made_for_before: Callable[[bytes], bool] | None = None
@@ -68,8 +68,14 @@
             broke, self.broke, self.answered = self.broke, None, None
             broke(self._bytes)
 
-    def send(self, data: bytes, answered: Callable[[int, bytes, float], None], broke: Callable[[bool], None],
-             extra: Callable[[], None], made_for: Callable[[bytes], bool]) -> None:
+    def send(
+        self,
+        data: bytes,
+        answered: Callable[[int, bytes, float], None],
+        broke: Callable[[bool], None],
+        extra: Callable[[], None],
+        made_for: Callable[[bytes], bool],
+    ) -> None:
         """Write a request; ``answered`` or ``broke`` is called once, ``extra`` for a second answer to it.
 
         ``made_for`` tells whether the body of an answer was made for this request.
@@ -178,7 +184,7 @@
     def fresh(self, use: Callable[[Link | None], None]) -> None:
         """The same over a new connection."""
         if self._open >= self.tool.told.scenario.clients.connections:
-            self._queue.append(use)     # counted from its intended time all the same
+            self._queue.append(use)  # counted from its intended time all the same
             return
         self._open += 1
         asyncio.get_running_loop().create_task(self._connect(use))
@@ -187,8 +193,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_S):
-                _, link = await loop.create_connection(lambda: Link(self._ended), self.host, places.PORT,
-                                                       family=socket.AF_INET)
+                _, link = await loop.create_connection(
+                    lambda: Link(self._ended), self.host, places.PORT, family=socket.AF_INET
+                )
         except (OSError, TimeoutError):
             self._open -= 1
             use(None)
@@ -231,7 +238,7 @@
         self.serial = serial
         self.first = self.id(0)
         self.number = 0
-        self.over = False       # served
+        self.over = False  # served
 
     def id(self, number: int) -> str:
         """A try's own id: the place among the arrivals, the try, and the run's mark."""
@@ -243,8 +250,16 @@
         end = tool.start + self.arrival.at + cls.deadline_ms / 1000
         left = min(cls.deadline_ms / 1000 * tool.told.scenario.clients.try_share, end - intended)
         number, self.number = self.number, self.number + 1
-        one = Try(self.id(number), self.first, number, self.arrival.sidecar, self.arrival.cls, intended,
-                  intended, intended + left)
+        one = Try(
+            self.id(number),
+            self.first,
+            number,
+            self.arrival.sidecar,
+            self.arrival.cls,
+            intended,
+            intended,
+            intended + left,
+        )
         tool.pending += 1
         _Sending(self, one, cls.name, METHODS[cls.effect], cls.effect == "keyed").go()
 
@@ -260,8 +275,10 @@
             return
         harmless = one.ending in ("refused", "unreached") and not gave_up
         wide = cls.effect == "safe" or (
-            cls.effect == "keyed" and cls.key_scope == "all"
-            and tool.clock() - tool.start - self.arrival.at < cls.key_ttl_ms / 1000)
+            cls.effect == "keyed"
+            and cls.key_scope == "all"
+            and tool.clock() - tool.start - self.arrival.at < cls.key_ttl_ms / 1000
+        )
         wait = clients.wait_ms / 1000
         if one.advice >= 0 and unit(tool.told.seed, "honour", self.first) < clients.honour:
             wait = max(wait, one.advice)
@@ -287,9 +304,13 @@
         self.client = client
         self.one = one
         body = b"" if method == "GET" else BODY
-        lines = [f"{method} /{name}?n={client.serial} HTTP/1.1", "Host: service.internal",
-                 f"X-Correlation-Id: {one.id}", f"X-Service-Class: {name}",
-                 f"X-Time-Left: {one.until - one.intended:.3f}"]
+        lines = [
+            f"{method} /{name}?n={client.serial} HTTP/1.1",
+            "Host: service.internal",
+            f"X-Correlation-Id: {one.id}",
+            f"X-Service-Class: {name}",
+            f"X-Time-Left: {one.until - one.intended:.3f}",
+        ]
         if one.number:
             lines.append("X-Repeat: 1")
         if keyed:
@@ -329,9 +350,22 @@
         """Bytes came behind the answer."""
         self.one.extra = True
         if self.done:
-            self.client.tool.book.write(Try(self.one.id, self.one.first, self.one.number, self.one.sidecar,
-                                            self.one.cls, self.one.intended, self.one.sent, self.one.until,
-                                            self.client.tool.clock(), "extra", 0, True))
+            self.client.tool.book.write(
+                Try(
+                    self.one.id,
+                    self.one.first,
+                    self.one.number,
+                    self.one.sidecar,
+                    self.one.cls,
+                    self.one.intended,
+                    self.one.sent,
+                    self.one.until,
+                    self.client.tool.clock(),
+                    "extra",
+                    0,
+                    True,
+                )
+            )
 
     def answered(self, status: int, body: bytes, advice: float) -> None:
         """A whole answer has come."""
@@ -416,7 +450,7 @@
         self.lateness = Lateness("load")
         self.applications = [Application(self, at) for at in range(told.scenario.fleet.sidecars)]
         self.start = 0.0
-        self.pending = 0    # tries on their way or watched, and retries to come
+        self.pending = 0  # tries on their way or watched, and retries to come
 
     def clock(self) -> float:
         """Seconds since the base."""
@@ -435,7 +469,7 @@
         if not line or line[0] != "go":
             return
         self.start = float(line[1])
-        told = loop.create_task(reader.readline())     # ``stop``, or the end of the runner
+        told = loop.create_task(reader.readline())  # ``stop``, or the end of the runner
         playing = loop.create_task(self._play())
         await asyncio.wait((told, playing), return_when=asyncio.FIRST_COMPLETED)
         playing.cancel()
@@ -455,8 +489,8 @@
                 flushed = due
                 self.book.flush()
             elif wait < -0.01:
-                await asyncio.sleep(0)      # behind: answers must be read all the same
-        while self.pending:     # each has an end of its own: its client's patience and the watch after it
+                await asyncio.sleep(0)  # behind: answers must be read all the same
+        while self.pending:  # each has an end of its own: its client's patience and the watch after it
             await asyncio.sleep(0.05)
         await asyncio.sleep(TAIL_S)
         for application in self.applications:
--- a/lugtally/rehearsal/model.py
+++ b/lugtally/rehearsal/model.py
@@ -15,9 +15,9 @@
 from enum import Enum
 from math import inf
 
-STEP_S = 0.05       # the longest stretch over which a changing speed is held still
-NONE_S = 1e-9       # work that counts as done
-LEAST_S = 1e-7      # the shortest step: without it, what rounding leaves over would stop the clock
+STEP_S = 0.05  # the longest stretch over which a changing speed is held still
+NONE_S = 1e-9  # work that counts as done
+LEAST_S = 1e-7  # the shortest step: without it, what rounding leaves over would stop the clock
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,9 +28,9 @@
     slots: int = 2
     queue: int = 76
     speed: float = 1.0
-    crowd_at: float = 4.0           # requests a core
+    crowd_at: float = 4.0  # requests a core
     crowd_loss: float = 0.4
-    choke_at: float = inf           # requests a core
+    choke_at: float = inf  # requests a core
     choke_over: float = 2.0
     choke_slower: float = 2.8
     choke_idle: float = 3.5
@@ -65,9 +65,9 @@
     sidecar: int = 0
     left: float = field(init=False)
     arrived: float = 0.0
-    started: float = -1.0       # when it took a slot; -1: it waits, or never did
+    started: float = -1.0  # when it took a slot; -1: it waits, or never did
     ended: float = -1.0
-    expired: bool = False       # dropped unworked when its turn came
+    expired: bool = False  # dropped unworked when its turn came
 
     def __post_init__(self) -> None:
         self.left = self.work
@@ -82,22 +82,22 @@
         self.born = now if cold else -inf
         self.running: list[Job] = []
         self.waiting: deque[Job] = deque()
-        self._ended: list[Job] = []     # not yet returned: a slot is also filled between two calls of ``advance``
+        self._ended: list[Job] = []  # not yet returned: a slot is also filled between two calls of ``advance``
         self.draining = False
-        self.silent = False             # takes everything, works on nothing
-        self.taken_away = 0.0           # share of the machine that a neighbour has
-        self.slower = 1.0               # by what all servers share
+        self.silent = False  # takes everything, works on nothing
+        self.taken_away = 0.0  # share of the machine that a neighbour has
+        self.slower = 1.0  # by what all servers share
         self.fallen = False
         self.connections = 0
-        self.done_work = 0.0            # core-seconds, since it was born
-        self.overhead = 0.0             # core-seconds of handshakes and probes still to do
+        self.done_work = 0.0  # core-seconds, since it was born
+        self.overhead = 0.0  # core-seconds of handshakes and probes still to do
         self.choked_at = -1.0
         self._crowded_since = -1.0
         self._idle_since = -1.0
-        self._pressure: deque[tuple[float, float, int]] = deque()   # when, work, from which sidecar
+        self._pressure: deque[tuple[float, float, int]] = deque()  # when, work, from which sidecar
         self._pressed = 0.0
         self.fell_at = -1.0
-        self.fell_by: dict[int, float] = {}     # work by sidecar in the window that pushed it over
+        self.fell_by: dict[int, float] = {}  # work by sidecar in the window that pushed it over
 
     # ------------------------------------------------------------ what it is like now
 
@@ -193,7 +193,7 @@
 
     def advance(self, now: float) -> list[Job]:
         """Work until ``now``; returns what has ended, in order: done, or ``expired`` as its turn came too late."""
-        self._fill(self.now)        # it may have found its voice since
+        self._fill(self.now)  # it may have found its voice since
         while self.now < now:
             step = min(now, self._next(self.now)) - self.now
             each = self._each()
--- a/lugtally/rehearsal/places.py
+++ b/lugtally/rehearsal/places.py
@@ -13,8 +13,8 @@
 
 PORT = 9000
 LOCK_PORT = 8999
-DISCOVERY = 250     # the third part of the list's addresses
-FRONT = 251         # and of the sidecars' own
+DISCOVERY = 250  # the third part of the list's addresses
+FRONT = 251  # and of the sidecars' own
 
 
 class Block:
--- a/lugtally/rehearsal/plan.py
+++ b/lugtally/rehearsal/plan.py
@@ -54,9 +54,9 @@
     machines: tuple[Machine, ...]
     sidecar_zones: tuple[str, ...]
     events: tuple[Event, ...]
-    mean_work: tuple[float, ...]    # by class, core-seconds
-    rate: float                     # first tries a second
-    notice: float                   # seconds until the list shows a change
+    mean_work: tuple[float, ...]  # by class, core-seconds
+    rate: float  # first tries a second
+    notice: float  # seconds until the list shows a change
     silent_notice: float
 
 
@@ -65,19 +65,30 @@
     mean_work = tuple(between(stream(seed, "class", cls.name), cls.work_ms) / 1000 for cls in scenario.classes)
     machines = _machines(scenario, seed)
     discovery = stream(seed, "discovery")
-    notice, silent = between(discovery, scenario.discovery.notice_s), \
-        between(discovery, scenario.discovery.silent_notice_s)
+    notice, silent = (
+        between(discovery, scenario.discovery.notice_s),
+        between(discovery, scenario.discovery.silent_notice_s),
+    )
     events = _events(scenario, seed, machines)
     rate = scenario.load.rate_per_s
     if scenario.load.utilisation is not None:
-        capacity = sum(m.traits.cores * m.traits.speed for m in machines[:scenario.fleet.servers])
+        capacity = sum(m.traits.cores * m.traits.speed for m in machines[: scenario.fleet.servers])
         a_request = sum(c.share * w for c, w in zip(scenario.classes, mean_work, strict=True))
         rate = scenario.load.utilisation * capacity / a_request
     arrivals = _arrivals(scenario, seed, rate, mean_work)
     zones = scenario.fleet.zones
-    return Plan(scenario, seed, arrivals, machines,
-                tuple(zones[at % len(zones)] for at in range(scenario.fleet.sidecars)),
-                events, mean_work, rate, notice, silent)
+    return Plan(
+        scenario,
+        seed,
+        arrivals,
+        machines,
+        tuple(zones[at % len(zones)] for at in range(scenario.fleet.sidecars)),
+        events,
+        mean_work,
+        rate,
+        notice,
+        silent,
+    )
 
 
 def machine(scenario: Scenario, seed: int, at: int, id: str = "") -> Machine:
@@ -91,14 +102,32 @@
     # Spread over the zones by place, so that one more server moves none of the others.
     first = (at + 0.5) * fleet.zone_skew % 1 < fleet.zone_skew or len(fleet.zones) == 1
     zone = fleet.zones[0] if first else fleet.zones[1 + at % (len(fleet.zones) - 1)]
-    return Machine(id, zone, Traits(
-        cores=fleet.cores, slots=fleet.cores * fleet.slots_per_core, queue=fleet.cores * fleet.queue_per_core,
-        speed=speed, crowd_at=fleet.crowd_at, crowd_loss=fleet.crowd_loss, choke_at=fleet.choke_at,
-        choke_over=fleet.choke_over_s, choke_slower=fleet.choke_slower, choke_idle=fleet.choke_idle_s,
-        choke_most=fleet.choke_most_s, cold_from=fleet.cold_from, cold_s=fleet.cold_s,
-        warm_by_work=fleet.warm_by == "work", fall_multiple=fleet.fall_multiple, fall_after=fleet.fall_after_s,
-        connections=network.connections, full_tax=network.full_tax,
-        handshake_s=between(random, network.handshake_ms) / 1000, drops_expired=fleet.drops_expired))
+    return Machine(
+        id,
+        zone,
+        Traits(
+            cores=fleet.cores,
+            slots=fleet.cores * fleet.slots_per_core,
+            queue=fleet.cores * fleet.queue_per_core,
+            speed=speed,
+            crowd_at=fleet.crowd_at,
+            crowd_loss=fleet.crowd_loss,
+            choke_at=fleet.choke_at,
+            choke_over=fleet.choke_over_s,
+            choke_slower=fleet.choke_slower,
+            choke_idle=fleet.choke_idle_s,
+            choke_most=fleet.choke_most_s,
+            cold_from=fleet.cold_from,
+            cold_s=fleet.cold_s,
+            warm_by_work=fleet.warm_by == "work",
+            fall_multiple=fleet.fall_multiple,
+            fall_after=fleet.fall_after_s,
+            connections=network.connections,
+            full_tax=network.full_tax,
+            handshake_s=between(random, network.handshake_ms) / 1000,
+            drops_expired=fleet.drops_expired,
+        ),
+    )
 
 
 def _machines(scenario: Scenario, seed: int) -> tuple[Machine, ...]:
@@ -128,8 +157,7 @@
     return tuple(sorted(events, key=lambda e: e.at))
 
 
-def _choose(scenario: Scenario, seed: int, at: int, trouble: Trouble,
-            machines: tuple[Machine, ...]) -> tuple[int, ...]:
+def _choose(scenario: Scenario, seed: int, at: int, trouble: Trouble, machines: tuple[Machine, ...]) -> tuple[int, ...]:
     able = [i for i in range(scenario.fleet.servers) if trouble.zone in (None, machines[i].zone)]
     if trouble.part is None and trouble.servers is None:
         return tuple(able)
@@ -145,7 +173,7 @@
             events.append(Event(start + trouble.for_s, False, trouble, servers))
         return events
     events = []
-    for one in servers:     # each goes on and off by itself
+    for one in servers:  # each goes on and off by itself
         random = stream(seed, "on-off", at, one)
         now, begins = start, True
         while now < start + trouble.for_s:
@@ -202,8 +230,13 @@
         times = np.cumsum(random.exponential(1 / peak, count))
         keep = random.random(count) * most < _profile(scenario, seed, np.minimum(times, scenario.length_s))
         classes = np.minimum(np.searchsorted(shares, random.random(count), side="right"), len(shares) - 1)
-        drawn = [_work(cls, mean_work[at], stream(seed, "work", sidecar, cls.name), count)
-                 for at, cls in enumerate(scenario.classes)]
-        found += [Arrival(float(times[i]), sidecar, int(classes[i]), float(drawn[int(classes[i])][i]))
-                  for i in range(count) if keep[i] and times[i] < scenario.length_s]
+        drawn = [
+            _work(cls, mean_work[at], stream(seed, "work", sidecar, cls.name), count)
+            for at, cls in enumerate(scenario.classes)
+        ]
+        found += [
+            Arrival(float(times[i]), sidecar, int(classes[i]), float(drawn[int(classes[i])][i]))
+            for i in range(count)
+            if keep[i] and times[i] < scenario.length_s
+        ]
     return tuple(sorted(found, key=lambda a: a.at))
--- a/lugtally/rehearsal/render.py
+++ b/lugtally/rehearsal/render.py
@@ -16,7 +16,7 @@
 COLOURS = {PASSED: "green", FAILED: "yellow", BROKEN: "red", VOID: "magenta"}
 NO_METADATA = {"Date": None, "Creator": None, "Format": None, "Type": None}
 WIDTH = 118
-SHOWN = 12      # breaches on the terminal
+SHOWN = 12  # breaches on the terminal
 
 
 def wide() -> Console:
@@ -28,25 +28,34 @@
 def terminal(report: Report, console: Console) -> None:
     """Verdict first, then service by class, latencies, prices and what the kit itself used."""
     found = report.findings
-    console.print(f"[bold {COLOURS[report.verdict]}]{report.verdict.upper()}[/]  {report.scenario}, seed "
-                  f"{report.seed}, {report.policy}: service {found.service:.3f}, net of prices {found.net:.3f}",
-                  highlight=False)
+    console.print(
+        f"[bold {COLOURS[report.verdict]}]{report.verdict.upper()}[/]  {report.scenario}, seed "
+        f"{report.seed}, {report.policy}: service {found.service:.3f}, net of prices {found.net:.3f}",
+        highlight=False,
+    )
     for reason in report.reasons:
         console.print(f"  {reason}", highlight=False, markup=False)
     for breach in found.breaches[:SHOWN]:
-        console.print(f"  {breach.at:8.3f} s  {breach.name}  {breach.what}: {breach.text}", highlight=False,
-                      markup=False)
+        console.print(
+            f"  {breach.at:8.3f} s  {breach.name}  {breach.what}: {breach.text}", highlight=False, markup=False
+        )
     more = sum(report.breaches_by_name.values()) - SHOWN
     if more > 0:
         console.print(f"  and {more} more", highlight=False)
-    console.print(f"whole run {found.whole:.3f}, worst 10 s {found.worst_10s:.3f}, worst class "
-                  f"{found.worst_class:.3f}; {report.rate_per_s:.0f} first tries/s, {found.tries} tries, "
-                  f"{found.attempts} attempts, {found.retries} of them retries", highlight=False)
+    console.print(
+        f"whole run {found.whole:.3f}, worst 10 s {found.worst_10s:.3f}, worst class "
+        f"{found.worst_class:.3f}; {report.rate_per_s:.0f} first tries/s, {found.tries} tries, "
+        f"{found.attempts} attempts, {found.retries} of them retries",
+        highlight=False,
+    )
     console.print(_classes(report))
     console.print("  ".join(f"{name} {value:.3f}" for name, value in found.prices.items()), highlight=False)
     for late in report.late:
-        console.print(f"{late.party}: {late.p99_ms:.1f} ms late at the 99th percentile, {late.worst_ms:.1f} at worst; "
-                      f"{late.cpu_s:.1f} s of a core", highlight=False)
+        console.print(
+            f"{late.party}: {late.p99_ms:.1f} ms late at the 99th percentile, {late.worst_ms:.1f} at worst; "
+            f"{late.cpu_s:.1f} s of a core",
+            highlight=False,
+        )
     used = sum(s.cpu_s for s in report.sidecars)
     most = max((s.rss_mb for s in report.sidecars), default=0.0)
     console.print(f"sidecars: {used:.1f} s of a core together, {most:.1f} MB resident at most", highlight=False)
@@ -60,8 +69,12 @@
     latency = {one.name: one.percentiles for one in report.latencies}
     for row in report.findings.classes:
         ms = latency.get(row.name, {})
-        table.add_row(row.name, *map(str, (row.asked, row.served, row.late, row.refused, row.failed)),
-                      f"{row.service:.3f}", *(f"{ms.get(p, 0):.0f}" for p in ("50", "99", "100")))
+        table.add_row(
+            row.name,
+            *map(str, (row.asked, row.served, row.late, row.refused, row.failed)),
+            f"{row.service:.3f}",
+            *(f"{ms.get(p, 0):.0f}" for p in ("50", "99", "100")),
+        )
     return table
 
 
@@ -75,10 +88,18 @@
     table.add_column("why")
     for one in reports:
         found = one.findings
-        table.add_row(f"[{COLOURS[one.verdict]}]{one.verdict}[/]", one.scenario, str(one.seed), one.policy,
-                      f"{found.service:.3f}", f"{found.net:.3f}", f"{found.worst_10s:.3f}",
-                      f"{found.worst_class:.3f}", f"{max((x.p99_ms for x in one.late), default=0):.1f}",
-                      "; ".join(one.reasons)[:90])
+        table.add_row(
+            f"[{COLOURS[one.verdict]}]{one.verdict}[/]",
+            one.scenario,
+            str(one.seed),
+            one.policy,
+            f"{found.service:.3f}",
+            f"{found.net:.3f}",
+            f"{found.worst_10s:.3f}",
+            f"{found.worst_class:.3f}",
+            f"{max((x.p99_ms for x in one.late), default=0):.1f}",
+            "; ".join(one.reasons)[:90],
+        )
     console.print(table)
 
 
@@ -92,22 +113,29 @@
     figure.savefig(text, format="svg", bbox_inches="tight", metadata=NO_METADATA)
     plt.close(figure)
     whole = text.getvalue()
-    return whole[whole.index("<svg"):]
+    return whole[whole.index("<svg") :]
 
 
 def _plots(report: Report) -> dict[str, str]:
     import matplotlib
 
     matplotlib.use("Agg")
-    matplotlib.rcParams["svg.hashsalt"] = "lugtally"     # the same report gives the same page
+    matplotlib.rcParams["svg.hashsalt"] = "lugtally"  # the same report gives the same page
     import matplotlib.pyplot as plt
 
     def spans(axes: Any) -> None:
         for at, trouble in enumerate(report.troubles):
             end = report.length_s if trouble.ended_s is None else trouble.ended_s
             axes.axvspan(trouble.begun_s, end, color=f"C{3 + at % 6}", alpha=0.12, lw=0)
-            axes.text(trouble.begun_s, 1.0, trouble.kind, rotation=90, va="top", fontsize=6,
-                      transform=axes.get_xaxis_transform())
+            axes.text(
+                trouble.begun_s,
+                1.0,
+                trouble.kind,
+                rotation=90,
+                va="top",
+                fontsize=6,
+                transform=axes.get_xaxis_transform(),
+            )
 
     plots: dict[str, str] = {}
     figure, axes = plt.subplots(figsize=(9, 3))
@@ -147,6 +175,12 @@
     """One HTML file that needs nothing else."""
     text = (resources.files("lugtally.rehearsal") / "report.html.jinja").read_text(encoding="utf-8")
     template = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined).from_string(text)
-    path.write_text(template.render(report=report, found=report.findings, plots=_plots(report),
-                                    latency={one.name: one.percentiles for one in report.latencies}),
-                    encoding="utf-8")
+    path.write_text(
+        template.render(
+            report=report,
+            found=report.findings,
+            plots=_plots(report),
+            latency={one.name: one.percentiles for one in report.latencies},
+        ),
+        encoding="utf-8",
+    )
--- a/lugtally/rehearsal/report.py
+++ b/lugtally/rehearsal/report.py
@@ -18,7 +18,7 @@
 from lugtally.rehearsal.scenario import Expect
 
 SCHEMA = 1
-MOST_BREACHES = 200     # listed; all are counted
+MOST_BREACHES = 200  # listed; all are counted
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 PASSED, FAILED, BROKEN, VOID = "passed", "failed", "broken", "void"
 INTERRUPTED = "interrupted"
@@ -71,7 +71,7 @@
     breaches_by_name: dict[str, int]
     findings: Findings
     latencies: list[Latency]
-    in_flight: dict[str, list[tuple[float, int]]]       # by server: seconds, requests held
+    in_flight: dict[str, list[tuple[float, int]]]  # by server: seconds, requests held
     attempts_per_try: dict[str, int]
     troubles: list[Noted]
     late: list[Late]
@@ -84,16 +84,22 @@
         return VOID, list(findings.void)
     if findings.breaches:
         counted = Counter(b.name for b in findings.breaches)
-        return BROKEN, [f"rule {min(b.rule for b in findings.breaches if b.name == name)} broken: {name} {count} x"
-                        for name, count in counted.most_common()]
-    floors = [("service", findings.service, expect.service), ("worst class", findings.worst_class, expect.worst_class),
-              ("worst 10 s", findings.worst_10s, expect.worst_10s)]
+        return BROKEN, [
+            f"rule {min(b.rule for b in findings.breaches if b.name == name)} broken: {name} {count} x"
+            for name, count in counted.most_common()
+        ]
+    floors = [
+        ("service", findings.service, expect.service),
+        ("worst class", findings.worst_class, expect.worst_class),
+        ("worst 10 s", findings.worst_10s, expect.worst_10s),
+    ]
     missed = [f"{name} {value:.3f}, expected {floor:g} or more" for name, value, floor in floors if value < floor]
     return (FAILED, missed) if missed else (PASSED, [])
 
 
-def build(plan: Plan, policy: str, findings: Findings, books: Books, start: float,
-          used: list[tuple[float, float]]) -> Report:
+def build(
+    plan: Plan, policy: str, findings: Findings, books: Books, start: float, used: list[tuple[float, float]]
+) -> Report:
     """Put a report together."""
     scenario = plan.scenario
     word, reasons = verdict(findings, scenario.expect)
@@ -108,10 +114,27 @@
     tries = [t for t in books.tries if t.ending != "extra"]
     spread = Counter(min(by_try.get(t.id, 0), 9) for t in tries)
     return Report(
-        SCHEMA, scenario.name, plan.seed, policy, __version__, f"{platform.system()} {platform.machine()}",
-        os.cpu_count() or 1, scenario.length_s, plan.rate, scenario.fleet.servers, word, reasons, dict(names), kept,
-        _latencies(plan, books), dict(in_flight), {str(n): spread[n] for n in sorted(spread)}, _noted(plan),
-        books.late, [Sidecar(round(cpu, 3), round(rss, 2)) for cpu, rss in used])
+        SCHEMA,
+        scenario.name,
+        plan.seed,
+        policy,
+        __version__,
+        f"{platform.system()} {platform.machine()}",
+        os.cpu_count() or 1,
+        scenario.length_s,
+        plan.rate,
+        scenario.fleet.servers,
+        word,
+        reasons,
+        dict(names),
+        kept,
+        _latencies(plan, books),
+        dict(in_flight),
+        {str(n): spread[n] for n in sorted(spread)},
+        _noted(plan),
+        books.late,
+        [Sidecar(round(cpu, 3), round(rss, 2)) for cpu, rss in used],
+    )
 
 
 def _latencies(plan: Plan, books: Books) -> list[Latency]:
@@ -127,8 +150,13 @@
         for first, (when, number) in ended.items():
             if number == at:
                 histogram.record_value(max(1, int((when - begun[first]) * 1e6)))
-        found.append(Latency(cls.name, histogram.get_total_count(), {
-            f"{p:g}": round(histogram.get_value_at_percentile(p) / 1000, 3) for p in PERCENTILES}))
+        found.append(
+            Latency(
+                cls.name,
+                histogram.get_total_count(),
+                {f"{p:g}": round(histogram.get_value_at_percentile(p) / 1000, 3) for p in PERCENTILES},
+            )
+        )
     return found
 
 
@@ -136,11 +164,28 @@
     found = []
     for event in plan.events:
         if event.begins:
-            end = next((e.at for e in plan.events if not e.begins and e.trouble is event.trouble
-                        and e.at >= event.at and set(e.servers) == set(event.servers)), None)
+            end = next(
+                (
+                    e.at
+                    for e in plan.events
+                    if not e.begins
+                    and e.trouble is event.trouble
+                    and e.at >= event.at
+                    and set(e.servers) == set(event.servers)
+                ),
+                None,
+            )
             machines = plan.machines
-            found.append(Noted(event.trouble.kind, event.at, end, [
-                machines[at].id for at in event.servers] if len(event.servers) < plan.scenario.fleet.servers else []))
+            found.append(
+                Noted(
+                    event.trouble.kind,
+                    event.at,
+                    end,
+                    [machines[at].id for at in event.servers]
+                    if len(event.servers) < plan.scenario.fleet.servers
+                    else [],
+                )
+            )
     return found
 
 
@@ -177,8 +222,9 @@
     """The reports of a file, or of all files of a folder."""
     if not path.is_dir():
         return load(path)
-    found = [one for file in sorted(path.glob("*.json")) if not file.name.endswith(".scenario.json")
-             for one in load(file)]
+    found = [
+        one for file in sorted(path.glob("*.json")) if not file.name.endswith(".scenario.json") for one in load(file)
+    ]
     if not found:
         raise ReportError(f"{path}: no reports in it")
     return found
--- a/lugtally/rehearsal/runner.py
+++ b/lugtally/rehearsal/runner.py
@@ -34,12 +34,12 @@
 from lugtally.rehearsal.streams import stream
 from lugtally.rehearsal.world import Specification
 
-READY_S = 20.0          # for each process to come up
-AHEAD_S = 0.4           # between the word ``go`` and the first arrival
-STOP_S = 8.0            # for a sidecar to end after SIGTERM, beyond the longest deadline
+READY_S = 20.0  # for each process to come up
+AHEAD_S = 0.4  # between the word ``go`` and the first arrival
+STOP_S = 8.0  # for a sidecar to end after SIGTERM, beyond the longest deadline
 TURN_S = 0.05
 SAMPLE_S = 0.5
-MODULE = "module"       # the decisions that the daemon ships
+MODULE = "module"  # the decisions that the daemon ships
 
 
 class RunError(Exception):
@@ -51,7 +51,7 @@
     """What one sidecar used; summed over its restarts."""
 
     cpu_s: float = 0.0
-    rss_mb: float = 0.0     # the most seen
+    rss_mb: float = 0.0  # the most seen
     ended_cpu_s: float = 0.0
 
 
@@ -63,29 +63,59 @@
     process: subprocess.Popen[bytes] | None = None
     watch: psutil.Process | None = None
     ready: bool = False
-    told: str = ""              # kill or term, until it has ended
-    back_at: float | None = None    # when it is to be started again
+    told: str = ""  # kill or term, until it has ended
+    back_at: float | None = None  # when it is to be started again
     usage: Usage = field(default_factory=Usage)
 
 
 def settings(scenario: Scenario, sidecar: int) -> dict[str, Any]:
     """What a sidecar is told of the deployment, in the words of the platform's wire."""
-    grades = [{"name": c.name, "effect": TAKES_EFFECT[c.effect], "gain": c.worth, "late_worth": c.late_worth,
-               "slo_ns": int(c.aim_ms * 1e6), "hard_limit_ns": int(c.deadline_ms * 1e6), "key_scope": c.key_scope,
-               "key_ttl_ns": int(c.key_ttl_ms * 1e6), "stream": False} for c in scenario.classes]
+    grades = [
+        {
+            "name": c.name,
+            "effect": TAKES_EFFECT[c.effect],
+            "gain": c.worth,
+            "late_worth": c.late_worth,
+            "slo_ns": int(c.aim_ms * 1e6),
+            "hard_limit_ns": int(c.deadline_ms * 1e6),
+            "key_scope": c.key_scope,
+            "key_ttl_ns": int(c.key_ttl_ms * 1e6),
+            "stream": False,
+        }
+        for c in scenario.classes
+    ]
     fleet, zones = scenario.fleet, list(scenario.fleet.zones)
     return {
-        "grades": grades, "instances": fleet.sidecars, "me": sidecar, "zones": zones,
-        "locality": sidecar % len(zones), "kinds": ["std"], "membership_mode": "subscribe", "step_ns": 5_000_000,
-        "ceilings": {"most_tries": 4, "cancel": True, "second_copies": True, "retry_after": True,
-                     "max_retry_after_ns": 2_000_000_000, "may_probe": True, "peers": False,
-                     "keepalive_ns": int(scenario.network.idle_s * 1e9), "connect_timeout_ns": 150_000_000},
-        "contract": {"answer_slack_ns": int(judge.ANSWER_SLACK_S * 1e9),
-                     "ask_within_ns": int(scenario.discovery.ask_within_s * 1e9),
-                     "cold_from": fleet.cold_from, "warm_within_ns": int(fleet.cold_s * 1e9),
-                     "drain_grace_ns": int(judge.DRAIN_GRACE_S * 1e9), "fall_multiple": fleet.fall_multiple,
-                     "tip_after_ns": int(fleet.fall_after_s * 1e9)},
-        "prices": {"cross_zone": 0.03}, "report": {"how": "probe", "columns": ["inflight", "queue", "qps"]},
+        "grades": grades,
+        "instances": fleet.sidecars,
+        "me": sidecar,
+        "zones": zones,
+        "locality": sidecar % len(zones),
+        "kinds": ["std"],
+        "membership_mode": "subscribe",
+        "step_ns": 5_000_000,
+        "ceilings": {
+            "most_tries": 4,
+            "cancel": True,
+            "second_copies": True,
+            "retry_after": True,
+            "max_retry_after_ns": 2_000_000_000,
+            "may_probe": True,
+            "peers": False,
+            "keepalive_ns": int(scenario.network.idle_s * 1e9),
+            "connect_timeout_ns": 150_000_000,
+        },
+        "contract": {
+            "answer_slack_ns": int(judge.ANSWER_SLACK_S * 1e9),
+            "ask_within_ns": int(scenario.discovery.ask_within_s * 1e9),
+            "cold_from": fleet.cold_from,
+            "warm_within_ns": int(fleet.cold_s * 1e9),
+            "drain_grace_ns": int(judge.DRAIN_GRACE_S * 1e9),
+            "fall_multiple": fleet.fall_multiple,
+            "tip_after_ns": int(fleet.fall_after_s * 1e9),
+        },
+        "prices": {"cross_zone": 0.03},
+        "report": {"how": "probe", "columns": ["inflight", "queue", "qps"]},
     }
 
 
@@ -106,9 +136,17 @@
 class Run:
     """One scenario under one seed with one policy.  ``watch`` is told the seconds played and what goes on."""
 
-    def __init__(self, scenario: Scenario, seed: int, *, policy: str = MODULE, folder: Path | None = None,
-                 watch: Callable[[float, str], None] = lambda _seconds, _what: None,
-                 command: list[str] | None = None, operator: Path | None = None) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        *,
+        policy: str = MODULE,
+        folder: Path | None = None,
+        watch: Callable[[float, str], None] = lambda _seconds, _what: None,
+        command: list[str] | None = None,
+        operator: Path | None = None,
+    ) -> None:
         self.scenario, self.seed, self.policy, self.watch = scenario, seed, policy, watch
         self.plan: Plan = plan.make(scenario, seed)
         self.operator = operator
@@ -153,13 +191,18 @@
                 self._end()
                 self._book.close()
                 block.close()
-        books = judge.sort(ledger.read(self.folder / name for name in
-                                       ("world.jsonl", "load.jsonl", "runner.jsonl")))
+        books = judge.sort(ledger.read(self.folder / name for name in ("world.jsonl", "load.jsonl", "runner.jsonl")))
         findings = judge.judge(books, self.plan, self.start)
         if cut_short:
             findings.void.insert(0, f"{cut_short} after {max(0.0, self.clock() - self.start):.1f} s")
-        report = build(self.plan, self.policy, findings, books, self.start,
-                       [(s.usage.cpu_s, s.usage.rss_mb) for s in self.sidecars])
+        report = build(
+            self.plan,
+            self.policy,
+            findings,
+            books,
+            self.start,
+            [(s.usage.cpu_s, s.usage.rss_mb) for s in self.sidecars],
+        )
         if not self._keep:
             shutil.rmtree(self.folder, ignore_errors=True)
         return report
@@ -189,7 +232,7 @@
         while True:
             ready, _, _ = select.select([load.stdout], [], [], TURN_S)
             if ready:
-                break       # done, or ended
+                break  # done, or ended
             now = self.clock()
             while script and now >= self.start + script[0].at:
                 self._strike(script.pop(0))
@@ -219,7 +262,7 @@
                     child.stdin.write(b"stop\n")
                     child.stdin.close()
                 except OSError:
-                    pass        # it has ended meanwhile
+                    pass  # it has ended meanwhile
         until = time.monotonic() + 5
         for child in self._children:
             try:
@@ -240,8 +283,12 @@
         told = Specification(self.scenario, self.seed, self.block, self.base, str(self.folder / f"{name}.jsonl"))
         path = self.folder / f"{name}.spec.json"
         path.write_bytes(msgspec.json.encode(told))
-        return self._spawn([sys.executable, "-B", "-m", f"lugtally.rehearsal.{name}", str(path)], f"{name}.log",
-                           stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        return self._spawn(
+            [sys.executable, "-B", "-m", f"lugtally.rehearsal.{name}", str(path)],
+            f"{name}.log",
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
 
     def _await_word(self, child: subprocess.Popen[bytes], word: str) -> None:
         assert child.stdout is not None
@@ -256,15 +303,28 @@
 
     def configuration(self, sidecar: Sidecar) -> dict[str, Any]:
         """What that sidecar is told: its config.json."""
-        rows = [{"id": m.id, "addr": f"{places.server(self.block, at, sidecar.number)}:{places.PORT}", "zone": m.zone,
-                 "kind": "std", "cell": self.scenario.fleet.zones.index(m.zone), "state": "ready", "weight": 1.0,
-                 "started_ms": 0} for at, m in enumerate(self.plan.machines[:self.scenario.fleet.servers])]
-        return {"name": f"n{sidecar.number}", "listen": f"{places.front(self.block, sidecar.number)}:{places.PORT}",
-                "discovery": f"{places.discovery(self.block, sidecar.number)}:{places.PORT}",
-                "seed": f"{stream(self.seed, 'sidecar', sidecar.number).integers(2**62):x}",
-                "limits": {"cores": 1.0, "memory_mb": self.scenario.memory_mb, "sockets": self.scenario.sockets},
-                "known": {"version": 1, "full": True, "servers": rows},
-                "settings": settings(self.scenario, sidecar.number)}
+        rows = [
+            {
+                "id": m.id,
+                "addr": f"{places.server(self.block, at, sidecar.number)}:{places.PORT}",
+                "zone": m.zone,
+                "kind": "std",
+                "cell": self.scenario.fleet.zones.index(m.zone),
+                "state": "ready",
+                "weight": 1.0,
+                "started_ms": 0,
+            }
+            for at, m in enumerate(self.plan.machines[: self.scenario.fleet.servers])
+        ]
+        return {
+            "name": f"n{sidecar.number}",
+            "listen": f"{places.front(self.block, sidecar.number)}:{places.PORT}",
+            "discovery": f"{places.discovery(self.block, sidecar.number)}:{places.PORT}",
+            "seed": f"{stream(self.seed, 'sidecar', sidecar.number).integers(2**62):x}",
+            "limits": {"cores": 1.0, "memory_mb": self.scenario.memory_mb, "sockets": self.scenario.sockets},
+            "known": {"version": 1, "full": True, "servers": rows},
+            "settings": settings(self.scenario, sidecar.number),
+        }
 
     def _configure(self, sidecar: Sidecar) -> None:
         path = self.folder / f"sidecar-{sidecar.number}.json"
@@ -273,8 +333,13 @@
     def _start(self, sidecar: Sidecar) -> None:
         environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
         environment["PROXY_CONFIG"] = str(self.folder / f"sidecar-{sidecar.number}.json")
-        sidecar.process = self._spawn(self.command, f"sidecar-{sidecar.number}.log", env=environment,
-                                      stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+        sidecar.process = self._spawn(
+            self.command,
+            f"sidecar-{sidecar.number}.log",
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
         sidecar.watch = psutil.Process(sidecar.process.pid)
         if self.scenario.fleet.pinned:
             os.sched_setaffinity(sidecar.process.pid, {self._core(sidecar)})
@@ -294,8 +359,9 @@
                 child.wait()
             return
         count = max(1, round(event.trouble.size / (1 - event.trouble.size)))
-        self._spinners[sidecar.number] = [self._spawn([sys.executable, "-c", "while True: pass"], "spin.log")
-                                          for _ in range(count)]
+        self._spinners[sidecar.number] = [
+            self._spawn([sys.executable, "-c", "while True: pass"], "spin.log") for _ in range(count)
+        ]
         for child in self._spinners[sidecar.number]:
             os.sched_setaffinity(child.pid, {self._core(sidecar)})
 
@@ -364,7 +430,7 @@
             try:
                 times, memory = sidecar.watch.cpu_times(), sidecar.watch.memory_info()
             except psutil.Error:
-                continue        # it has just ended
+                continue  # it has just ended
             usage = sidecar.usage
             usage.cpu_s = usage.ended_cpu_s + times.user + times.system
             usage.rss_mb = max(usage.rss_mb, memory.rss / 2**20)
--- a/lugtally/rehearsal/scenario.py
+++ b/lugtally/rehearsal/scenario.py
@@ -21,9 +21,29 @@
 NotNegative = Annotated[float, Meta(ge=0)]
 
 TROUBLES = Literal[
-    "silent", "neighbour", "shared-slow", "burst", "drain", "restart", "replace", "crash", "vanish", "refuse",
-    "never-up", "reset", "slow-bytes", "spoilt", "errors", "join", "discovery-down", "discovery-slow",
-    "sidecar-kill", "sidecar-term", "sidecar-hup", "sidecar-starved"]
+    "silent",
+    "neighbour",
+    "shared-slow",
+    "burst",
+    "drain",
+    "restart",
+    "replace",
+    "crash",
+    "vanish",
+    "refuse",
+    "never-up",
+    "reset",
+    "slow-bytes",
+    "spoilt",
+    "errors",
+    "join",
+    "discovery-down",
+    "discovery-slow",
+    "sidecar-kill",
+    "sidecar-term",
+    "sidecar-hup",
+    "sidecar-starved",
+]
 TAKES_EFFECT = {"safe": "idempotent", "keyed": "deduplicated", "unsafe": "at_most_once"}
 
 
@@ -36,16 +56,16 @@
 
     name: str
     share: Share
-    work_ms: Range                  # mean work of one request on a core of speed 1, drawn for each run
-    aim_ms: Positive                # an answer within it earns the full worth
-    deadline_ms: Positive           # the client's patience for the request with all its tries
+    work_ms: Range  # mean work of one request on a core of speed 1, drawn for each run
+    aim_ms: Positive  # an answer within it earns the full worth
+    deadline_ms: Positive  # the client's patience for the request with all its tries
     worth: Positive
     effect: Literal["safe", "keyed", "unsafe"]
-    late_worth: Share = 0.2         # part of the worth of an answer between aim and deadline
+    late_worth: Share = 0.2  # part of the worth of an answer between aim and deadline
     key_scope: Literal["all", "zone", "cell"] = "zone"
     key_ttl_ms: Positive = 600
     shape: Literal["lognormal", "pareto", "exponential", "fixed"] = "lognormal"
-    spread: Positive = 0.5          # lognormal: sigma; pareto: index (over 1); not used by the others
+    spread: Positive = 0.5  # lognormal: sigma; pareto: index (over 1); not used by the others
 
 
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
@@ -54,28 +74,28 @@
     servers: Count = 10
     sidecars: Count = 4
     zones: tuple[str, ...] = ("east", "west")
-    zone_skew: Share = 0.5              # part of the servers that stand in the first zone
+    zone_skew: Share = 0.5  # part of the servers that stand in the first zone
     cores: Count = 2
-    slots_per_core: Count = 1           # requests in work at once
-    queue_per_core: Count = 38          # the waiting room
-    speed: Range = (0.85, 1.1)          # of the whole run
-    speed_cv: NotNegative = 0.1         # among the servers
-    attempt_noise: NotNegative = 0.1    # standard deviation of an even factor on the work of each attempt
-    crowd_at: Positive = 4.0            # requests a core from which efficiency falls
-    crowd_loss: NotNegative = 0.4       # fall: 1 / (1 + loss * (held / crowd_at - 1))
-    choke_at: Positive = 5.0            # requests a core that, held for choke_over_s, choke the server
+    slots_per_core: Count = 1  # requests in work at once
+    queue_per_core: Count = 38  # the waiting room
+    speed: Range = (0.85, 1.1)  # of the whole run
+    speed_cv: NotNegative = 0.1  # among the servers
+    attempt_noise: NotNegative = 0.1  # standard deviation of an even factor on the work of each attempt
+    crowd_at: Positive = 4.0  # requests a core from which efficiency falls
+    crowd_loss: NotNegative = 0.4  # fall: 1 / (1 + loss * (held / crowd_at - 1))
+    choke_at: Positive = 5.0  # requests a core that, held for choke_over_s, choke the server
     choke_over_s: Positive = 2.0
     choke_slower: Annotated[float, Meta(ge=1)] = 2.8
-    choke_idle_s: Positive = 3.5        # idle for so long ends it
-    choke_most_s: Positive = 25.0       # and so does this long in all
-    cold_from: Share = 0.35             # part of the full capacity at its start
+    choke_idle_s: Positive = 3.5  # idle for so long ends it
+    choke_most_s: Positive = 25.0  # and so does this long in all
+    cold_from: Share = 0.35  # part of the full capacity at its start
     cold_s: Positive = 5.0
     warm_by: Literal["time", "work"] = "work"
-    fall_multiple: Positive = 2.5       # times its present capacity that push a cold server over
+    fall_multiple: Positive = 2.5  # times its present capacity that push a cold server over
     fall_after_s: Positive = 1.0
     error_rate: Share = 0.0002
-    pinned: bool = False                # each sidecar has a core of the machine for itself, as far as they go
-    drops_expired: bool = True          # a request that is over when its turn comes is turned away
+    pinned: bool = False  # each sidecar has a core of the machine for itself, as far as they go
+    drops_expired: bool = True  # a request that is over when its turn comes is turned away
 
 
 class Network(Struct, frozen=True, forbid_unknown_fields=True):
@@ -83,45 +103,45 @@
 
     same_zone_ms: NotNegative = 0.2
     cross_zone_ms: NotNegative = 0.7
-    connections: Count = 68             # the most that one server holds
-    handshake_ms: Range = (8.0, 12.8)   # work that a new connection costs the server
-    handshake_trips: NotNegative = 2    # round trips before the first request on it
-    full_tax: Share = 0.25              # part of the capacity that a full table of connections takes
-    idle_s: Positive = 60               # the server closes a connection idle for so long
-    probe_ms: NotNegative = 0.18        # work of one probe
+    connections: Count = 68  # the most that one server holds
+    handshake_ms: Range = (8.0, 12.8)  # work that a new connection costs the server
+    handshake_trips: NotNegative = 2  # round trips before the first request on it
+    full_tax: Share = 0.25  # part of the capacity that a full table of connections takes
+    idle_s: Positive = 60  # the server closes a connection idle for so long
+    probe_ms: NotNegative = 0.18  # work of one probe
 
 
 class Discovery(Struct, frozen=True, forbid_unknown_fields=True):
     """The server list: late, and one service of bounded capacity for all."""
 
-    notice_s: Range = (0.65, 3.0)       # from a change to its place in the list
+    notice_s: Range = (0.65, 3.0)  # from a change to its place in the list
     silent_notice_s: Range = (6.3, 12)  # the same for a machine that says nothing any more
-    calls_at_once: Count = 4            # calls in work; the others wait in turn
-    call_ms: NotNegative = 2.0          # work of one call, beside a hundredth of it a line
-    wait_most_s: Positive = 3.0         # a call that waited longer fails with 503
-    ask_within_s: Positive = 10.0       # a sidecar without a call for so long counts as told; 4 times after a failure
+    calls_at_once: Count = 4  # calls in work; the others wait in turn
+    call_ms: NotNegative = 2.0  # work of one call, beside a hundredth of it a line
+    wait_most_s: Positive = 3.0  # a call that waited longer fails with 503
+    ask_within_s: Positive = 10.0  # a sidecar without a call for so long counts as told; 4 times after a failure
 
 
 class Load(Struct, frozen=True, forbid_unknown_fields=True):
     """What the clients ask for."""
 
-    rate_per_s: Positive = 180.0            # first tries of all sidecars together
-    utilisation: Annotated[float, Meta(gt=0, le=3)] | None = None   # of the fleet; in the place of the rate
+    rate_per_s: Positive = 180.0  # first tries of all sidecars together
+    utilisation: Annotated[float, Meta(gt=0, le=3)] | None = None  # of the fleet; in the place of the rate
     shape: Literal["steady", "wave", "bursty"] = "wave"
-    swing: Share = 0.25                     # of a wave, around the mean
+    swing: Share = 0.25  # of a wave, around the mean
     wave_s: Positive = 20.0
-    sidecar_cv: NotNegative = 0.9           # how unevenly the sidecars are loaded
+    sidecar_cv: NotNegative = 0.9  # how unevenly the sidecars are loaded
 
 
 class Clients(Struct, frozen=True, forbid_unknown_fields=True):
     """What the applications do beside asking once."""
 
     retries: Annotated[int, Meta(ge=0, le=10)] = 3
-    try_share: Share = 0.55         # of the deadline, after which a try is given up
-    wait_ms: NotNegative = 100      # before a retry; 0: at once
-    honour: Share = 0.3             # part of the clients that follow Retry-After
-    impatient: Share = 0.02         # part of the tries whose connection is closed as they are given up
-    connections: Count = 256        # the most that one application opens to its sidecar
+    try_share: Share = 0.55  # of the deadline, after which a try is given up
+    wait_ms: NotNegative = 100  # before a retry; 0: at once
+    honour: Share = 0.3  # part of the clients that follow Retry-After
+    impatient: Share = 0.02  # part of the tries whose connection is closed as they are given up
+    connections: Count = 256  # the most that one application opens to its sidecar
 
 
 class Trouble(Struct, frozen=True, forbid_unknown_fields=True):
@@ -129,16 +149,16 @@
 
     kind: TROUBLES
     at_s: NotNegative
-    for_s: Positive | None = None       # none: it stays
-    part: Share | None = None           # of the servers, drawn by the seed; ``servers`` counts them instead
+    for_s: Positive | None = None  # none: it stays
+    part: Share | None = None  # of the servers, drawn by the seed; ``servers`` counts them instead
     servers: Count | None = None
-    zone: str | None = None             # only servers of that zone
-    same_as: Annotated[int, Meta(ge=0)] | None = None   # those of the trouble of that place in the list
-    sidecar: Annotated[int, Meta(ge=0)] = 0             # for sidecar-*
-    size: NotNegative = 0.5             # share taken, factor, rate or probability, by kind
-    on_off_s: tuple[float, float] | None = None         # seconds on and off, for a neighbour
-    every_s: NotNegative = 0            # between one server and the next, for drain, restart and replace
-    takes_s: NotNegative = 3.0          # how long a drained or restarting process stays away
+    zone: str | None = None  # only servers of that zone
+    same_as: Annotated[int, Meta(ge=0)] | None = None  # those of the trouble of that place in the list
+    sidecar: Annotated[int, Meta(ge=0)] = 0  # for sidecar-*
+    size: NotNegative = 0.5  # share taken, factor, rate or probability, by kind
+    on_off_s: tuple[float, float] | None = None  # seconds on and off, for a neighbour
+    every_s: NotNegative = 0  # between one server and the next, for drain, restart and replace
+    takes_s: NotNegative = 3.0  # how long a drained or restarting process stays away
 
 
 class Expect(Struct, frozen=True, forbid_unknown_fields=True):
@@ -206,6 +226,7 @@
 
 def _check(told: Scenario, name: str) -> None:
     """What types alone do not say."""
+
     def wrong(field: str, text: str) -> ScenarioError:
         return ScenarioError(f"{name}: {field}: {text}")
 
@@ -250,8 +271,11 @@
 def library() -> dict[str, str]:
     """The scenarios that are shipped: name to text."""
     folder = resources.files("lugtally.rehearsal") / "scenarios"
-    return {entry.name.removesuffix(".toml"): entry.read_text(encoding="utf-8")
-            for entry in sorted(folder.iterdir(), key=lambda e: e.name) if entry.name.endswith(".toml")}
+    return {
+        entry.name.removesuffix(".toml"): entry.read_text(encoding="utf-8")
+        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
+        if entry.name.endswith(".toml")
+    }
 
 
 def load(name: str) -> Scenario:
@@ -266,6 +290,6 @@
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise ScenarioError(f"{name}: {error.strerror}") from error
-    if path.suffix == ".json":      # as experiments write them
+    if path.suffix == ".json":  # as experiments write them
         return checked(msgspec.json.decode(text), path.name)
     return decode(text, path.name)
--- a/lugtally/rehearsal/server_list.py
+++ b/lugtally/rehearsal/server_list.py
@@ -22,9 +22,19 @@
 class ServerList:
     """One service for all sidecars.  ``down`` resets every call, ``slow`` adds seconds to each."""
 
-    def __init__(self, block: int, sidecars: int, catalog: Catalog, clock: Callable[[], float],
-                 write: Callable[[Any], None], address: Callable[[str, int], str], *,
-                 at_once: int, call_s: float, wait_most_s: float) -> None:
+    def __init__(
+        self,
+        block: int,
+        sidecars: int,
+        catalog: Catalog,
+        clock: Callable[[], float],
+        write: Callable[[Any], None],
+        address: Callable[[str, int], str],
+        *,
+        at_once: int,
+        call_s: float,
+        wait_most_s: float,
+    ) -> None:
         self.catalog = catalog
         self.down = False
         self.slow = 0.0
@@ -40,9 +50,14 @@
         """Listen for every sidecar."""
         loop = asyncio.get_running_loop()
         for sidecar in range(self._sidecars):
-            self._servers.append(await loop.create_server(
-                lambda sidecar=sidecar: Caller(self, sidecar),    # type: ignore[misc]
-                places.discovery(self._block, sidecar), places.PORT, family=socket.AF_INET))
+            self._servers.append(
+                await loop.create_server(
+                    lambda sidecar=sidecar: Caller(self, sidecar),  # type: ignore[misc]
+                    places.discovery(self._block, sidecar),
+                    places.PORT,
+                    family=socket.AF_INET,
+                )
+            )
 
     def put(self, row: Row) -> None:
         """A change comes into the list."""
@@ -96,9 +111,25 @@
             self.write(Call(caller.sidecar, begun, self.clock(), False))
             caller.reset()
             return
-        body = msgspec.json.encode({"version": at, "full": full, "servers": [
-            {"id": row.id, "addr": self.address(row.id, caller.sidecar), "zone": row.zone, "kind": "std",
-             "cell": row.cell, "state": row.state, "weight": 1.0, "started_ms": row.started_ms} for row in rows]})
+        body = msgspec.json.encode(
+            {
+                "version": at,
+                "full": full,
+                "servers": [
+                    {
+                        "id": row.id,
+                        "addr": self.address(row.id, caller.sidecar),
+                        "zone": row.zone,
+                        "kind": "std",
+                        "cell": row.cell,
+                        "state": row.state,
+                        "weight": 1.0,
+                        "started_ms": row.started_ms,
+                    }
+                    for row in rows
+                ],
+            }
+        )
         caller.send(200, body)
         now = self.clock()
         for row in rows:
@@ -164,14 +195,15 @@
     def on_message_complete(self) -> None:
         """A call is whole."""
         self._begun = self.service.clock()
-        self._task = asyncio.get_running_loop().create_task(
-            self.service.answer(self, self._url.decode("latin-1")))
+        self._task = asyncio.get_running_loop().create_task(self.service.answer(self, self._url.decode("latin-1")))
 
     def send(self, status: int, body: bytes) -> None:
         """Answer the call."""
         if self.open:
-            self._transport.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                                  f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            self._transport.write(
+                f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+                + body
+            )
 
     def reset(self) -> None:
         """End the connection."""
--- a/lugtally/rehearsal/stand_ins.py
+++ b/lugtally/rehearsal/stand_ins.py
@@ -25,7 +25,7 @@
 from lugtally.rehearsal.plan import Machine
 from lugtally.rehearsal.streams import unit
 
-LEAST_DELAY_S = 0.0004      # the loop's timers tick in milliseconds: what is shorter is not delayed at all
+LEAST_DELAY_S = 0.0004  # the loop's timers tick in milliseconds: what is shorter is not delayed at all
 PADDING = b"." * 160
 SPOILT = (
     b"\x00\xffnoise without a head\r\n\r\n",
@@ -34,7 +34,7 @@
     b"HTTP/1.1 200 OK\r\nX-Endless: " + b"a" * 400,
     b"HTTP/1.1 two hundred\r\n\r\n",
 )
-PARTS = 6                   # of an answer that comes slowly
+PARTS = 6  # of an answer that comes slowly
 
 
 def made_by(seed: int, id: str, server: str) -> str:
@@ -52,11 +52,11 @@
 class Faults:
     """What is wrong with a server or the way to it, beside what the model knows."""
 
-    reset: float = 0.0          # part of the requests whose connection is reset, half of them before any work
-    spoilt: float = 0.0         # part of the answers that come spoilt
-    errors: float = 0.0         # part of the answers that are a 500
-    slow_s: float = 0.0         # over which an answer trickles
-    cut: bool = False           # the machine has vanished: nothing comes through, open connections stay silent
+    reset: float = 0.0  # part of the requests whose connection is reset, half of them before any work
+    spoilt: float = 0.0  # part of the answers that come spoilt
+    errors: float = 0.0  # part of the answers that are a 500
+    slow_s: float = 0.0  # over which an answer trickles
+    cut: bool = False  # the machine has vanished: nothing comes through, open connections stay silent
 
 
 @dataclass(slots=True)
@@ -68,8 +68,8 @@
     clock: Callable[[], float]
     write: Callable[[Any], None]
     lateness: Lateness
-    known: Callable[[str], float | None]    # the work of a request by its id; none for a stranger's
-    methods: dict[str, str]                 # class name -> how it must be asked for
+    known: Callable[[str], float | None]  # the work of a request by its id; none for a stranger's
+    methods: dict[str, str]  # class name -> how it must be asked for
     sidecar_zones: tuple[str, ...]
     same_s: float
     cross_s: float
@@ -78,9 +78,9 @@
     probe_s: float
     error_rate: float
     idle_s: float
-    keyed: dict[tuple[str, str], tuple[float, str]] = field(default_factory=dict)   # zone, key -> when, id
-    key_ttl: dict[str, float] = field(default_factory=dict)     # class name -> seconds
-    key_wide: frozenset[str] = frozenset()      # classes whose repeats all servers drop
+    keyed: dict[tuple[str, str], tuple[float, str]] = field(default_factory=dict)  # zone, key -> when, id
+    key_ttl: dict[str, float] = field(default_factory=dict)  # class name -> seconds
+    key_wide: frozenset[str] = frozenset()  # classes whose repeats all servers drop
 
 
 class Host:
@@ -190,7 +190,7 @@
             except BlockingIOError:
                 return
             except OSError:
-                return      # the peer has gone again
+                return  # the peer has gone again
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.made += 1
@@ -333,21 +333,27 @@
         self.shared.write(attempt)
 
     def _fell(self, now: float) -> None:
-        self.shared.write(Fall(now, self.machine.id, self.model.born,
-                               {str(sidecar): work for sidecar, work in self.model.fell_by.items()}))
+        self.shared.write(
+            Fall(
+                now,
+                self.machine.id,
+                self.model.born,
+                {str(sidecar): work for sidecar, work in self.model.fell_by.items()},
+            )
+        )
         for ask in list(self._jobs.values()):
             ask.job = None
             self._settle(ask, "gone")
         self._jobs.clear()
 
     def _report(self) -> bytes:
-        return msgspec.json.encode({"inflight": len(self.model.running), "queue": len(self.model.waiting),
-                                    "qps": 0})
+        return msgspec.json.encode({"inflight": len(self.model.running), "queue": len(self.model.waiting), "qps": 0})
 
     def look(self) -> None:
         """A line on what it holds now."""
-        self.shared.write(Load(self.shared.clock(), self.machine.id, self.model.held, self.model.connections,
-                               self.made))
+        self.shared.write(
+            Load(self.shared.clock(), self.machine.id, self.model.held, self.model.connections, self.made)
+        )
 
     # ------------------------------------------------------------ time
 
@@ -360,8 +366,7 @@
             self._timer = None
         self._due = due
         if due < inf:
-            self._timer = asyncio.get_running_loop().call_later(
-                max(0.0, due - self.shared.clock()), self._tick)
+            self._timer = asyncio.get_running_loop().call_later(max(0.0, due - self.shared.clock()), self._tick)
 
     def _tick(self) -> None:
         self._timer = None
@@ -466,9 +471,16 @@
             left = float(headers.get("x-time-left", "inf"))
         except ValueError:
             left = inf
-        attempt = Attempt(headers.get("x-correlation-id", ""), self.host.machine.id, self.host.machine.zone,
-                          self.sidecar, self._first, shared.clock(), key=headers.get("idempotency-key", ""),
-                          fresh=not self._used)
+        attempt = Attempt(
+            headers.get("x-correlation-id", ""),
+            self.host.machine.id,
+            self.host.machine.zone,
+            self.sidecar,
+            self._first,
+            shared.clock(),
+            key=headers.get("idempotency-key", ""),
+            fresh=not self._used,
+        )
         method = self._parser.get_method().decode()
         cls = path.lstrip("/").partition("/")[0]
         sound = shared.methods.get(cls) == method and (cls not in shared.key_ttl or bool(attempt.key))
@@ -503,7 +515,7 @@
             return
         size = -(-len(data) // PARTS)
         for turn in range(PARTS):
-            self._later(one_way + turn * slow / PARTS, self._write, data[turn * size:(turn + 1) * size])
+            self._later(one_way + turn * slow / PARTS, self._write, data[turn * size : (turn + 1) * size])
 
     def spoil(self, data: bytes) -> None:
         """Something that is no good answer; the connection stays open and is of no further use."""
--- a/lugtally/rehearsal/table.py
+++ b/lugtally/rehearsal/table.py
@@ -14,7 +14,7 @@
 from lugtally.rehearsal.render import NO_METADATA
 from lugtally.rehearsal.report import BROKEN, VOID, Report
 
-Column = tuple[str, str]    # setting, policy
+Column = tuple[str, str]  # setting, policy
 
 
 def collect(todo: list[Cell], found: dict[str, Report], measure: str) -> dict[str, dict[Column, dict[int, float]]]:
@@ -57,8 +57,15 @@
                 table.add_row(scenario, policy, setting, "0", *[""] * 5, "no run that counts")
                 continue
             numbers = list(here.values())
-            row = [scenario, policy, setting, str(len(numbers)), f"{np.mean(numbers):.3f}", f"{min(numbers):.3f}",
-                   f"{max(numbers):.3f}"]
+            row = [
+                scenario,
+                policy,
+                setting,
+                str(len(numbers)),
+                f"{np.mean(numbers):.3f}",
+                f"{min(numbers):.3f}",
+                f"{max(numbers):.3f}",
+            ]
             seeds = sorted(base.keys() & here.keys())
             differences = [base[s] - here[s] for s in seeds]
             if (setting, policy) == columns[0]:
@@ -68,8 +75,11 @@
             else:
                 low, high = interval(differences, scenario, setting, policy)
                 better = "first is better" if (low > 0) == more_is_better else "first is worse"
-                row += [f"{np.mean(differences):+.3f}", f"{low:+.3f} to {high:+.3f}",
-                        "no difference seen" if low <= 0 <= high else better]
+                row += [
+                    f"{np.mean(differences):+.3f}",
+                    f"{low:+.3f} to {high:+.3f}",
+                    "no difference seen" if low <= 0 <= high else better,
+                ]
             table.add_row(*row)
     console.print(table)
     for (setting, policy), count in broken(todo, found).items():
@@ -93,12 +103,15 @@
     for at, column in enumerate(columns):
         rows = [list(values[s][column].values()) for s in told.scenarios]
         means = [float(np.mean(r)) if r else 0.0 for r in rows]
-        errors = [[m - min(r) if r else 0.0 for m, r in zip(means, rows, strict=True)],
-                  [max(r) - m if r else 0.0 for m, r in zip(means, rows, strict=True)]]
+        errors = [
+            [m - min(r) if r else 0.0 for m, r in zip(means, rows, strict=True)],
+            [max(r) - m if r else 0.0 for m, r in zip(means, rows, strict=True)],
+        ]
         label = column[1] if len(told.settings) == 1 else f"{column[1]}, {column[0]}"
         axes.bar(np.arange(len(rows)) + at * width, means, width, yerr=errors, label=label, error_kw={"lw": 0.8})
-    axes.set_xticks(np.arange(len(told.scenarios)) + 0.4 - width / 2, [Path(s).stem for s in told.scenarios],
-                    rotation=20)
+    axes.set_xticks(
+        np.arange(len(told.scenarios)) + 0.4 - width / 2, [Path(s).stem for s in told.scenarios], rotation=20
+    )
     axes.set(ylabel=told.measure, title=told.name)
     axes.legend(fontsize=7)
     figure.savefig(path, format="svg", bbox_inches="tight", metadata=NO_METADATA)
--- a/lugtally/rehearsal/world.py
+++ b/lugtally/rehearsal/world.py
@@ -26,8 +26,8 @@
 from lugtally.rehearsal.stand_ins import Host, Shared
 
 LOOK_S = 0.25
-SERIAL = slice(0, 8)    # of a request's id: its place among the arrivals, in hexadecimal
-MARK = slice(10, 16)    # and what tells this run's ids from all others
+SERIAL = slice(0, 8)  # of a request's id: its place among the arrivals, in hexadecimal
+MARK = slice(10, 16)  # and what tells this run's ids from all others
 METHODS = {"safe": "GET", "keyed": "POST", "unsafe": "POST"}
 
 
@@ -37,8 +37,8 @@
     scenario: Scenario
     seed: int
     block: int
-    base: float         # on the monotonic clock
-    book: str           # where its records go
+    base: float  # on the monotonic clock
+    book: str  # where its records go
 
 
 def read_specification(path: str) -> Specification:
@@ -74,14 +74,25 @@
         keyed = [cls for cls in scenario.classes if cls.effect == "keyed"]
         network = scenario.network
         self.shared = Shared(
-            told.seed, told.block, self.clock, self.book.write, self.lateness, known,
-            {cls.name: METHODS[cls.effect] for cls in scenario.classes}, self.plan.sidecar_zones,
-            network.same_zone_ms / 1000, network.cross_zone_ms / 1000, network.handshake_trips,
-            scenario.fleet.attempt_noise, network.probe_ms / 1000, scenario.fleet.error_rate, network.idle_s,
+            told.seed,
+            told.block,
+            self.clock,
+            self.book.write,
+            self.lateness,
+            known,
+            {cls.name: METHODS[cls.effect] for cls in scenario.classes},
+            self.plan.sidecar_zones,
+            network.same_zone_ms / 1000,
+            network.cross_zone_ms / 1000,
+            network.handshake_trips,
+            scenario.fleet.attempt_noise,
+            network.probe_ms / 1000,
+            scenario.fleet.error_rate,
+            network.idle_s,
             key_ttl={cls.name: cls.key_ttl_ms / 1000 for cls in keyed},
-            key_wide=frozenset(cls.name for cls in keyed if cls.key_scope == "all"))
-        self.hosts = {at: Host(self.shared, machine, at, cold=False)
-                      for at, machine in enumerate(self.plan.machines)}
+            key_wide=frozenset(cls.name for cls in keyed if cls.key_scope == "all"),
+        )
+        self.hosts = {at: Host(self.shared, machine, at, cold=False) for at, machine in enumerate(self.plan.machines)}
         self.started_ms: dict[str, int] = {}
         self.list: ServerList | None = None
         self._stopped = asyncio.Event()
@@ -101,8 +112,13 @@
     def row(self, host: Host, state: str) -> Row:
         """A server's line of the list."""
         zones = self.told.scenario.fleet.zones
-        return Row(host.machine.id, host.machine.zone, zones.index(host.machine.zone), state,
-                   self.started_ms.get(host.machine.id, 0))
+        return Row(
+            host.machine.id,
+            host.machine.zone,
+            zones.index(host.machine.zone),
+            state,
+            self.started_ms.get(host.machine.id, 0),
+        )
 
     async def run(self) -> None:
         """Serve until told to stop."""
@@ -112,9 +128,16 @@
             host.start(cold=False)
         discovery = scenario.discovery
         self.list = ServerList(
-            self.told.block, scenario.fleet.sidecars, Catalog([self.row(host, "ready") for host in first]),
-            self.clock, self.book.write, self.address, at_once=discovery.calls_at_once,
-            call_s=discovery.call_ms / 1000, wait_most_s=discovery.wait_most_s)
+            self.told.block,
+            scenario.fleet.sidecars,
+            Catalog([self.row(host, "ready") for host in first]),
+            self.clock,
+            self.book.write,
+            self.address,
+            at_once=discovery.calls_at_once,
+            call_s=discovery.call_ms / 1000,
+            wait_most_s=discovery.wait_most_s,
+        )
         await self.list.start()
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader()
@@ -163,7 +186,7 @@
                 self.list.slow = event.trouble.size if event.begins else 0.0
             return
         if kind == "burst" or kind.startswith("sidecar"):
-            return      # the load tool's and the runner's
+            return  # the load tool's and the runner's
         act: Callable[[Host, Event], None] = getattr(self, f"_{kind}")
         for place in event.servers:
             act(self.hosts[place], event)
--- a/lugtally/service/control.py
+++ b/lugtally/service/control.py
@@ -53,7 +53,7 @@
         try:
             os.unlink(self._path)
         except OSError:
-            pass        # somebody took it away before
+            pass  # somebody took it away before
 
     def _serve(self) -> None:
         # One at a time: a reader that does not read must not pile up others, and this is for people.
@@ -78,7 +78,7 @@
         until = self._hub.now() + WRITE_NS
         while view:
             try:
-                view = view[link.send(view):]
+                view = view[link.send(view) :]
             except BlockingIOError:
                 if self._hub.wait(link.fileno(), WRITE, until) is not Woken.READY:
                     return
