--- a/lugtally/service/serve.py
+++ b/lugtally/service/serve.py
@@ -32,13 +32,20 @@
     from lugtally.config.operator import Overload
 
 RETIRE_EVERY_NS = 1000 * MS
-BANS_EVERY_NS = 250 * MS    # how soon a ban called at another process of the same name binds this one
+BANS_EVERY_NS = 250 * MS  # how soon a ban called at another process of the same name binds this one
 LATE_NS = 50 * MS
 READ_EVERY_NS = 250 * MS
 
 
-def serve(told: config.Config, level: str, form: logs.Format = "text", *, overload: Bounds | None = None,
-          control: str = "", decisions: Decisions | None = None) -> int:
+def serve(
+    told: config.Config,
+    level: str,
+    form: logs.Format = "text",
+    *,
+    overload: Bounds | None = None,
+    control: str = "",
+    decisions: Decisions | None = None,
+) -> int:
     """Run the sidecar until it is told to stop; returns the exit status.
 
     ``overload`` has it refuse by worth before it falls behind itself; without, all is let in that the module lets in.
@@ -51,8 +58,7 @@
     settings = replace(told.settings, ask_within_ns=min(told.settings.ask_within_ns or MOST_PAUSE_NS, MOST_PAUSE_NS))
     facade = Facade(settings, told.seed, hub, decisions)
     most_fronts, most_links = shares(told.sockets)
-    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), most_links,
-                    answer_limit(told.memory_mb))
+    limits = Limits(told.connect_timeout_ns, idle_limit(told.keepalive_ns), most_links, answer_limit(told.memory_mb))
     fields = told.settings.load_fields if told.answers_report else ()
     destinations = Destinations(hub, limits, fields)
     pool = ListWatch(hub, facade, destinations, told.discovery, told.zones)
@@ -71,9 +77,18 @@
     started = hub.now()
 
     def snapshot() -> dict[str, Any]:
-        return {"sidecar": told.name, "version": __version__, "ready": front.ready, "draining": front.draining,
-                "up_s": (hub.now() - started) / 1e9, "front_sockets": front.open, "connections": destinations.open,
-                "destinations": pool.usable, "requests": facade.counted(), "overload": gate and gate.shown()}
+        return {
+            "sidecar": told.name,
+            "version": __version__,
+            "ready": front.ready,
+            "draining": front.draining,
+            "up_s": (hub.now() - started) / 1e9,
+            "front_sockets": front.open,
+            "connections": destinations.open,
+            "destinations": pool.usable,
+            "requests": facade.counted(),
+            "overload": gate and gate.shown(),
+        }
 
     told_by = None
     desk = _Desk(facade, front, BanFile(tempfile.gettempdir(), told.name))
@@ -86,8 +101,7 @@
             try:
                 operators = Listener(hub, told.operators, desk)
             except OSError as error:
-                print(f"lugtally: operator: {told.operators[0]}:{told.operators[1]}: {error.strerror}",
-                      file=sys.stderr)
+                print(f"lugtally: operator: {told.operators[0]}:{told.operators[1]}: {error.strerror}", file=sys.stderr)
                 return 1
         if told.inherited is None:
             front.listen(told.listen)
@@ -102,16 +116,20 @@
     except OSError as error:
         print(f"lugtally: listen: {told.listen[0]}:{told.listen[1]}: {error.strerror}", file=sys.stderr)
         return 1
-    _on_signals(hub, {signal.SIGTERM: front.drain, signal.SIGINT: front.drain,
-                      signal.SIGHUP: lambda: _reread(pool)})
+    _on_signals(hub, {signal.SIGTERM: front.drain, signal.SIGINT: front.drain, signal.SIGHUP: lambda: _reread(pool)})
     hub.spawn(pool.start, told.known)
     hub.spawn(_keep_house, hub, destinations, pool, front)
     hub.spawn(_follow_bans, hub, desk)
     # What lives from the start is never garbage: collections then stay short.
     gc.collect()
     gc.freeze()
-    logger.info("{sidecar} serves at {host}:{port}", event="sidecar.serving", sidecar=told.name,
-                host=told.listen[0], port=told.listen[1])
+    logger.info(
+        "{sidecar} serves at {host}:{port}",
+        event="sidecar.serving",
+        sidecar=told.name,
+        host=told.listen[0],
+        port=told.listen[1],
+    )
     hub.run(facade.tick)
     if told_by is not None:
         told_by.close()
@@ -181,8 +199,13 @@
     if not own.enabled:
         return None
     advice = min(settings.max_advice_ns, MOST_ADVICE_NS) if settings.advice else 0
-    return Bounds(target_ns=int(own.target_ms * MS), memory=own.memory, descriptors=own.descriptors,
-                  first=own.refuse_first, advice_ns=advice)
+    return Bounds(
+        target_ns=int(own.target_ms * MS),
+        memory=own.memory,
+        descriptors=own.descriptors,
+        first=own.refuse_first,
+        advice_ns=advice,
+    )
 
 
 def _keep_house(hub: Hub, destinations: Destinations, pool: ListWatch, front: Front) -> None:
@@ -207,11 +230,18 @@
         reading = gate.meter.reading
         if refusing != gate.refusing:
             refusing = gate.refusing
-            logger.warning("{what} for own overload: {refused:.0%} of the requests, delay {delay_ms:.1f} ms, "
-                           "{cpu:.0%} of the cores, {memory:.0%} of the memory, {descriptors:.0%} of the descriptors",
-                           event="overload.refusing", what="refusing" if refusing else "no longer refusing",
-                           begun=refusing, refused=gate.cut, delay_ms=gate.meter.delay_ns / MS, cpu=reading.cpu_share,
-                           memory=reading.memory_share, descriptors=reading.descriptors_share)
+            logger.warning(
+                "{what} for own overload: {refused:.0%} of the requests, delay {delay_ms:.1f} ms, "
+                "{cpu:.0%} of the cores, {memory:.0%} of the memory, {descriptors:.0%} of the descriptors",
+                event="overload.refusing",
+                what="refusing" if refusing else "no longer refusing",
+                begun=refusing,
+                refused=gate.cut,
+                delay_ms=gate.meter.delay_ns / MS,
+                cpu=reading.cpu_share,
+                memory=reading.memory_share,
+                descriptors=reading.descriptors_share,
+            )
 
 
 def _reread(pool: ListWatch) -> None:
@@ -222,8 +252,12 @@
         # A slip in the file must not end the service: all goes on as it was told before.
         logger.error("the new configuration is not used: {why}", event="config.refused", why=str(error))
         return
-    logger.info("told to read the configuration again: discovery at {host}:{port}", event="config.reread",
-                host=told.discovery[0], port=told.discovery[1])
+    logger.info(
+        "told to read the configuration again: discovery at {host}:{port}",
+        event="config.reread",
+        host=told.discovery[0],
+        port=told.discovery[1],
+    )
     pool.move(told.discovery)
 
 
@@ -237,7 +271,7 @@
         signal.signal(number, lambda *_: None)
 
     def told(_: int) -> None:
-        writer.fileno()     # keeps the other end alive
+        writer.fileno()  # keeps the other end alive
         for number in dict.fromkeys(reader.recv(64)):
             handlers[signal.Signals(number)]()
 
--- a/lugtally/settings.py
+++ b/lugtally/settings.py
@@ -52,8 +52,13 @@
     if raw.get("key_scope") is not None:
         more["group"] = _known(GROUPS, raw["key_scope"], "group")
     names = {
-        "name": "name", "key_ttl_ns": "window_ns", "slo_ns": "aim_ns", "hard_limit_ns": "deadline_ns",
-        "gain": "worth", "late_worth": "late_worth", "stream": "stream",
+        "name": "name",
+        "key_ttl_ns": "window_ns",
+        "slo_ns": "aim_ns",
+        "hard_limit_ns": "deadline_ns",
+        "gain": "worth",
+        "late_worth": "late_worth",
+        "stream": "stream",
     }
     built: api.RequestClass = _fill(api.RequestClass, raw, names, **more)
     return built
@@ -64,20 +69,31 @@
     ceilings, contract = raw.get("ceilings") or {}, raw.get("contract") or {}
     flat = {**raw, **ceilings, **contract, "cross_zone": (raw.get("prices") or {}).get("cross_zone")}
     names = {
-        "locality": "zone", "instances": "balancers", "most_tries": "max_attempts",
-        "second_copies": "second_copies", "cancel": "may_cancel", "retry_after": "advice",
-        "max_retry_after_ns": "max_advice_ns", "cold_from": "cold_from",
-        "warm_within_ns": "warm_within_ns", "fall_multiple": "fall_multiple",
-        "cross_zone": "cross_zone_price", "step_ns": "tick_ns",
-        "ask_within_ns": "ask_within_ns", "over_share_worth": "over_share_worth",
+        "locality": "zone",
+        "instances": "balancers",
+        "most_tries": "max_attempts",
+        "second_copies": "second_copies",
+        "cancel": "may_cancel",
+        "retry_after": "advice",
+        "max_retry_after_ns": "max_advice_ns",
+        "cold_from": "cold_from",
+        "warm_within_ns": "warm_within_ns",
+        "fall_multiple": "fall_multiple",
+        "cross_zone": "cross_zone_price",
+        "step_ns": "tick_ns",
+        "ask_within_ns": "ask_within_ns",
+        "over_share_worth": "over_share_worth",
     }
     built: api.Settings = _fill(
-        api.Settings, flat, names,
+        api.Settings,
+        flat,
+        names,
         classes=tuple(read_class(item) for item in _rows(raw, "grades")),
         ask_for_list=raw.get("membership_mode") == "subscribe",
         load_fields=tuple((raw.get("report") or {}).get("columns") or ()),
-        tenants=tuple(_fill(api.Tenant, item, {"name": "name", "quota_per_s": "quota_per_s"})
-                      for item in _rows(raw, "accounts")),
+        tenants=tuple(
+            _fill(api.Tenant, item, {"name": "name", "quota_per_s": "quota_per_s"}) for item in _rows(raw, "accounts")
+        ),
         gone_binds=not contract.get("removal_not_binding"),
     )
     return built
--- a/tests/control/test_calls.py
+++ b/tests/control/test_calls.py
@@ -36,10 +36,17 @@
     assert parse("GET", "/control/counters?x=1") == Call("counters")
     assert parse("POST", "/control/pledge-servers/s-1/offline") == Call("offline", "s-1")
     assert parse("POST", "/control/pledge-servers/s-1/online") == Call("online", "s-1")
-    assert [parse(*asked)[0] for asked in [  # type: ignore[index]
-        ("POST", "/control/ready"), ("GET", "/control/pledge-servers/s-1/offline"), ("GET", "/control/"),
-        ("POST", "/control/pledge-servers//offline"), ("POST", "/control/pledge-servers/a/b/offline"),
-        ("GET", "/_health")]] == [405, 405, 404, 404, 404, 404]
+    assert [
+        parse(*asked)[0]  # type: ignore[index]
+        for asked in [
+            ("POST", "/control/ready"),
+            ("GET", "/control/pledge-servers/s-1/offline"),
+            ("GET", "/control/"),
+            ("POST", "/control/pledge-servers//offline"),
+            ("POST", "/control/pledge-servers/a/b/offline"),
+            ("GET", "/_health"),
+        ]
+    ] == [405, 405, 404, 404, 404, 404]
 
 
 def test_answers_say_yes_with_2xx_and_no_otherwise() -> None:
@@ -60,11 +67,25 @@
     counters.overload[1] += 1
     counters.dispatches += 3
     assert counters.figures(4, 10, 1) == {
-        "replies": {"campaign-read": {"success": 2, "overload": 0, "error": 0},
-                    "receipt-issue": {"success": 0, "overload": 1, "error": 0}},
-        "dispatches": 3, "concurrent": 4, "targets": 10, "targets_disabled": 1}
+        "replies": {
+            "campaign-read": {"success": 2, "overload": 0, "error": 0},
+            "receipt-issue": {"success": 0, "overload": 1, "error": 0},
+        },
+        "dispatches": 3,
+        "concurrent": 4,
+        "targets": 10,
+        "targets_disabled": 1,
+    }
 
 
 def test_dispatches_are_the_steps_whose_last_byte_was_written() -> None:
-    assert WRITTEN == {Ending.SERVED, Ending.ERRORED, Ending.DECLINED, Ending.TURNED_AWAY, Ending.BROKEN,
-                       Ending.GARBLED, Ending.TIMED_OUT, Ending.CANCELLED}
+    assert WRITTEN == {
+        Ending.SERVED,
+        Ending.ERRORED,
+        Ending.DECLINED,
+        Ending.TURNED_AWAY,
+        Ending.BROKEN,
+        Ending.GARBLED,
+        Ending.TIMED_OUT,
+        Ending.CANCELLED,
+    }
--- a/tests/control/test_drains.py
+++ b/tests/control/test_drains.py
@@ -45,8 +45,11 @@
     facade.ban(1)
     facade.report(ListNews("whole", [line(1), line(2)]))
     facade.report(ListNews("changes", [line(1)]))
-    assert states(told)[1:] == [{1: api.State.DRAINING}, {1: api.State.DRAINING, 2: api.State.UP},
-                                {1: api.State.DRAINING}]
+    assert states(told)[1:] == [
+        {1: api.State.DRAINING},
+        {1: api.State.DRAINING, 2: api.State.UP},
+        {1: api.State.DRAINING},
+    ]
     assert facade.disabled() == 1 and facade.targets == 2
 
 
@@ -67,7 +70,7 @@
 def test_a_ban_before_the_list_binds_when_the_server_is_listed() -> None:
     told = Told()
     facade = Facade(api.Settings(), 1, Hub(), lambda *_: told)
-    facade.ban(3)       # read from the file of the process before
+    facade.ban(3)  # read from the file of the process before
     assert not told.lists and not facade.listed(3)
     facade.report(ListNews("kept", [line(3)]))
     assert states(told) == [{3: api.State.DRAINING}] and facade.listed(3)
@@ -83,8 +86,9 @@
     sends = []
     for at in range(200):
         now = hub.now() + at * MS
-        for attempt, action in enumerate(a for a in module.handle(now, api.Request(f"r{at}", 0, 0, 2_000 * MS))
-                                         if isinstance(a, api.Send)):
+        for attempt, action in enumerate(
+            a for a in module.handle(now, api.Request(f"r{at}", 0, 0, 2_000 * MS)) if isinstance(a, api.Send)
+        ):
             sends.append(action.server)
             module.handle(now, api.Outcome(f"r{at}", attempt, action.server, api.Result.OK, True, MS, None))
     assert len(sends) >= 200 and set(sends) == {2}
@@ -97,8 +101,9 @@
     assert decode(encode(banned)) == banned
 
 
-@pytest.mark.parametrize("data", [b"", b"{", b"[]", b'{"format":2,"banned":[]}', b'{"format":1,"banned":[1]}',
-                                  b'{"format":1}'])
+@pytest.mark.parametrize(
+    "data", [b"", b"{", b"[]", b'{"format":2,"banned":[]}', b'{"format":1,"banned":[1]}', b'{"format":1}']
+)
 def test_a_file_that_cannot_be_used_is_set_aside_with_a_line(data: bytes, tmp_path: Path) -> None:
     file = BanFile(str(tmp_path), "n1")
     file.path.write_bytes(data)
@@ -110,17 +115,17 @@
     mine, other = BanFile(str(tmp_path), "n1"), BanFile(str(tmp_path), "n1")
     assert mine.read() is None
     assert mine.write({"s-1"})
-    assert mine.read() is None      # its own writing is no news
+    assert mine.read() is None  # its own writing is no news
     assert other.read() == {"s-1"}
     assert other.write({"s-1", "s-2"})
     assert mine.read() == {"s-1", "s-2"}
-    assert [p.name for p in tmp_path.iterdir()] == [mine.path.name]     # nothing half written is left
+    assert [p.name for p in tmp_path.iterdir()] == [mine.path.name]  # nothing half written is left
 
 
 def test_a_file_that_cannot_be_written_keeps_the_old_one(tmp_path: Path) -> None:
     file = BanFile(str(tmp_path), "n1")
     assert file.write({"s-1"})
-    file.path.with_suffix(f".{os.getpid()}.new").mkdir()     # in the way of the new file
+    file.path.with_suffix(f".{os.getpid()}.new").mkdir()  # in the way of the new file
     assert not file.write({"s-2"})
     assert BanFile(str(tmp_path), "n1").read() == {"s-1"}
     assert not BanFile(str(tmp_path / "vanished"), "n1").write({"s-1"})
--- a/tests/crossings/parties.py
+++ b/tests/crossings/parties.py
@@ -45,8 +45,9 @@
 
     def lists(self) -> list[tuple[str, dict[int, str]]]:
         """What it was told of the list: the kind, and the states by server."""
-        return [(e.kind.value, {s.id: s.state.value for s in e.servers})
-                for e in self.told if isinstance(e, api.ServerList)]
+        return [
+            (e.kind.value, {s.id: s.state.value for s in e.servers}) for e in self.told if isinstance(e, api.ServerList)
+        ]
 
     def results(self) -> list[api.Result]:
         """How attempts ended."""
@@ -191,5 +192,6 @@
 
 def request(path: str, id: str = "r1", *, method: str = "GET", more: str = "", left: str = "5.000") -> bytes:
     """A sound request."""
-    return (f"{method} /{path} HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: {id}\r\nX-Time-Left: {left}\r\n"
-            f"{more}\r\n").encode()
+    return (
+        f"{method} /{path} HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: {id}\r\nX-Time-Left: {left}\r\n{more}\r\n"
+    ).encode()
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -21,12 +21,14 @@
 
 def sending(sidecar: Sidecar) -> Callable[[api.Event], list[api.Action]]:
     """Orders: send each request to A, and fail it when its attempt has ended."""
+
     def orders(event: api.Event) -> list[api.Action]:
         if isinstance(event, api.Request):
             return [api.Send(event.id, A, event.time_left_ns)]
         if isinstance(event, api.Outcome) and not event.over:
             return [api.Fail(event.id)]
         return []
+
     return orders
 
 
@@ -57,7 +59,7 @@
             link = sidecar.server.link()
         sidecar.module.allowed = True
         client.send(request("read", "r2"))
-        assert link.head().startswith("GET /read")      # the connection itself is as good as before
+        assert link.head().startswith("GET /read")  # the connection itself is as good as before
         assert b"r1" not in link.got
         link.answer()
         assert b"200 OK" in client.read()
@@ -87,7 +89,7 @@
             client.send(request("write", method="POST", more="Idempotency-Key: k\r\nContent-Length: 65536\r\n"))
             client.send(bytes(65536))
             link = sidecar.server.link()
-            link.read()             # it has begun, and what is not read yet holds the rest back
+            link.read()  # it has begun, and what is not read yet holds the rest back
             sidecar.until(lambda: bool(shrunk))
             sidecar.module.allowed = False
             got = len(link.all())
@@ -114,7 +116,7 @@
             link.head()
             link.answer()
             assert b"200 OK" in first.read()
-        leaver = socket.create_connection(where)        # request and end lie in the backlog together
+        leaver = socket.create_connection(where)  # request and end lie in the backlog together
         leaver.sendall(request("read"))
         if how == "half":
             leaver.shutdown(socket.SHUT_WR)
@@ -123,14 +125,14 @@
             leaver.close()
         else:
             leaver.close()
-        sidecar.hub.sleep(MS)       # its connection lies in the backlog, which the poll of this turn sees
+        sidecar.hub.sleep(MS)  # its connection lies in the backlog, which the poll of this turn sees
         sidecar.until(lambda: sidecar.front.open == (1 if kept else 0))
         assert how == "reset" or any(isinstance(e, api.ClientLeft) for e in sidecar.module.told)
         after = sidecar.client(where)
         after.send(request("read", "r2"))
         if link is None:
             link = sidecar.server.link()
-            if not link.read_on():      # the connection begun for the leaver, given up before it was used
+            if not link.read_on():  # the connection begun for the leaver, given up before it was used
                 link = sidecar.server.link()
         assert link.head().startswith("GET /read")
         link.answer()
@@ -162,12 +164,12 @@
         client.send(request("read"))
         link = sidecar.server.link()
         link.head()
-        client.sock.close()         # in the same poll as the end of its attempt, whichever is handled first
+        client.sock.close()  # in the same poll as the end of its attempt, whichever is handled first
         link.sock.close()
         sidecar.until(lambda: any(isinstance(e, api.ClientLeft) for e in sidecar.module.told))
         for _ in range(20):
             sidecar.hub.sleep(0)
-        if sidecar.hub.ready(sidecar.server.sock.fileno(), READ):       # it may have begun to connect, no more
+        if sidecar.hub.ready(sidecar.server.sock.fileno(), READ):  # it may have begun to connect, no more
             assert sidecar.server.link().all() == b""
 
     sidecar.play(script)
@@ -186,7 +188,7 @@
         link.answer(b"first")
         assert client.read().endswith(b"first")
         client.send(request("read", "r1"))
-        sidecar.until(lambda: A in sidecar.destinations._settling)      # its step waits for the connection to settle
+        sidecar.until(lambda: A in sidecar.destinations._settling)  # its step waits for the connection to settle
         link.answer(b"again")
         fresh = sidecar.server.link()
         assert fresh.head().startswith("GET /read") and link.all() == b""
@@ -237,12 +239,15 @@
     return next(a for a in actions if isinstance(a, api.Send))
 
 
-@pytest.mark.parametrize("news, may", [
-    ([], True),
-    ([api.Server(A, state=api.State.DRAINING), api.Server(B, state=api.State.DRAINING)], False),
-    ([api.Server(A, state=api.State.GONE), api.Server(B, state=api.State.GONE)], False),
-    ([api.Server(A, started_ns=5), api.Server(B, started_ns=5)], False),
-])
+@pytest.mark.parametrize(
+    "news, may",
+    [
+        ([], True),
+        ([api.Server(A, state=api.State.DRAINING), api.Server(B, state=api.State.DRAINING)], False),
+        ([api.Server(A, state=api.State.GONE), api.Server(B, state=api.State.GONE)], False),
+        ([api.Server(A, started_ns=5), api.Server(B, started_ns=5)], False),
+    ],
+)
 def test_the_module_says_at_the_last_moment_whether_an_attempt_may_begin(news: list[api.Server], may: bool) -> None:
     module = real()
     send = sent(module.handle(1, api.Request("q", 0, 0, api.SECOND)))
@@ -259,7 +264,10 @@
     sent(module.handle(1, api.Request("q", 1, 0, 8 * api.SECOND)))
     assert module.may_begin(window + 2, "q", 0), "a first try has no window"
     server = module.out["q", 0].peer.id
-    wake = next(a for a in module.handle(api.SECOND, api.Outcome("q", 0, server, api.Result.RESET, False, api.SECOND))
-                if isinstance(a, api.Wake) and a.token == "rq")
+    wake = next(
+        a
+        for a in module.handle(api.SECOND, api.Outcome("q", 0, server, api.Result.RESET, False, api.SECOND))
+        if isinstance(a, api.Wake) and a.token == "rq"
+    )
     sent(module.handle(api.SECOND + wake.after_ns, api.Timer(wake.token)))
     assert module.may_begin(window + 1, "q", 1) and not module.may_begin(window + 2, "q", 1)
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -26,6 +26,7 @@
 
 def ready(sidecar: Sidecar) -> tuple[str, int]:
     """Listening, with every request sent to the one server."""
+
     def orders(event: api.Event) -> list[api.Action]:
         if isinstance(event, api.Outcome) and not event.over:
             return [api.Fail(event.id)]
@@ -60,15 +61,17 @@
         link.answer(b"x" * body)
         sidecar.until(lambda: bool(sidecar.module.results()) and not sidecar.facade.in_progress)
         for _ in range(3):
-            sidecar.hub.sleep(0)        # the front task has written its answer, as far as it is taken
+            sidecar.hub.sleep(0)  # the front task has written its answer, as far as it is taken
         client.send(b"GET /more HTTP/1.1\r\n")
         got = client.all()
         assert got.partition(b"\r\n\r\n")[2] == b"x" * body
         client.sock.close()
         sidecar.until(lambda: sidecar.front.open == 0)
 
-    sidecar.hub.stop = lambda: None if not sidecar.stopped else setattr(  # type: ignore[method-assign]
-        sidecar.hub, "_stopped", True)
+    def stop_once_told() -> None:
+        sidecar.hub._stopped = sidecar.hub._stopped or sidecar.stopped
+
+    sidecar.hub.stop = stop_once_told  # type: ignore[method-assign]
     sidecar.play(script)
 
 
@@ -96,7 +99,7 @@
         link.head()
         link.answer()
         assert client.read().startswith(b"HTTP/1.1 200")
-        client.send(request("read", "r2"))      # it is kept, as any other that has just been answered
+        client.send(request("read", "r2"))  # it is kept, as any other that has just been answered
         link.head()
         link.answer()
         assert client.read().startswith(b"HTTP/1.1 200")
@@ -116,7 +119,7 @@
         link.head()
         sidecar.front.drain()
         sidecar.until(lambda: sidecar.front._listener is not None and sidecar.front._listener.fileno() < 0)
-        sidecar.hub.sleep(2 * front.ROOM_NS)    # past the last time at which the accepting task looks for room
+        sidecar.hub.sleep(2 * front.ROOM_NS)  # past the last time at which the accepting task looks for room
         link.answer()
         assert client.all().startswith(b"HTTP/1.1 200")
         client.sock.close()
@@ -140,7 +143,7 @@
         first.send(request("read"))
         link = sidecar.server.link()
         link.head()
-        second = sidecar.client(where)          # waits in the backlog: the one place is taken
+        second = sidecar.client(where)  # waits in the backlog: the one place is taken
         sidecar.front.drain()
         sidecar.until(lambda: sidecar.front._closing)
         link.answer()
@@ -192,7 +195,7 @@
             client = sidecar.client(ready(sidecar))
             client.send(b"GET /read HTTP/1.1\r\n" if slow else b"what\r\n\r\n")
             assert client.read().startswith(b"HTTP/1.1 4")
-            while sidecar.front.open:       # it sends on for as long as it can
+            while sidecar.front.open:  # it sends on for as long as it can
                 try:
                     client.send(b"x")
                 except OSError:
@@ -212,9 +215,12 @@
     player = Player(tmp_path)
     player.known = []
     (tmp_path / "config.json").write_text(json.dumps(player.config()))
-    process = subprocess.Popen([sys.executable, "-B", "-m", "lugtally", "serve"], cwd=ROOT, stderr=subprocess.PIPE,
-                               env={**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"),
-                                    "TMPDIR": str(tmp_path)})
+    process = subprocess.Popen(
+        [sys.executable, "-B", "-m", "lugtally", "serve"],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        env={**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"), "TMPDIR": str(tmp_path)},
+    )
     try:
         assert process.stderr is not None and b" serves at " in process.stderr.readline()
         player.on_send("c1", request("campaign-read").decode().replace("\r\n", "|"))
@@ -253,7 +259,7 @@
         fresh = sidecar.discovery.link()
         assert "from=1&" in fresh.head()
         assert sidecar.front.open <= fronts and len(os.listdir("/proc/self/fd")) <= before + 2
-        late = sidecar.client(where)            # work is served all the same: one that rests gives way
+        late = sidecar.client(where)  # work is served all the same: one that rests gives way
         late.send(request("read"))
         server = sidecar.server.link()
         server.head()
@@ -267,7 +273,8 @@
 
 @pytest.mark.parametrize("how", ["end", "half a line"])
 def test_a_pledge_connection_that_ends_as_it_is_taken_is_no_reason_to_send_again(
-        how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The other side ends it between the look at it and the write: the request may have run, so it fails, once."""
     sidecar = Sidecar()
     begun = Destinations._write
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -43,8 +43,9 @@
 
 
 @pytest.mark.usefixtures("soon")
-@pytest.mark.parametrize("death", ["silent at once", "silent later", "half an answer", "reset at rest", "end in a call",
-                                   "cut answer"])
+@pytest.mark.parametrize(
+    "death", ["silent at once", "silent later", "half an answer", "reset at rest", "end in a call", "cut answer"]
+)
 def test_a_dead_watch_is_called_anew_at_once(death: str) -> None:
     sidecar = Sidecar()
 
@@ -164,7 +165,7 @@
         begun(sidecar)
         link = sidecar.discovery.link()
         link.head()
-        link.list(9, True, sidecar.row("s-b", "draining"))     # readable at the next poll, as the move is
+        link.list(9, True, sidecar.row("s-b", "draining"))  # readable at the next poll, as the move is
         sidecar.watch.move(sidecar.second.address)
         moved = sidecar.second.link()
         assert moved.head() == "GET /catalog/members HTTP/1.1"
@@ -211,15 +212,23 @@
 
     sidecar.play(script)
     kind, states = sidecar.module.lists()[-1]
-    kept = {} if "id" in bad else {A: "up"}     # a row without its id is nobody's
+    kept = {} if "id" in bad else {A: "up"}  # a row without its id is nobody's
     assert kind == ("whole" if full else "changes") and states == {B: "draining", **kept}
     assert sidecar.watch.usable == (0 if full and "id" in bad else 1)
 
 
 @pytest.mark.usefixtures("soon")
-@pytest.mark.parametrize("body", [b"[]", b'{"version":"2","servers":[]}', b'{"version":2,"servers":4}', b"\xff{",
-                                  b'{"version":2,"full":true,"servers":[{"id":"s-a"}]}',
-                                  b'{"version":true,"servers":[]}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[]",
+        b'{"version":"2","servers":[]}',
+        b'{"version":2,"servers":4}',
+        b"\xff{",
+        b'{"version":2,"full":true,"servers":[{"id":"s-a"}]}',
+        b'{"version":true,"servers":[]}',
+    ],
+)
 def test_a_list_without_one_sound_row_leaves_the_list_at_hand(body: bytes) -> None:
     sidecar = Sidecar()
 
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -23,10 +23,21 @@
     api.RequestClass("save", api.Effect.SAFE, aim_ns=750 * MS, deadline_ns=3 * S, worth=2.0, late_worth=0.3),
     api.RequestClass("submit", api.Effect.KEYED, api.Group.CELL, 5 * S, 1200 * MS, 5 * S, 2.0, 0.3),
 )
-WORK = (0.041, 0.053, 0.100)    # seconds of a standard core
+WORK = (0.041, 0.053, 0.100)  # seconds of a standard core
 SHARES = (0.63, 0.23, 0.14)
-CHOKING = Traits(cores=1, slots=4, queue=40, speed=0.95, crowd_at=8.0, crowd_loss=0.14, choke_at=4.0,
-                 choke_over=2.0, choke_slower=2.8, choke_idle=3.5, choke_most=29.0)
+CHOKING = Traits(
+    cores=1,
+    slots=4,
+    queue=40,
+    speed=0.95,
+    crowd_at=8.0,
+    crowd_loss=0.14,
+    choke_at=4.0,
+    choke_over=2.0,
+    choke_slower=2.8,
+    choke_idle=3.5,
+    choke_most=29.0,
+)
 KINDS = (CHOKING, replace(CHOKING, speed=0.6))
 
 
@@ -36,19 +47,43 @@
     return speed / sum(w * s for w, s in zip(WORK, SHARES, strict=True))
 
 
-def crowd(sidecars: int = 6, servers: int = 9, load: float = 0.75, seed: int = 1,
-          kinds: tuple[Traits, ...] = KINDS, tenants: tuple[tuple[float, float], ...] = ((1.0, 1.0),)) -> Fleet:
+def crowd(
+    sidecars: int = 6,
+    servers: int = 9,
+    load: float = 0.75,
+    seed: int = 1,
+    kinds: tuple[Traits, ...] = KINDS,
+    tenants: tuple[tuple[float, float], ...] = ((1.0, 1.0),),
+) -> Fleet:
     """Such a fleet, loaded to that part of what it can do; reports refreshed every 0.7 s, seen 0.2 s late.
 
     ``tenants``: the part of all traffic that each sends, and its quota as a part of what the fleet can do.
     """
     whole = capacity(servers, kinds)
-    told = settings(*CLASSES, balancers=sidecars, max_attempts=5, load_fields=("inflight",), tick_ns=5 * MS,
-                    cold_from=0.25, warm_within_ns=17 * S, fall_multiple=4.0,
-                    over_share_worth=0.1, tenants=tuple(api.Tenant(f"t{n}", quota * whole)
-                                                        for n, (_, quota) in enumerate(tenants)))
-    return Fleet(told, sidecars, servers, rate=load * whole, work=WORK, shares=SHARES, seed=seed, traits=kinds,
-                 reports=(700 * MS, 200 * MS), tenants=tuple(part for part, _ in tenants))
+    told = settings(
+        *CLASSES,
+        balancers=sidecars,
+        max_attempts=5,
+        load_fields=("inflight",),
+        tick_ns=5 * MS,
+        cold_from=0.25,
+        warm_within_ns=17 * S,
+        fall_multiple=4.0,
+        over_share_worth=0.1,
+        tenants=tuple(api.Tenant(f"t{n}", quota * whole) for n, (_, quota) in enumerate(tenants)),
+    )
+    return Fleet(
+        told,
+        sidecars,
+        servers,
+        rate=load * whole,
+        work=WORK,
+        shares=SHARES,
+        seed=seed,
+        traits=kinds,
+        reports=(700 * MS, 200 * MS),
+        tenants=tuple(part for part, _ in tenants),
+    )
 
 
 def worth(tally: Counter[str] | dict[str, int]) -> float:
@@ -79,8 +114,10 @@
             most, choked, part = play(seed, start)
             kept.append((most, part))
             print(f"{seed:4d}  {start:4d}  {most:11d}  {choked:14d}  {part:.3f}")
-    print(f"plays with a choke: {sum(m > 0 for m, _ in kept)} of {len(kept)}; "
-          f"worth {min(p for _, p in kept):.3f} to {max(p for _, p in kept):.3f}, mean {mean(p for _, p in kept):.3f}")
+    print(
+        f"plays with a choke: {sum(m > 0 for m, _ in kept)} of {len(kept)}; "
+        f"worth {min(p for _, p in kept):.3f} to {max(p for _, p in kept):.3f}, mean {mean(p for _, p in kept):.3f}"
+    )
 
 
 def main() -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -27,9 +27,9 @@
     line: api.Server
     server: Server
     sends: list[int] = field(default_factory=list)
-    report: float | None = None     # the held requests that its answers tell, as of its last refresh
-    jobs: dict[Job, tuple[int, str, int]] = field(default_factory=dict)     # instance, request, attempt
-    due: float = inf        # the turn that is called for
+    report: float | None = None  # the held requests that its answers tell, as of its last refresh
+    jobs: dict[Job, tuple[int, str, int]] = field(default_factory=dict)  # instance, request, attempt
+    due: float = inf  # the turn that is called for
 
 
 @dataclass
@@ -40,16 +40,27 @@
     tenant: int
     work: float
     where: list[int] = field(default_factory=list)
-    out: dict[int, tuple[int, Job | None]] = field(default_factory=dict)    # attempt -> when sent, its job
+    out: dict[int, tuple[int, Job | None]] = field(default_factory=dict)  # attempt -> when sent, its job
     ended: str = ""
 
 
 class Fleet:
     """Sidecars, servers, and the events between them."""
 
-    def __init__(self, told: api.Settings, sidecars: int, servers: int, *, rate: float, work: tuple[float, ...],
-                 shares: tuple[float, ...] = (1.0,), seed: int = 1, traits: tuple[Traits, ...] = (TRAITS,),
-                 reports: tuple[int, int] | None = None, tenants: tuple[float, ...] = (1.0,)) -> None:
+    def __init__(
+        self,
+        told: api.Settings,
+        sidecars: int,
+        servers: int,
+        *,
+        rate: float,
+        work: tuple[float, ...],
+        shares: tuple[float, ...] = (1.0,),
+        seed: int = 1,
+        traits: tuple[Traits, ...] = (TRAITS,),
+        reports: tuple[int, int] | None = None,
+        tenants: tuple[float, ...] = (1.0,),
+    ) -> None:
         """``work`` in seconds of a core and ``shares`` of the requests are by class, ``tenants`` shares by tenant.
 
         Server ``n`` has ``traits[n % len(traits)]``.  With ``reports`` each answer carries the requests held
@@ -97,7 +108,7 @@
     def restart(self, share: float) -> None:
         """That share of the instances, the busiest first, begins anew with the list as it was and nothing learnt."""
         order = sorted(range(len(self.balancers)), key=lambda at: -self.rates[at])
-        for at in order[:round(share * len(order))]:
+        for at in order[: round(share * len(order))]:
             self._count += 1
             for name in [name for other, name in self.asked if other == at and not self.asked[at, name].ended]:
                 self._end(at, name, "lost")
@@ -118,6 +129,7 @@
 
         def seen() -> None:
             machine.report = held
+
         self._after(int(late * self.rng.uniform(0.5, 1.5)), seen)
         if machine.line.id in self.machines:
             self._after(int(every * self.rng.uniform(0.5, 1.5)), lambda: self._refresh(machine))
@@ -198,7 +210,7 @@
     def _turn(self, machine: Machine) -> None:
         """Let a server work until now, and answer what has ended."""
         for job in machine.server.advance(self.now / S):
-            if job in machine.jobs:     # else it was called off in the same moment
+            if job in machine.jobs:  # else it was called off in the same moment
                 self._answer(*machine.jobs.pop(job), api.Result.OK)
 
     def _call(self, machine: Machine) -> None:
@@ -231,8 +243,9 @@
         report = None
         if machine is not None and machine.report is not None and result is api.Result.OK:
             report = (machine.report,)
-        event = api.Outcome(name, attempt, asked.where[attempt], result, won or bool(asked.ended), self.now - sent,
-                            report)
+        event = api.Outcome(
+            name, attempt, asked.where[attempt], result, won or bool(asked.ended), self.now - sent, report
+        )
         self._feed(at, event)
         if won:
             self._end(at, name, "late" if self.now - sent > self.told.classes[asked.cls].aim_ns else "served")
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -15,12 +15,14 @@
 from lugtally.overload.order import Order
 from lugtally.overload.probe import Probe, Told
 
-DRAWS = 1       # the examples must not change with the text of a test, as they would by its digest
+DRAWS = 1  # the examples must not change with the text of a test, as they would by its digest
 
 READ, PLEDGE, RECEIPT = range(3)
-CLASSES = (RequestClass("campaign-read", Effect.SAFE, worth=1.0),
-           RequestClass("pledge-record", Effect.KEYED, worth=3.0),
-           RequestClass("receipt-issue", Effect.UNSAFE, worth=2.0))
+CLASSES = (
+    RequestClass("campaign-read", Effect.SAFE, worth=1.0),
+    RequestClass("pledge-record", Effect.KEYED, worth=3.0),
+    RequestClass("receipt-issue", Effect.UNSAFE, worth=2.0),
+)
 LEFT = 500 * MS
 
 
@@ -39,7 +41,7 @@
     """A burst that the sidecar can carry is no overload."""
     gate = Gate(CLASSES, Bounds(), 1, 0)
     now, seen = asked(gate, 0, 2000 * MS, 4 * MS)
-    for _ in range(20):      # single long turns, as a collection or the machine brings them
+    for _ in range(20):  # single long turns, as a collection or the machine brings them
         gate.ask(now, READ, LEFT, 40 * MS, 0.0)
         now, more = asked(gate, now, 100 * MS, 2 * MS)
         seen = [a + b for a, b in zip(seen, more, strict=True)]
@@ -142,5 +144,3 @@
     assert reading.descriptors_share == 0.25 and 0.01 < reading.memory_share < 0.5 and reading.cpu_share > 0.2
     probe.close()
     assert Probe(Told(1.0, 1, 1), lambda: 0, "/no/such/file").resident() == 0
-
-
--- a/tests/player.py
+++ b/tests/player.py
@@ -41,14 +41,23 @@
 SETTINGS: dict[str, Any] = {
     "grades": [
         {"name": "campaign-read", "effect": "idempotent", **LIMIT},
-        {"name": "pledge-record", "effect": "deduplicated", "key_scope": "zone", "key_ttl_ns": 6_000_000_000,
-         **LIMIT},
-        {"name": "receipt-issue", "effect": "at_most_once", **LIMIT}],
-    "ceilings": {"most_tries": 4, "cancel": True, "second_copies": True, "retry_after": True,
-                 "max_retry_after_ns": 2_000_000_000, "keepalive_ns": 60_000_000_000,
-                 "connect_timeout_ns": 150_000_000},
+        {"name": "pledge-record", "effect": "deduplicated", "key_scope": "zone", "key_ttl_ns": 6_000_000_000, **LIMIT},
+        {"name": "receipt-issue", "effect": "at_most_once", **LIMIT},
+    ],
+    "ceilings": {
+        "most_tries": 4,
+        "cancel": True,
+        "second_copies": True,
+        "retry_after": True,
+        "max_retry_after_ns": 2_000_000_000,
+        "keepalive_ns": 60_000_000_000,
+        "connect_timeout_ns": 150_000_000,
+    },
     "contract": {"cold_from": 0.31, "warm_within_ns": 7_500_000_000, "fall_multiple": 2.5},
-    "instances": 1, "zones": ["a", "b"], "membership_mode": "subscribe", "report": {"how": "probe"},
+    "instances": 1,
+    "zones": ["a", "b"],
+    "membership_mode": "subscribe",
+    "report": {"how": "probe"},
 }
 
 
@@ -75,7 +84,9 @@
         refusing = listener()
         self.discovery, self.second_discovery = listener(), listener()
         self.names = {f"@{n}": address(s) for n, s in self.destinations.items()} | {
-            "@C": address(refusing), "@Q": address(self.second_discovery)}
+            "@C": address(refusing),
+            "@Q": address(self.second_discovery),
+        }
         refusing.close()
         # A listener that accepts nothing and whose backlog is full: connections to it never come up.
         self.stuck = listener(0)
@@ -95,7 +106,7 @@
         self.links: dict[str, socket.socket] = {}
         self.accepted_by: dict[str, str] = {}
         self.program: subprocess.Popen[bytes] | None = None
-        self.held: socket.socket | None = None      # the front socket, where the player holds it
+        self.held: socket.socket | None = None  # the front socket, where the player holds it
 
     def play(self, script: str) -> None:
         """Run each step; an ``AssertionError`` names the line that went wrong."""
@@ -104,8 +115,18 @@
             if not line.strip() or line.startswith("#"):
                 continue
             try:
-                if words[0] in ("known", "serve", "term", "hup", "exit", "files", "sockets", "crowd",
-                                "patience", "inherit"):
+                if words[0] in (
+                    "known",
+                    "serve",
+                    "term",
+                    "hup",
+                    "exit",
+                    "files",
+                    "sockets",
+                    "crowd",
+                    "patience",
+                    "inherit",
+                ):
                     getattr(self, f"do_{words[0]}")(*line.split()[1:])
                 else:
                     getattr(self, f"on_{words[1]}")(words[0], words[2] if len(words) > 2 else "")
@@ -125,11 +146,29 @@
 
     def config(self) -> dict[str, Any]:
         """What config.json holds."""
-        rows = [{"id": f"s-{n}", "addr": self.names[f"@{n}"], "zone": "a", "kind": "m", "cell": 0,
-                 "weight": 1.0, "state": "ready", "started_ms": 0} for n in self.known]
-        return {"name": "n1", "listen": self.listen, "discovery": address(self.discovery), "seed": "5e",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "settings": SETTINGS,
-                "known": {"version": 1, "full": True, "servers": rows}, "operator": self.operator}
+        rows = [
+            {
+                "id": f"s-{n}",
+                "addr": self.names[f"@{n}"],
+                "zone": "a",
+                "kind": "m",
+                "cell": 0,
+                "weight": 1.0,
+                "state": "ready",
+                "started_ms": 0,
+            }
+            for n in self.known
+        ]
+        return {
+            "name": "n1",
+            "listen": self.listen,
+            "discovery": address(self.discovery),
+            "seed": "5e",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "settings": SETTINGS,
+            "known": {"version": 1, "full": True, "servers": rows},
+            "operator": self.operator,
+        }
 
     def do_known(self, *names: str) -> None:
         self.known = list(names)
@@ -156,8 +195,12 @@
     def do_serve(self) -> None:
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config()))
-        env = {**os.environ, "PROXY_CONFIG": str(path), "TMPDIR": str(self.folder),
-               "PROXY_DISCOVERY": address(self.discovery)}
+        env = {
+            **os.environ,
+            "PROXY_CONFIG": str(path),
+            "TMPDIR": str(self.folder),
+            "PROXY_DISCOVERY": address(self.discovery),
+        }
         held = -1
         if self.held is not None:
             held, env["PROXY_SOCKET_FD"] = self.held.fileno(), "7"
@@ -169,7 +212,12 @@
 
         self.program = subprocess.Popen(
             ["sh", "-c", f'ulimit -n {self.files}; exec "$0" -B -m lugtally serve', sys.executable],
-            cwd=ROOT, stderr=subprocess.DEVNULL, env=env, close_fds=False, preexec_fn=as_seven)
+            cwd=ROOT,
+            stderr=subprocess.DEVNULL,
+            env=env,
+            close_fds=False,
+            preexec_fn=as_seven,
+        )
         until = time.monotonic() + PATIENCE_S
         while time.monotonic() < until:
             try:
--- a/tests/rehearsal/offender.py
+++ b/tests/rehearsal/offender.py
@@ -17,8 +17,19 @@
 from typing import Any
 
 Address = tuple[str, int]
-FAULTS = ("honest", "drop", "late", "twice", "receipt-twice", "pledge-late", "pledge-elsewhere", "refuse-ran",
-          "drained", "push-over", "forge")
+FAULTS = (
+    "honest",
+    "drop",
+    "late",
+    "twice",
+    "receipt-twice",
+    "pledge-late",
+    "pledge-elsewhere",
+    "refuse-ran",
+    "drained",
+    "push-over",
+    "forge",
+)
 
 
 class Sidecar:
@@ -41,8 +52,9 @@
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
                 reader, writer = await asyncio.open_connection(host, int(port))
                 while True:
-                    writer.write(f"GET /catalog/members?from={self.version}&hold_ms=2000 HTTP/1.1\r\n"
-                                 "Host: x\r\n\r\n".encode())
+                    writer.write(
+                        f"GET /catalog/members?from={self.version}&hold_ms=2000 HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+                    )
                     _, _, body = await _read(reader)
                     news = json.loads(body)
                     self.version = news["version"]
@@ -55,8 +67,11 @@
 
     def choose(self, zone: str | None = None, besides: str = "") -> dict[str, Any] | None:
         """A ready server, by this sidecar's lights."""
-        able = [s for s in self.servers.values() if s["state"] == "ready" and s["id"] != besides
-                and zone in (None, s["zone"])]
+        able = [
+            s
+            for s in self.servers.values()
+            if s["state"] == "ready" and s["id"] != besides and zone in (None, s["zone"])
+        ]
         if not able:
             return None
         if self.fault == "push-over":
@@ -99,6 +114,7 @@
             await asyncio.sleep(late - asyncio.get_running_loop().time())
         again = cls == "pledge-record" and strike and status == 200
         if self.fault == "pledge-late" and again:
+
             async def repeat() -> None:
                 await asyncio.sleep(0.8)
                 await self.send(chosen, line, headers, body, 1.0)
@@ -118,8 +134,9 @@
             return _answer(503, b"")
         return _answer(200, got) if status == 200 else _answer(502, b"")
 
-    async def send(self, server: dict[str, Any], line: str, headers: dict[str, str], body: bytes,
-                   left: float) -> tuple[int, bytes]:
+    async def send(
+        self, server: dict[str, Any], line: str, headers: dict[str, str], body: bytes, left: float
+    ) -> tuple[int, bytes]:
         """One attempt, over a connection of its own."""
         host, port = server["addr"].split(":")
         writer = None
@@ -161,7 +178,7 @@
     await stop.wait()
     server.close()
     watch.cancel()
-    await asyncio.sleep(1.0)    # what it has taken is answered meanwhile, as the load has ended
+    await asyncio.sleep(1.0)  # what it has taken is answered meanwhile, as the load has ended
 
 
 if __name__ == "__main__":
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -41,9 +41,16 @@
 takes_s = 0.7
 """
 CAUGHT = {
-    "drop": judge.DROPPED, "late": judge.LATE, "twice": judge.TWICE, "receipt-twice": judge.REPEATED,
-    "pledge-late": judge.EXPIRED_REPEAT, "pledge-elsewhere": judge.OTHER_GROUP, "refuse-ran": judge.REFUSED_RAN,
-    "drained": judge.DRAINED, "push-over": judge.PUSHED_OVER, "forge": judge.FOREIGN,
+    "drop": judge.DROPPED,
+    "late": judge.LATE,
+    "twice": judge.TWICE,
+    "receipt-twice": judge.REPEATED,
+    "pledge-late": judge.EXPIRED_REPEAT,
+    "pledge-elsewhere": judge.OTHER_GROUP,
+    "refuse-ran": judge.REFUSED_RAN,
+    "drained": judge.DRAINED,
+    "push-over": judge.PUSHED_OVER,
+    "forge": judge.FOREIGN,
 }
 
 
@@ -54,7 +61,7 @@
 
     def play(fault: str) -> Report:
         command = None if fault == "true" else [sys.executable, "-B", "-m", "tests.rehearsal.offender", fault]
-        for _ in range(3):      # a busy machine gives no verdict: ask again
+        for _ in range(3):  # a busy machine gives no verdict: ask again
             report = runner.Run(told, 4, command=command).play()
             if report.verdict != VOID:
                 break
@@ -114,8 +121,9 @@
     assert names(tried("a", PLEDGE), sent("a", 1.0, "reset"), sent("a", 1.1, zone="west")) == [judge.OTHER_GROUP]
     assert names(tried("a", PLEDGE), sent("a", 1.0, "turned-away"), sent("a", 1.9, zone="west")) == []
     # Counted from the first that may have run, however many came after it.
-    assert names(tried("a", PLEDGE), sent("a", 1.0, "gone"), sent("a", 1.5, "gone"),
-                 sent("a", 1.8)) == [judge.EXPIRED_REPEAT]
+    assert names(tried("a", PLEDGE), sent("a", 1.0, "gone"), sent("a", 1.5, "gone"), sent("a", 1.8)) == [
+        judge.EXPIRED_REPEAT
+    ]
 
 
 def test_an_answer_is_due_with_its_slack_and_a_killed_sidecar_owes_none() -> None:
--- a/tests/rehearsal/test_load.py
+++ b/tests/rehearsal/test_load.py
@@ -73,8 +73,11 @@
     base = time.monotonic()
     spec = Specification(told, 5, block.number, base, str(tmp_path / "load.jsonl"))
     (tmp_path / "spec.json").write_bytes(msgspec.json.encode(spec))
-    child = subprocess.Popen([sys.executable, "-B", "-m", "lugtally.rehearsal.load", str(tmp_path / "spec.json")],
-                             stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    child = subprocess.Popen(
+        [sys.executable, "-B", "-m", "lugtally.rehearsal.load", str(tmp_path / "spec.json")],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
     try:
         asyncio.run(_stalling(block.number, 5, base, child))
         assert child.wait(10) == 0
@@ -94,9 +97,14 @@
     assert latency.percentiles["99"] > 850 and latency.percentiles["90"] > 350 and latency.percentiles["50"] < 100
 
 
-@pytest.mark.parametrize(("late", "word"), [
-    (ledger.Late("load", 9, 1.0, 20.0, 1.0), "passed"), (ledger.Late("load", 9, 15.1, 20.0, 1.0), "void"),
-    (ledger.Late("load", 9, 1.0, 251.0, 1.0), "void")])
+@pytest.mark.parametrize(
+    ("late", "word"),
+    [
+        (ledger.Late("load", 9, 1.0, 20.0, 1.0), "passed"),
+        (ledger.Late("load", 9, 15.1, 20.0, 1.0), "void"),
+        (ledger.Late("load", 9, 1.0, 251.0, 1.0), "void"),
+    ],
+)
 def test_a_late_kit_makes_a_run_void(late: ledger.Late, word: str) -> None:
     drawn = plan.make(scenario.load("quiet"), 1)
     books = judge.sort([late, ledger.Late("stand-ins", 9, 1.0, 2.0, 1.0)])
@@ -139,9 +147,13 @@
         self.events: list[tuple[str, bytes]] = []
 
     def send(self, link: Link) -> None:
-        link.send(b"GET / HTTP/1.1\r\n\r\n", lambda status, body, advice: self.events.append(("answer", body)),
-                  lambda begun: self.events.append(("broke", b"begun" if begun else b"")),
-                  lambda: self.events.append(("extra", b"")), lambda body: body == self.body)
+        link.send(
+            b"GET / HTTP/1.1\r\n\r\n",
+            lambda status, body, advice: self.events.append(("answer", body)),
+            lambda begun: self.events.append(("broke", b"begun" if begun else b"")),
+            lambda: self.events.append(("extra", b"")),
+            lambda body: body == self.body,
+        )
 
 
 @pytest.mark.parametrize("pieces", [1, 2, 150], ids=["at once", "in two", "byte by byte"])
@@ -150,11 +162,11 @@
     link.connection_made(transport)
     first.send(link)
     link.data_received(first.bytes)
-    second.send(link)       # the connection was given back; the second copy is on its way
+    second.send(link)  # the connection was given back; the second copy is on its way
     data = first.bytes + second.bytes
     size = -(-len(data) // pieces)
     for at in range(0, len(data), size):
-        link.data_received(data[at:at + size])
+        link.data_received(data[at : at + size])
     assert first.events == [("answer", first.body), ("extra", b"")]
     assert second.events == [("answer", second.body)], "the first one's copy is no answer to it"
     assert not link.keep, "a connection on which too much came is not used again"
--- a/tests/rehearsal/test_model.py
+++ b/tests/rehearsal/test_model.py
@@ -12,7 +12,7 @@
 from lugtally.rehearsal.model import Job, Server, Taken, Traits
 from lugtally.rehearsal.streams import stream
 
-DRAWS = 1       # the examples must not change with the text of a test, as they would by its digest
+DRAWS = 1  # the examples must not change with the text of a test, as they would by its digest
 
 BIG = 10**9
 
@@ -42,8 +42,10 @@
     return waits / (cores * (1 - load))
 
 
-@pytest.mark.parametrize(("cores", "load", "count"), [
-    (1, 0.3, 60_000), (1, 0.5, 120_000), (1, 0.7, 250_000), (3, 0.4, 120_000), (3, 0.6, 120_000), (3, 0.75, 200_000)])
+@pytest.mark.parametrize(
+    ("cores", "load", "count"),
+    [(1, 0.3, 60_000), (1, 0.5, 120_000), (1, 0.7, 250_000), (3, 0.4, 120_000), (3, 0.6, 120_000), (3, 0.75, 200_000)],
+)
 def test_waits_agree_with_queueing_theory(cores: int, load: float, count: int) -> None:
     assert mean_wait(cores, load, count) == pytest.approx(erlang_c_wait(cores, load), rel=0.03)
 
@@ -85,7 +87,7 @@
     assert server.warmth == pytest.approx(0.3)
     server.advance(102.5)
     assert server.warmth == pytest.approx(0.65)
-    for step in range(20):      # twice what it can do: it holds
+    for step in range(20):  # twice what it can do: it holds
         server.advance(102.5 + step * 0.05)
         server.offer(102.5 + step * 0.05, Job("x", 2 * server.capacity * 0.05, sidecar=step % 2))
     assert not server.fallen
@@ -101,8 +103,9 @@
 
 
 def test_the_choke_begins_when_crowded_and_ends_when_idle() -> None:
-    traits = Traits(cores=1, slots=1, queue=BIG, choke_at=5, choke_over=1.0, choke_slower=3.0, choke_idle=2.0,
-                    crowd_at=BIG)
+    traits = Traits(
+        cores=1, slots=1, queue=BIG, choke_at=5, choke_over=1.0, choke_slower=3.0, choke_idle=2.0, crowd_at=BIG
+    )
     server = Server(traits, 0.0)
     for n in range(20):
         server.offer(0.0, Job(str(n), 0.5))
--- a/tests/rehearsal/test_runs.py
+++ b/tests/rehearsal/test_runs.py
@@ -59,17 +59,23 @@
     server, when = changes[0].server, changes[0].at
     sent = [r.last for r in records if isinstance(r, ledger.Attempt) and r.server == server]
     assert sent and max(sent) < when + 1.55, "the drain was not noticed"
-    assert any(r.outcome in ("gone", "unanswered") for r in records
-               if isinstance(r, ledger.Attempt) and r.server == server), "nobody met the silent server"
+    assert any(
+        r.outcome in ("gone", "unanswered") for r in records if isinstance(r, ledger.Attempt) and r.server == server
+    ), "nobody met the silent server"
     tries = [r for r in records if isinstance(r, ledger.Try)]
     assert len(tries) > 200 and all(t.ending in ("served", "refused", "failed", "left") for t in tries)
 
 
 def test_the_short_day_passes_and_its_reports_can_be_read(tmp_path: Path) -> None:
     file, html = tmp_path / "a.json", tmp_path / "a.html"
-    for _ in range(3):      # a busy machine gives no verdict: ask again
-        done = subprocess.run([sys.executable, "-m", "lugtally", "rehearse", "run", "short", "--json", str(file),
-                               "--html", str(html)], cwd=ROOT, capture_output=True, text=True, timeout=120)
+    for _ in range(3):  # a busy machine gives no verdict: ask again
+        done = subprocess.run(
+            [sys.executable, "-m", "lugtally", "rehearse", "run", "short", "--json", str(file), "--html", str(html)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=120,
+        )
         if done.returncode != report.EXIT[VOID]:
             break
     assert done.returncode == 0 and done.stdout.startswith("PASSED"), done.stdout + done.stderr
@@ -84,9 +90,24 @@
 
 
 def test_ctrl_c_leaves_no_process_and_a_readable_report(tmp_path: Path) -> None:
-    child = subprocess.Popen([sys.executable, "-m", "lugtally", "rehearse", "run", "quiet", "--json",
-                              str(tmp_path / "a.json"), "--keep", str(tmp_path / "kept")], cwd=ROOT,
-                             stdout=subprocess.PIPE, stderr=subprocess.PIPE, start_new_session=True)
+    child = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "lugtally",
+            "rehearse",
+            "run",
+            "quiet",
+            "--json",
+            str(tmp_path / "a.json"),
+            "--keep",
+            str(tmp_path / "kept"),
+        ],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        start_new_session=True,
+    )
     book = tmp_path / "kept" / "quiet.module.1" / "world.jsonl"
     until = time.monotonic() + 30
     while time.monotonic() < until and not (book.exists() and book.stat().st_size > 20_000):
@@ -128,8 +149,9 @@
         compare.compare(a, void)
     report.save(a, tmp_path / "a.json")
     report.save(better, tmp_path / "b.json")
-    result = CliRunner().invoke(root, ["rehearse", "compare", str(tmp_path / "a.json"), str(tmp_path / "b.json")],
-                                standalone_mode=False)
+    result = CliRunner().invoke(
+        root, ["rehearse", "compare", str(tmp_path / "a.json"), str(tmp_path / "b.json")], standalone_mode=False
+    )
     assert result.return_value == 0 and "B is better" in result.output
 
 
@@ -137,15 +159,17 @@
     (tmp_path / "day.toml").write_text(DRAIN.replace("length_s = 6", "length_s = 2.5"))
     (tmp_path / "try.toml").write_text(
         f"name = 'try'\nscenarios = ['{tmp_path}/day.toml']\nseeds = [1]\npolicies = ['module', 'round-robin+retry']\n"
-        "[[settings]]\nname = 'base'\n[[settings]]\nname = 'busy'\nset = {'load.rate_per_s' = 70}\n")
+        "[[settings]]\nname = 'base'\n[[settings]]\nname = 'busy'\nset = {'load.rate_per_s' = 70}\n"
+    )
     told = experiment.read(tmp_path / "try.toml")
     todo = experiment.cells(told)
     assert len(todo) == 4
     first = experiment.play(todo[:3], tmp_path / "out", 3)
     stamps = {path: path.stat().st_mtime_ns for path in (tmp_path / "out").glob("*.1.json")}
     assert len(first) == len(stamps) == 3
-    result = CliRunner().invoke(root, ["experiment", str(tmp_path / "try.toml"), "--out", str(tmp_path / "out")],
-                                standalone_mode=False)
+    result = CliRunner().invoke(
+        root, ["experiment", str(tmp_path / "try.toml"), "--out", str(tmp_path / "out")], standalone_mode=False
+    )
     assert "4 of 4 runs" in result.output, result.output
     assert all(path.stat().st_mtime_ns == stamp for path, stamp in stamps.items()), "a run was played again"
     assert (tmp_path / "out" / "try.svg").read_text().startswith("<?xml")
@@ -153,11 +177,14 @@
     assert rates == {"base": 50.0, "busy": 70.0}
 
 
-@pytest.mark.parametrize(("line", "complaint"), [
-    ("policies = ['best']", "try.toml: policies: 'best' is none of"),
-    ("colour = 1", "try.toml: Object contains unknown field `colour`"),
-    ("[[settings]]\nname='a'\nset={'load.rate' = 1}", "quiet with a: load: Object contains unknown field `rate`"),
-])
+@pytest.mark.parametrize(
+    ("line", "complaint"),
+    [
+        ("policies = ['best']", "try.toml: policies: 'best' is none of"),
+        ("colour = 1", "try.toml: Object contains unknown field `colour`"),
+        ("[[settings]]\nname='a'\nset={'load.rate' = 1}", "quiet with a: load: Object contains unknown field `rate`"),
+    ],
+)
 def test_a_bad_experiment_is_named(tmp_path: Path, line: str, complaint: str) -> None:
     (tmp_path / "try.toml").write_text(f"name = 'try'\nscenarios = ['quiet']\nseeds = [1]\n{line}\n")
     with pytest.raises(scenario.ScenarioError) as caught:
--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -14,8 +14,20 @@
 
 
 def test_the_library_holds_the_named_days() -> None:
-    assert {"quiet", "christmas-appeal", "may-deadline", "silent-servers", "neighbour", "burst", "shared-slow",
-            "drain-goes-silent", "rolling-release", "cold-restart", "discovery-outage", "overload"} <= set(SHIPPED)
+    assert {
+        "quiet",
+        "christmas-appeal",
+        "may-deadline",
+        "silent-servers",
+        "neighbour",
+        "burst",
+        "shared-slow",
+        "drain-goes-silent",
+        "rolling-release",
+        "cold-restart",
+        "discovery-outage",
+        "overload",
+    } <= set(SHIPPED)
 
 
 @pytest.mark.parametrize("name", SHIPPED)
@@ -30,21 +42,27 @@
     assert {m.zone for m in first.machines} == set(told.fleet.zones)
 
 
-@pytest.mark.parametrize(("text", "complaint"), [
-    ("name = ", "day.toml: no TOML: "),
-    ("name = 'x'", "day.toml: Object missing required field `about`"),
-    ("[fleet]\nservers = 0", "day.toml: fleet.servers: Expected `int` >= 1"),
-    ("[fleet]\nserver = 3", "day.toml: fleet: Object contains unknown field `server`"),
-    ("[fleet]\nspeed = [2.0, 1.0]", "day.toml: fleet.speed: [2.0, 1.0] is no range"),
-    ("[load]\nrate_per_s = 'many'", "day.toml: load.rate_per_s: Expected `float`, got `str`"),
-    ("[[troubles]]\nkind = 'flood'\nat_s = 1", "day.toml: troubles[0].kind: Invalid enum value 'flood'"),
-    ("[[troubles]]\nkind = 'silent'\nat_s = 99", "day.toml: troubles[0].at_s: 99.0 is not within the 20.0 s"),
-    ("[[troubles]]\nkind = 'silent'\nat_s = 1\nzone = 'moon'", "day.toml: troubles[0].zone: 'moon' is no zone"),
-    ("[[troubles]]\nkind = 'silent'\nat_s = 1\nsame_as = 0", "day.toml: troubles[0].same_as: names no earlier"),
-    ("[[troubles]]\nkind = 'sidecar-kill'\nat_s = 1\nsidecar = 9", "day.toml: troubles[0].sidecar: there are 4"),
-    ("[[classes]]\nname = 'a'\nshare = 0.5\nwork_ms = 1\naim_ms = 1\ndeadline_ms = 2\nworth = 1\neffect = 'safe'",
-     "day.toml: classes: the shares add up to 0.500"),
-])
+@pytest.mark.parametrize(
+    ("text", "complaint"),
+    [
+        ("name = ", "day.toml: no TOML: "),
+        ("name = 'x'", "day.toml: Object missing required field `about`"),
+        ("[fleet]\nservers = 0", "day.toml: fleet.servers: Expected `int` >= 1"),
+        ("[fleet]\nserver = 3", "day.toml: fleet: Object contains unknown field `server`"),
+        ("[fleet]\nspeed = [2.0, 1.0]", "day.toml: fleet.speed: [2.0, 1.0] is no range"),
+        ("[load]\nrate_per_s = 'many'", "day.toml: load.rate_per_s: Expected `float`, got `str`"),
+        ("[[troubles]]\nkind = 'flood'\nat_s = 1", "day.toml: troubles[0].kind: Invalid enum value 'flood'"),
+        ("[[troubles]]\nkind = 'silent'\nat_s = 99", "day.toml: troubles[0].at_s: 99.0 is not within the 20.0 s"),
+        ("[[troubles]]\nkind = 'silent'\nat_s = 1\nzone = 'moon'", "day.toml: troubles[0].zone: 'moon' is no zone"),
+        ("[[troubles]]\nkind = 'silent'\nat_s = 1\nsame_as = 0", "day.toml: troubles[0].same_as: names no earlier"),
+        ("[[troubles]]\nkind = 'sidecar-kill'\nat_s = 1\nsidecar = 9", "day.toml: troubles[0].sidecar: there are 4"),
+        (
+            "[[classes]]\nname = 'a'\nshare = 0.5\nwork_ms = 1\naim_ms = 1\ndeadline_ms = 2\nworth = 1\n"
+            "effect = 'safe'",
+            "day.toml: classes: the shares add up to 0.500",
+        ),
+    ],
+)
 def test_a_bad_file_is_named_with_table_and_field(text: str, complaint: str) -> None:
     head = "" if text.startswith("name") else "name = 'x'\nabout = 'y'\n"
     with pytest.raises(scenario.ScenarioError) as caught:
@@ -63,8 +81,9 @@
 
 
 def test_one_more_party_moves_no_other_draw() -> None:
-    small, large = (scenario.decode(f"name='x'\nabout='y'\n[fleet]\nservers={n}\nsidecars={m}\n", "x")
-                    for n, m in ((6, 3), (9, 3)))
+    small, large = (
+        scenario.decode(f"name='x'\nabout='y'\n[fleet]\nservers={n}\nsidecars={m}\n", "x") for n, m in ((6, 3), (9, 3))
+    )
     first, second = plan.make(small, 3), plan.make(large, 3)
     assert second.machines[:6] == first.machines
     assert second.arrivals == first.arrivals, "more servers, same clients"
@@ -74,14 +93,17 @@
 
 def test_works_have_the_mean_that_is_asked_for() -> None:
     for shape, spread in (("lognormal", 0.8), ("pareto", 2.5), ("exponential", 1.0), ("fixed", 1.0)):
-        cls = scenario.Class("a", 1.0, 40.0, 100, 200, 1, "safe", shape=shape, spread=spread)   # type: ignore[arg-type]
+        cls = scenario.Class("a", 1.0, 40.0, 100, 200, 1, "safe", shape=shape, spread=spread)  # type: ignore[arg-type]
         drawn = plan._work(cls, 0.04, stream(1, "test", shape), 200_000)
         assert float(np.mean(drawn)) == pytest.approx(0.04, rel=0.03), shape
 
 
 def test_arrivals_follow_the_burst() -> None:
-    told = scenario.decode("name='x'\nabout='y'\nlength_s=30\n[load]\nrate_per_s=200\nshape='steady'\n"
-                           "[[troubles]]\nkind='burst'\nat_s=10\nfor_s=10\nsize=2.5\n", "x")
+    told = scenario.decode(
+        "name='x'\nabout='y'\nlength_s=30\n[load]\nrate_per_s=200\nshape='steady'\n"
+        "[[troubles]]\nkind='burst'\nat_s=10\nfor_s=10\nsize=2.5\n",
+        "x",
+    )
     times = np.array([a.at for a in plan.make(told, 2).arrivals])
     inside = ((times >= 10) & (times < 20)).sum()
     outside = len(times) - inside
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -18,13 +18,18 @@
 ROOT = pathlib.Path(__file__).parent.parent
 OPTIONS = {
     "grades": [{"name": "a", "effect": "idempotent", "slo_ns": 100000000, "hard_limit_ns": 900000000}],
-    "instances": 1, "ceilings": {"most_tries": 3, "retry_after": True, "max_retry_after_ns": 1000000000},
-    "contract": {"cold_from": 0.2}, "membership_mode": "subscribe", "never_heard_of": 1,
+    "instances": 1,
+    "ceilings": {"most_tries": 3, "retry_after": True, "max_retry_after_ns": 1000000000},
+    "contract": {"cold_from": 0.2},
+    "membership_mode": "subscribe",
+    "never_heard_of": 1,
 }
 START: list[Any] = [
-    ["mark", 5000000000], ["power_on", 3, 77, OPTIONS],
+    ["mark", 5000000000],
+    ["power_on", 3, 77, OPTIONS],
     ["define_list", 0, [[11, 0, 0, 0, "healthy", 1, None], [12, 1, 0, 0, "cordoned", 1.5, 6]]],
-    ["endpoints", 3, 0, "disk", 41], ["go"],
+    ["endpoints", 3, 0, "disk", 41],
+    ["go"],
 ]
 ASK = ["req", 3, "one", 0, 0, "k:x", 240000000, 12000000, 1]
 
@@ -38,14 +43,27 @@
 
 
 def test_a_life_on_the_wire() -> None:
-    status, reply, errors = speak([
-        *START, ["mark", 5005000000], ASK, ["go"],
-        ["mark", 5050000000], ["answer", 3, "one", True, 45000000, "GOOD", 0, 11, [3, 7]],
-        ["expired", 3, "one"], ["timer", 3, "sweep"], ["health", 3, "GOOD", 11, 5, None],
-        ["message", 3, 0, "hi"], ["first_byte", 3, "one", 0, 11, 4], ["go"],
-        ["mark", 5060000000], ["endpoints", 3, 0, "error", None], ["teardown", 3],
-        ["timer", 3, "sweep"], ["go"],
-    ])
+    status, reply, errors = speak(
+        [
+            *START,
+            ["mark", 5005000000],
+            ASK,
+            ["go"],
+            ["mark", 5050000000],
+            ["answer", 3, "one", True, 45000000, "GOOD", 0, 11, [3, 7]],
+            ["expired", 3, "one"],
+            ["timer", 3, "sweep"],
+            ["health", 3, "GOOD", 11, 5, None],
+            ["message", 3, 0, "hi"],
+            ["first_byte", 3, "one", 0, 11, 4],
+            ["go"],
+            ["mark", 5060000000],
+            ["endpoints", 3, 0, "error", None],
+            ["teardown", 3],
+            ["timer", 3, "sweep"],
+            ["go"],
+        ]
+    )
     assert status == 0 and errors == ""
     assert ["follow", 3, True] in reply and ["dispatch", 3, "one", 11, 240000000] in reply
     assert sum(line == ["done"] for line in reply) == 4
@@ -61,12 +79,15 @@
     assert settings.read_settings({"contract": {"ask_within_ns": 7}}).ask_within_ns == 7
 
 
-@pytest.mark.parametrize("field, raw", [
-    ("effect", {"grades": [{"effect": "twice"}]}),
-    ("group", {"grades": [{"key_scope": "rack"}]}),
-    ("aim_ns", {"grades": [{"slo_ns": -4}]}),
-    ("warm_within_ns", {"contract": {"warm_within_ns": -1}}),
-])
+@pytest.mark.parametrize(
+    "field, raw",
+    [
+        ("effect", {"grades": [{"effect": "twice"}]}),
+        ("group", {"grades": [{"key_scope": "rack"}]}),
+        ("aim_ns", {"grades": [{"slo_ns": -4}]}),
+        ("warm_within_ns", {"contract": {"warm_within_ns": -1}}),
+    ],
+)
 def test_impossible_settings_name_the_field(field: str, raw: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match=f"^{field}: "):
         settings.read_settings(raw)
@@ -80,8 +101,19 @@
     assert any(line[0] == "dispatch" for line in reply)
 
 
-@pytest.mark.parametrize("bad", ['{"a":', "[]", "7", '["req",3,"x"]', '["endpoints",3,9,"disk",1]', "[4,5]",
-                                 '["answer",3,"one",true,5,"WHAT",0,11,null]', '["mark","soon"]'])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        '{"a":',
+        "[]",
+        "7",
+        '["req",3,"x"]',
+        '["endpoints",3,9,"disk",1]',
+        "[4,5]",
+        '["answer",3,"one",true,5,"WHAT",0,11,null]',
+        '["mark","soon"]',
+    ],
+)
 def test_malformed_line_ends_it_without_half_a_reply(bad: str) -> None:
     status, reply, errors = speak([*START, ["mark", 5005000000], ASK, bad, ["go"]])
     assert status == 2 and "line 8:" in errors
@@ -91,14 +123,20 @@
 def test_an_exception_in_the_module_becomes_a_bug(monkeypatch: pytest.MonkeyPatch) -> None:
     def broken(self: Balancer, now: int, event: api.Event) -> list[api.Action]:
         raise KeyError("lost")
+
     monkeypatch.setattr(Balancer, "handle", broken)
     status, reply, errors = speak([*START])
     assert status == 0 and reply[0] == ["bug", 3, "KeyError: 'lost'"] and "Traceback" in errors
 
 
 def test_the_command_itself() -> None:
-    done = subprocess.run([sys.executable, "-m", "lugtally.adapter"], input=b'["mark",1]\n["go"]\n',
-                          capture_output=True, cwd=ROOT, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "lugtally.adapter"],
+        input=b'["mark",1]\n["go"]\n',
+        capture_output=True,
+        cwd=ROOT,
+        check=False,
+    )
     assert (done.returncode, done.stdout, done.stderr) == (0, b'["done"]\n', b"")
 
 
@@ -107,6 +145,5 @@
     example = re.search(r"```python\n(.*?)```", text, re.S)
     expected = re.search(r"```text\n(.*?)```", text, re.S)
     assert example and expected
-    done = subprocess.run([sys.executable, "-c", example[1]], capture_output=True, text=True, cwd=ROOT,
-                          check=True)
+    done = subprocess.run([sys.executable, "-c", example[1]], capture_output=True, text=True, cwd=ROOT, check=True)
     assert done.stdout == expected[1]
--- a/tests/test_body_frame.py
+++ b/tests/test_body_frame.py
@@ -27,10 +27,14 @@
     return taken
 
 
-@given(st.lists(st.binary(min_size=1, max_size=300), max_size=8), st.lists(st.integers(0, 3000), max_size=10),
-       st.binary(max_size=40))
-def test_a_chunked_body_ends_where_its_last_chunk_does_in_any_pieces(parts: list[bytes], cuts: list[int],
-                                                                     behind: bytes) -> None:
+@given(
+    st.lists(st.binary(min_size=1, max_size=300), max_size=8),
+    st.lists(st.integers(0, 3000), max_size=10),
+    st.binary(max_size=40),
+)
+def test_a_chunked_body_ends_where_its_last_chunk_does_in_any_pieces(
+    parts: list[bytes], cuts: list[int], behind: bytes
+) -> None:
     body = chunked(parts, b"X-Sum: 1\r\n")
     frame = BodyFrame(chunked=True)
     assert fed(frame, body + behind, cuts) == len(body) and frame.done
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -74,8 +74,12 @@
 
 
 def test_blocked_retry_is_refused_with_advice_or_failed_by_the_effect_rule() -> None:
-    for cls, kind in ((SAFE, api.Refuse), (UNSAFE, api.Fail), (keyed(api.Group.ZONE), api.Fail),
-                      (keyed(api.Group.ALL), api.Refuse)):
+    for cls, kind in (
+        (SAFE, api.Refuse),
+        (UNSAFE, api.Fail),
+        (keyed(api.Group.ZONE), api.Fail),
+        (keyed(api.Group.ALL), api.Refuse),
+    ):
         world = started(settings(cls, max_attempts=1), lines(12))
         world.ask("a")
         answer = [a for a in world.end("a", 0, api.Result.ERROR) if isinstance(a, api.Refuse | api.Fail)]
@@ -140,16 +144,19 @@
         assert len(set(waits)) > 50, "forty sidecars must not ask in step"
 
 
-@pytest.mark.parametrize("field, make", [
-    ("window_ns", lambda: api.RequestClass(window_ns=-1)),
-    ("aim_ns", lambda: api.RequestClass(aim_ns=0)),
-    ("effect", lambda: api.RequestClass(effect="maybe")),  # type: ignore[arg-type]
-    ("group", lambda: api.RequestClass(group="rack")),  # type: ignore[arg-type]
-    ("fall_multiple", lambda: api.Settings(fall_multiple=float("nan"))),
-    ("warm_within_ns", lambda: api.Settings(warm_within_ns=-5)),
-    ("cold_from", lambda: api.Settings(cold_from=1.5)),
-    ("balancers", lambda: api.Settings(balancers=0)),
-])
+@pytest.mark.parametrize(
+    "field, make",
+    [
+        ("window_ns", lambda: api.RequestClass(window_ns=-1)),
+        ("aim_ns", lambda: api.RequestClass(aim_ns=0)),
+        ("effect", lambda: api.RequestClass(effect="maybe")),  # type: ignore[arg-type]
+        ("group", lambda: api.RequestClass(group="rack")),  # type: ignore[arg-type]
+        ("fall_multiple", lambda: api.Settings(fall_multiple=float("nan"))),
+        ("warm_within_ns", lambda: api.Settings(warm_within_ns=-5)),
+        ("cold_from", lambda: api.Settings(cold_from=1.5)),
+        ("balancers", lambda: api.Settings(balancers=0)),
+    ],
+)
 def test_impossible_settings_name_the_field(field: str, make: object) -> None:
     assert callable(make)
     with pytest.raises(ValueError, match=f"^{field}: "):
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -71,7 +71,7 @@
         for copy in world.tracks[f"good{n}"].copies:
             world.balancer.peers[copy.server].heard = world.now
         for name in [f"late{n}"]:
-            for copy in world.tracks[name].copies:      # its server answers somebody meanwhile
+            for copy in world.tracks[name].copies:  # its server answers somebody meanwhile
                 world.balancer.peers[copy.server].heard = world.now
         world.pass_time(60 * MS)
     assert not any(p.ejected > world.now for p in world.balancer.members)
@@ -123,7 +123,7 @@
     world = started(settings(max_attempts=1, balancers=6), lines(54))
     served(world, 150)
     sends = len(world.sends)
-    for n in range(400):        # nothing is answered any more
+    for n in range(400):  # nothing is answered any more
         world.ask(f"jam{n}", left=20 * S)
         world.pass_time(5 * MS)
     assert len(world.sends) - sends <= 4 * 54 / 6
@@ -198,11 +198,12 @@
         world.ask(f"b{n}")
         world.pass_time(10 * MS)
     closed = [a.server for a in world.log if isinstance(a, api.CloseIdle)]
-    assert closed and closed == [a.server for a in world.log if isinstance(a, api.Send)][:len(closed)]
+    assert closed and closed == [a.server for a in world.log if isinstance(a, api.Send)][: len(closed)]
 
 
 def test_equals_are_told_apart_by_reports_that_own_answers_bear_out() -> None:
     """Quiet sidecars have nothing in flight at either of two servers; idle but late is a lie."""
+
     def share(report: float, took: int) -> float:
         world = started(settings(load_fields=("queue",)), lines(10))
         sends = 0
@@ -212,10 +213,20 @@
                 odd = copy.server == 1
                 world.now += took if odd else 40 * MS
                 world.tracks[f"a{n}"].over = True
-                world.feed(api.Outcome(f"a{n}", 0, copy.server, api.Result.OK, True, took if odd else 40 * MS,
-                                       (report if odd else 1.0,)))
+                world.feed(
+                    api.Outcome(
+                        f"a{n}",
+                        0,
+                        copy.server,
+                        api.Result.OK,
+                        True,
+                        took if odd else 40 * MS,
+                        (report if odd else 1.0,),
+                    )
+                )
                 sends += odd and n > 50
         return sends / 350
+
     assert share(6.0, 40 * MS) < 0.07, "a reported queue is shunned"
     assert share(0.0, 100 * MS) < 0.07, "so is one that reports idle but answers late"
 
@@ -234,11 +245,11 @@
     far = replace(SAFE, aim_ns=500 * MS, deadline_ns=2 * S)
     world = started(settings(far, max_attempts=1), lines(10))
     served(world, 100, took=2 * MS)
-    for turn in range(200):     # it gets busy, by and by
+    for turn in range(200):  # it gets busy, by and by
         names = [f"busy{turn}.{n}" for n in range(min(24, 2 + turn // 5))]
         for name in names:
             world.ask(name)
-        world.pass_time(16 * MS)        # eight times the usual, and a thirtieth of the aim
+        world.pass_time(16 * MS)  # eight times the usual, and a thirtieth of the aim
         for name in names:
             for at in range(len(world.tracks[name].copies)):
                 if not world.tracks[name].over:
@@ -252,7 +263,7 @@
     """What was asked for had faded to nothing, and the first request after the rest divided by it."""
     world = started(settings(SAFE, tenants=(api.Tenant("a", 10.0),), load_fields=("inflight",)), lines(4))
     served(world, 20)
-    world.balancer.ours = world.balancer.depth = 1.0     # as reports would have it
+    world.balancer.ours = world.balancer.depth = 1.0  # as reports would have it
     world.now += 100 * 3600 * S
     served(world, 5)
     assert all(n > 0 for n in world.balancer.asked.values())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
 from tests.world import MS, SAFE, S, lines, sent, settings, started
 
 COLD = {"warm_within_ns": int(TRAITS.cold_s * S), "cold_from": TRAITS.cold_from, "fall_multiple": TRAITS.fall_multiple}
-WORK = 0.08     # seconds of a core
+WORK = 0.08  # seconds of a core
 
 
 def fleet(sidecars: int, servers: int, load: float = 0.6, seed: int = 1) -> Fleet:
@@ -30,14 +30,14 @@
     just started got 3 to 5 requests a second where they have got 7 to 12 since, and warm ones carried the rest."""
     world = fleet(sidecars, servers)
     world.run(10 * S)
-    share = mean(len(m.sends) for m in world.machines.values()) / 10    # a second, at a warm one
+    share = mean(len(m.sends) for m in world.machines.values()) / 10  # a second, at a warm one
     part = servers * 3 // 10
     new = range(1001, 1001 + part)
     world.replace(list(range(1, part + 1)), list(new))
     world.run(4 * S)
     cold = [world.machines[number] for number in new]
     taken = mean(len(m.sends) for m in cold) / 4
-    ramp = TRAITS.cold_from + (1 - TRAITS.cold_from) * 2 / TRAITS.cold_s    # on average over these seconds
+    ramp = TRAITS.cold_from + (1 - TRAITS.cold_from) * 2 / TRAITS.cold_s  # on average over these seconds
     assert taken > 0.5 * ramp * share, "cold servers stand idle while the warm ones are swamped"
     assert taken < 0.85 * ramp * share, "slow start lets in more than the told part"
     assert not any(machine.server.fallen for machine in cold), "all together pushed a cold server over"
@@ -53,7 +53,7 @@
         sends = bisect_left(machine.sends, begin + span) - at
         ramp = TRAITS.cold_from + (1 - TRAITS.cold_from) * min(1.0, (begin - started) / (TRAITS.cold_s * S))
         budget = TRAITS.fall_multiple * ramp * TRAITS.cores / WORK * span / S
-        most = max(most, sends - (budget + 2 * budget ** 0.5 + 2))
+        most = max(most, sends - (budget + 2 * budget**0.5 + 2))
     return most
 
 
@@ -79,7 +79,7 @@
     """The window on requests in flight was a multiple of their mean.  A quiet sidecar's few scatter by as much as that:
     in calm seconds forty of them refused a quarter of all for it, with two in flight at each server of two cores."""
     world = started(settings(SAFE, balancers=40, max_attempts=1), lines(60))
-    for n in range(80):     # twenty a second, each answered after 100 ms: two in flight
+    for n in range(80):  # twenty a second, each answered after 100 ms: two in flight
         world.ask(f"calm{n}")
         world.pass_time(50 * MS)
         if n:
@@ -137,7 +137,7 @@
 def test_in_overload_a_tenant_past_its_share_is_refused_first() -> None:
     """Requests past a tenant's share are worth a tenth, and were let in as often as those of tenants within theirs."""
     refused = []
-    for quotas in ((3.0, 3.0), (0.4, 0.4)):     # of what the fleet can do; the tenants send 0.9 and 0.3 of it
+    for quotas in ((3.0, 3.0), (0.4, 0.4)):  # of what the fleet can do; the tenants send 0.9 and 0.3 of it
         world = crowd(load=1.2, seed=3, tenants=((0.75, quotas[0]), (0.25, quotas[1])))
         world.run(25 * S)
         refused.append([world.tally[f"tenant {n} refused"] / world.tally[f"tenant {n} asked"] for n in (0, 1)])
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -11,7 +11,7 @@
 
 from lugtally.net.http1 import BadMessage, Parser
 
-DRAWS = 1       # the examples must not change with the text of a test, as they would by its digest
+DRAWS = 1  # the examples must not change with the text of a test, as they would by its digest
 
 LINE = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*", re.S)
 CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
@@ -29,8 +29,9 @@
     return found
 
 
-PIECES = st.sampled_from([b"X-A", b"x-b", b":", b": ", b" ", b"\t", b"v", b"\xe9", b"\x00", b"\r", b"\n", b"\x7f",
-                          b"=,;", b"(", b""])
+PIECES = st.sampled_from(
+    [b"X-A", b"x-b", b":", b": ", b" ", b"\t", b"v", b"\xe9", b"\x00", b"\r", b"\n", b"\x7f", b"=,;", b"(", b""]
+)
 LINES = st.lists(st.lists(PIECES, max_size=6).map(b"".join), max_size=5)
 
 
@@ -46,7 +47,7 @@
     """All lines are matched at once; that must let in just what the slow way lets in."""
     data = b"\r\n".join([FIRST, *lines]) + b"\r\n\r\n"
     if data.index(b"\r\n\r\n") < len(data) - 4 or b"\r\n" in b"|".join(lines) or b"\n\n" in data:
-        return      # another head than was meant
+        return  # another head than was meant
     wanted = oracle(lines)
     try:
         message = Parser(responses=False).feed(data)
@@ -56,11 +57,14 @@
         assert message is not None and wanted == message.headers
 
 
-@pytest.mark.parametrize("data", [
-    b"POST /pledge-record HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 5\r\n\r\nhelloGET /x HTTP/1.1\r\n\r\n",
-    b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e=1\r\nde\r\n0\r\nT: v\r\n\r\n"
-    b"GET /y HTTP/1.0\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST /pledge-record HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 5\r\n\r\nhelloGET /x HTTP/1.1\r\n\r\n",
+        b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e=1\r\nde\r\n0\r\nT: v\r\n\r\n"
+        b"GET /y HTTP/1.0\r\n\r\n",
+    ],
+)
 def test_split_at_any_byte_gives_the_same_messages(data: bytes) -> None:
     def messages(*parts: bytes) -> list[tuple[str, str, bytes, bool]]:
         parser, found = Parser(responses=False), []
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -12,21 +12,25 @@
 RED = "tests/test_a.py::test_red | it is not mended | issue 1"
 
 
-@pytest.mark.parametrize("lines, status, said", [
-    ([RED], 0, "known red: tests/test_a.py::test_red: it is not mended (issue 1)"),
-    ([], 1, "1 failed, 1 passed"),
-    ([RED, "tests/test_a.py::test_green | no fault | issue 1"], 1, "[XPASS(strict)]"),
-    ([RED, "tests/test_a.py::test_gone | it went | issue 1"], 4, "test_gone is no test of this run"),
-    ([RED, "tests/test_a.py::test_green"], 4, "at most 3 lines of 'test | cause | issue'"),
-    ([RED] * 4, 4, "at most 3 lines"),
-])
+@pytest.mark.parametrize(
+    "lines, status, said",
+    [
+        ([RED], 0, "known red: tests/test_a.py::test_red: it is not mended (issue 1)"),
+        ([], 1, "1 failed, 1 passed"),
+        ([RED, "tests/test_a.py::test_green | no fault | issue 1"], 1, "[XPASS(strict)]"),
+        ([RED, "tests/test_a.py::test_gone | it went | issue 1"], 4, "test_gone is no test of this run"),
+        ([RED, "tests/test_a.py::test_green"], 4, "at most 3 lines of 'test | cause | issue'"),
+        ([RED] * 4, 4, "at most 3 lines"),
+    ],
+)
 def test_only_named_faults_are_passed_over(lines: list[str], status: int, said: str, tmp_path: Path) -> None:
     (tmp_path / "tests").mkdir()
     (tmp_path / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
     (tmp_path / "tests" / "test_a.py").write_text(TESTS)
     (tmp_path / "tests" / "conftest.py").write_text((Path(__file__).parent / "conftest.py").read_text())
     (tmp_path / "KNOWN-RED.txt").write_text("\n".join(lines))
-    done = subprocess.run([sys.executable, "-m", "pytest", "-p", "no:cacheprovider"], cwd=tmp_path, text=True,
-                          capture_output=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider"], cwd=tmp_path, text=True, capture_output=True
+    )
     assert done.returncode == status, done.stdout + done.stderr
     assert said in done.stdout + done.stderr
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -19,16 +19,33 @@
 from lugtally.service.serve import guard_of
 from tests.player import ROOT, Player
 
-KIT = ("numpy", "rich", "matplotlib", "jinja2", "httptools", "uvloop", "hdrh", "psutil", "xxhash",
-       "lugtally.rehearsal", "lugtally.cli.root", "lugtally.cli.rehearse", "msgspec", "argparse")
-
-
-@pytest.mark.parametrize(("text", "complaint"), [
-    ("[log", "no TOML"),
-    ("[log]\nformat = 'xml'", "log.format: Invalid enum value 'xml'"),
-    ("[logs]\n", "Object contains unknown field `logs`"),
-    ("[log]\nlevel = 3", "log.level: Expected `str`, got `int`"),
-])
+KIT = (
+    "numpy",
+    "rich",
+    "matplotlib",
+    "jinja2",
+    "httptools",
+    "uvloop",
+    "hdrh",
+    "psutil",
+    "xxhash",
+    "lugtally.rehearsal",
+    "lugtally.cli.root",
+    "lugtally.cli.rehearse",
+    "msgspec",
+    "argparse",
+)
+
+
+@pytest.mark.parametrize(
+    ("text", "complaint"),
+    [
+        ("[log", "no TOML"),
+        ("[log]\nformat = 'xml'", "log.format: Invalid enum value 'xml'"),
+        ("[logs]\n", "Object contains unknown field `logs`"),
+        ("[log]\nlevel = 3", "log.level: Expected `str`, got `int`"),
+    ],
+)
 def test_a_bad_file_is_one_line_with_its_field_and_status_2(tmp_path: Path, text: str, complaint: str) -> None:
     path = tmp_path / "operator.toml"
     path.write_text(text)
@@ -36,8 +53,13 @@
         operator.load(str(path))
     assert complaint in str(caught.value)
     environment = {name: value for name, value in os.environ.items() if name != "PROXY_CONFIG"}
-    done = subprocess.run([sys.executable, "-m", "lugtally", "check-config", "--operator", str(path)], cwd=ROOT,
-                          capture_output=True, text=True, env=environment)
+    done = subprocess.run(
+        [sys.executable, "-m", "lugtally", "check-config", "--operator", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env=environment,
+    )
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and complaint in done.stderr
 
 
@@ -55,8 +77,13 @@
     config, told = tmp_path / "config.json", tmp_path / "operator.toml"
     config.write_text(json.dumps(player.config()))
     told.write_text("[log]\nformat = 'json'\nlevel = 'DEBUG'\n")
-    child = subprocess.Popen([sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(told)], cwd=ROOT,
-                             stderr=subprocess.PIPE, text=True, env={**os.environ, "PROXY_CONFIG": str(config)})
+    child = subprocess.Popen(
+        [sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(told)],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PROXY_CONFIG": str(config)},
+    )
     try:
         assert child.stderr is not None
         first = child.stderr.readline()
@@ -77,13 +104,16 @@
     documented = set(re.findall(r"^\| `([a-z.-]+)`", (ROOT / "docs" / "logging.md").read_text(), re.M))
     source = "".join(path.read_text() for path in (ROOT / "lugtally").rglob("*.py"))
     assert documented == set(re.findall(r'event="([a-z.-]+)"', source)), "docs/logging.md lists just what is logged"
-    assert source.count("logger.info(") + source.count("logger.warning(") + source.count("logger.error(") \
-        + source.count("logger.exception(") + source.count("logger.debug(") == source.count('event="')
+    assert source.count("logger.info(") + source.count("logger.warning(") + source.count(
+        "logger.error("
+    ) + source.count("logger.exception(") + source.count("logger.debug(") == source.count('event="')
 
 
 def test_serve_loads_nothing_of_the_kit() -> None:
-    code = ("import sys; from lugtally.__main__ import main; status = main(['serve']); "
-            f"print(status, [m for m in {KIT!r} if m in sys.modules])")
+    code = (
+        "import sys; from lugtally.__main__ import main; status = main(['serve']); "
+        f"print(status, [m for m in {KIT!r} if m in sys.modules])"
+    )
     environment = {name: value for name, value in os.environ.items() if name != "PROXY_CONFIG"}
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, env=environment)
     assert done.stdout.split(maxsplit=1) == ["2", "[]\n"], done.stdout
@@ -108,10 +138,11 @@
     try:
         assert child.stderr is not None and "sidecar.serving" in child.stderr.readline()
         assert path.stat().st_mode & 0o777 == 0o600
-        silent = socket.socket(socket.AF_UNIX)      # one that reads nothing must not keep others waiting
+        silent = socket.socket(socket.AF_UNIX)  # one that reads nothing must not keep others waiting
         silent.connect(str(path))
-        shown = subprocess.run([sys.executable, "-m", "lugtally", "status", str(path), "--json"], cwd=ROOT,
-                               capture_output=True, text=True)
+        shown = subprocess.run(
+            [sys.executable, "-m", "lugtally", "status", str(path), "--json"], cwd=ROOT, capture_output=True, text=True
+        )
         seen = json.loads(shown.stdout)
         assert seen["sidecar"] == "n1" and seen["requests"]["in_progress"] == 0
         assert seen["overload"]["refusing"] is False and seen["draining"] is False
@@ -121,6 +152,7 @@
     finally:
         child.kill()
         player.end()
-    gone = subprocess.run([sys.executable, "-m", "lugtally", "status", str(path)], cwd=ROOT, capture_output=True,
-                          text=True)
+    gone = subprocess.run(
+        [sys.executable, "-m", "lugtally", "status", str(path)], cwd=ROOT, capture_output=True, text=True
+    )
     assert gone.returncode == 1 and gone.stderr.count("\n") == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -32,8 +32,12 @@
 
 
 def test_unsafe_is_repeated_only_after_proof_that_it_never_ran() -> None:
-    for result, again in ((api.Result.ERROR, 1), (api.Result.RESET, 1), (api.Result.REJECTED, 2),
-                          (api.Result.NO_CONNECTION, 2)):
+    for result, again in (
+        (api.Result.ERROR, 1),
+        (api.Result.RESET, 1),
+        (api.Result.REJECTED, 2),
+        (api.Result.NO_CONNECTION, 2),
+    ):
         world = started(settings(UNSAFE), lines(12))
         world.ask("a")
         world.end("a", 0, result)
--- a/tests/test_rules_random.py
+++ b/tests/test_rules_random.py
@@ -13,10 +13,16 @@
 from tests.world import MS, SAFE, UNSAFE, S, World, keyed, lines
 from tests.world import settings as told
 
-DRAWS = 1       # the examples must not change with the text of a test, as they would by its digest
-
-CLASSES = (SAFE, UNSAFE, keyed(api.Group.ALL, 400 * MS), keyed(api.Group.ZONE),
-           keyed(api.Group.CELL, 300 * MS), replace(SAFE, stream=True))
+DRAWS = 1  # the examples must not change with the text of a test, as they would by its digest
+
+CLASSES = (
+    SAFE,
+    UNSAFE,
+    keyed(api.Group.ALL, 400 * MS),
+    keyed(api.Group.ZONE),
+    keyed(api.Group.CELL, 300 * MS),
+    replace(SAFE, stream=True),
+)
 RESULTS = list(api.Result)
 
 STEP = st.one_of(
@@ -73,20 +79,30 @@
 def odd(world: World, one: int) -> None:
     """Events that name what the balancer does not hold change nothing that is owed."""
     event: list[api.Event] = [
-        api.ClientLeft("nobody"), api.Timer("rnobody"), api.Timer("?"), api.Probed(99, True),
-        api.PeerMessage(1, "x"), api.FirstByte("nobody", 0, 1),
+        api.ClientLeft("nobody"),
+        api.Timer("rnobody"),
+        api.Timer("?"),
+        api.Probed(99, True),
+        api.PeerMessage(1, "x"),
+        api.FirstByte("nobody", 0, 1),
         api.Outcome("nobody", 3, 77, api.Result.TIMEOUT, False, 5),
     ]
     assert not [a for a in world.feed(event[one]) if isinstance(a, api.Send | api.Refuse | api.Fail)]
 
 
 @draws_from(DRAWS)
-@settings(derandomize=True, deadline=None, max_examples=250, database=None,
-          suppress_health_check=list(HealthCheck))
-@given(st.lists(STEP, min_size=5, max_size=60), st.booleans(), st.booleans(), st.integers(1, 6),
-       st.integers(0, 14), st.integers(0, 9))
-def test_rules_hold(steps: list[tuple[str, int, int]], copies: bool, gone_binds: bool, attempts: int,
-                    count: int, seed: int) -> None:
+@settings(derandomize=True, deadline=None, max_examples=250, database=None, suppress_health_check=list(HealthCheck))
+@given(
+    st.lists(STEP, min_size=5, max_size=60),
+    st.booleans(),
+    st.booleans(),
+    st.integers(1, 6),
+    st.integers(0, 14),
+    st.integers(0, 9),
+)
+def test_rules_hold(
+    steps: list[tuple[str, int, int]], copies: bool, gone_binds: bool, attempts: int, count: int, seed: int
+) -> None:
     world = World(told(*CLASSES, second_copies=copies, gone_binds=gone_binds, max_attempts=attempts), seed)
     world.feed(api.ServerList(api.ListKind.KEPT, lines(count)))
     play(world, steps)
@@ -95,8 +111,10 @@
 
 @draws_from(DRAWS)
 @settings(derandomize=True, deadline=None, max_examples=60, database=None)
-@given(st.lists(st.tuples(st.integers(-3, 9), st.text("+-:0123456789v.x \u0664", max_size=24)), max_size=30),
-       st.integers(0, 9))
+@given(
+    st.lists(st.tuples(st.integers(-3, 9), st.text("+-:0123456789v.x \u0664", max_size=24)), max_size=30),
+    st.integers(0, 9),
+)
 def test_no_message_raises_or_breaks_a_rule(messages: list[tuple[int, str]], seed: int) -> None:
     world = World(told(*CLASSES, balancers=3), seed)
     world.feed(api.ServerList(api.ListKind.KEPT, lines(9)))
@@ -108,8 +126,7 @@
 
 
 @draws_from(DRAWS)
-@settings(derandomize=True, deadline=None, max_examples=40, database=None,
-          suppress_health_check=list(HealthCheck))
+@settings(derandomize=True, deadline=None, max_examples=40, database=None, suppress_health_check=list(HealthCheck))
 @given(st.lists(STEP, min_size=20, max_size=60), st.integers(0, 9))
 def test_same_events_same_actions(steps: list[tuple[str, int, int]], seed: int) -> None:
     logs = []
@@ -122,11 +139,9 @@
 
 
 @draws_from(DRAWS)
-@settings(derandomize=True, deadline=None, max_examples=25, database=None,
-          suppress_health_check=list(HealthCheck))
+@settings(derandomize=True, deadline=None, max_examples=25, database=None, suppress_health_check=list(HealthCheck))
 @given(st.integers(0, 20), st.integers(1, 12), st.integers(2, 25), st.booleans(), st.integers(0, 9))
-def test_cold_servers_stay_under_the_bound(age_s: int, cold: int, gap_ms: int, restarted: bool,
-                                           seed: int) -> None:
+def test_cold_servers_stay_under_the_bound(age_s: int, cold: int, gap_ms: int, restarted: bool, seed: int) -> None:
     """A fleet at full load, one balancer: no cold server is sent more than its capacity surely allows.
 
     The bound of the rule is 3 x capacity; a fleet of 12 whose warm servers get 1/12 of the traffic each is
@@ -153,8 +168,7 @@
 @draws_from(DRAWS)
 @settings(derandomize=True, deadline=None, max_examples=60, database=None)
 @given(st.integers(0, 18), st.booleans(), st.integers(0, 9))
-def test_many_unequal_balancers_together_do_not_push_a_cold_server_over(age_s: int, restarted: bool,
-                                                                        seed: int) -> None:
+def test_many_unequal_balancers_together_do_not_push_a_cold_server_over(age_s: int, restarted: bool, seed: int) -> None:
     """Thirty balancers, one with half of the traffic, share twelve servers that are fully loaded.
 
     A fall is their fault only from when they were told of the start: for a list that changes, 6 s into the run.
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -29,8 +29,15 @@
 
 def test_every_ending_has_a_result_and_only_unsent_ones_never_ran() -> None:
     never = {ending for ending in Ending if RESULTS[ending] in api.NEVER_RAN}
-    assert never == {Ending.TURNED_AWAY, Ending.REFUSED, Ending.CONNECT_SLOW, Ending.NO_SOCKET,
-                     Ending.BROKEN_UNSENT, Ending.TIMED_OUT_UNSENT, Ending.CANCELLED_UNSENT}
+    assert never == {
+        Ending.TURNED_AWAY,
+        Ending.REFUSED,
+        Ending.CONNECT_SLOW,
+        Ending.NO_SOCKET,
+        Ending.BROKEN_UNSENT,
+        Ending.TIMED_OUT_UNSENT,
+        Ending.CANCELLED_UNSENT,
+    }
 
 
 class Scripted:
@@ -56,11 +63,13 @@
 
 def run(hub: Hub, work: Any, front: facade.Facade) -> None:
     """Run ``work`` as a task until it is done."""
+
     def body() -> None:
         try:
             work()
         finally:
-            hub.stop()      # a failed check must fail the test, not hang it
+            hub.stop()  # a failed check must fail the test, not hang it
+
     hub.spawn(body)
     hub.run(front.tick)
 
@@ -79,7 +88,7 @@
         front.report(facade.AttemptEnded(ask, 1, Ending.SERVED))
         assert isinstance(front.pick(ask), facade.Over) and cancelled == [0] and closed == [9]
         front.report(facade.AttemptEnded(ask, 0, Ending.CANCELLED))
-        front.report(facade.ClientGone(ask))        # too late to mean anything
+        front.report(facade.ClientGone(ask))  # too late to mean anything
 
     run(hub, work, front)
     ends = [(e.result, e.over, e.server) for e in scripted.told if isinstance(e, api.Outcome)]
@@ -92,8 +101,7 @@
     hub = Hub()
     front = facade.Facade(api.Settings(), 1, hub)
     verdicts: list[facade.Verdict] = []
-    run(hub, lambda: verdicts.append(
-        front.pick(facade.Ask(hub, 1, hub.now() + 5 * MS, False, lambda _: None))), front)
+    run(hub, lambda: verdicts.append(front.pick(facade.Ask(hub, 1, hub.now() + 5 * MS, False, lambda _: None))), front)
     assert verdicts == [facade.Failed()]
 
 
@@ -148,9 +156,10 @@
     assert ends == [Ending.TIMED_OUT_UNSENT] and destinations.open == 0
 
 
-@pytest.mark.parametrize("event, ending", [
-    ("reset", Ending.BROKEN_UNSENT), ("interrupt", Ending.CANCELLED_UNSENT),
-    ("time", Ending.TIMED_OUT_UNSENT)])
+@pytest.mark.parametrize(
+    "event, ending",
+    [("reset", Ending.BROKEN_UNSENT), ("interrupt", Ending.CANCELLED_UNSENT), ("time", Ending.TIMED_OUT_UNSENT)],
+)
 def test_a_request_not_wholly_written_never_ran(event: str, ending: Ending) -> None:
     """Nobody reads a request that is larger than any socket's buffer, until something ends the writing."""
     hub = Hub()
@@ -172,7 +181,7 @@
         if event == "interrupt":
             hub.interrupt(task)
         elif event == "reset":
-            peer.close()        # over unread bytes: a reset
+            peer.close()  # over unread bytes: a reset
         hub.sleep(60_000 * MS)
         peer.close()
 
@@ -203,7 +212,7 @@
     """It used to close the front socket without a word: the request was taken and lost."""
     hub = Hub()
     front = Front(hub, Any, Any, (), 9)  # type: ignore[arg-type]
-    front._answer = lambda *_: 1 / 0    # type: ignore[method-assign,assignment]
+    front._answer = lambda *_: 1 / 0  # type: ignore[method-assign,assignment]
     server = listener()
     client = socket.create_connection(server.getsockname())
     ours, _ = server.accept()
@@ -229,16 +238,23 @@
     front = facade.Facade(api.Settings(), 1, hub)
     pool = ListWatch(hub, front, Destinations(hub, Limits(MS, MS, 9), ()), ("127.0.0.1", 9), ("a",))
     lately = hub.wall() // MS - 700
-    raw = {"version": 1, "full": True, "servers": [
-        {"id": "s-1", "addr": "127.0.0.1:1", "zone": "b", "state": "ready", "started_ms": lately},
-        {"id": "s-2", "addr": "127.0.0.1:2", "zone": "a", "state": "draining", "started_ms": 0}]}
+    raw = {
+        "version": 1,
+        "full": True,
+        "servers": [
+            {"id": "s-1", "addr": "127.0.0.1:1", "zone": "b", "state": "ready", "started_ms": lately},
+            {"id": "s-2", "addr": "127.0.0.1:2", "zone": "a", "state": "draining", "started_ms": 0},
+        ],
+    }
     run(hub, lambda: pool.start(read_list(raw, "known")), front)
     monkeypatch.setattr(Hub, "wall", staticmethod(lambda: 5))
     pool._take(read_list(raw, "known"), "whole")
     lists = [e.servers for e in scripted.told if isinstance(e, api.ServerList)]
     assert lists[0] == lists[1] and pool.usable == 1
     assert [(s.id, s.zone, s.state) for s in lists[0]] == [
-        (number_of("s-1"), 1, api.State.UP), (number_of("s-2"), 0, api.State.DRAINING)]
+        (number_of("s-1"), 1, api.State.UP),
+        (number_of("s-2"), 0, api.State.DRAINING),
+    ]
     assert 0 < hub.now() - lists[0][0].started_ns < 60_000 * MS and lists[0][1].started_ns == 0
 
 
@@ -250,8 +266,10 @@
     pool = ListWatch(hub, front, destinations, ("127.0.0.1", 9), ("a",))
     module = Balancer(api.Settings(), 1)
     for n in range(1, 40):
-        rows = [{"id": f"s-{at}", "addr": "127.0.0.1:1", "zone": "a", "state": state, "started_ms": 1000 * at}
-                for at, state in ((n, "ready"), (n - 1, "gone"))]
+        rows = [
+            {"id": f"s-{at}", "addr": "127.0.0.1:1", "zone": "a", "state": state, "started_ms": 1000 * at}
+            for at, state in ((n, "ready"), (n - 1, "gone"))
+        ]
         kind = "whole" if n % 9 == 0 else "changes"
         pool._take(read_list({"version": n, "servers": rows}, "list"), kind)
         module.handle(n, scripted.told[-1])
@@ -321,8 +339,10 @@
     assert len(accepted) == 2 and ends == [Ending.SERVED] * 2
 
 
-@pytest.mark.parametrize("text", ["", "[]", "{}", '{"queue":"x"}', '{"queue":1e999}', '{"queue":-1}',
-                                  '{"queue":' + "9" * 400 + "}", "[" * 5000])
+@pytest.mark.parametrize(
+    "text",
+    ["", "[]", "{}", '{"queue":"x"}', '{"queue":1e999}', '{"queue":-1}', '{"queue":' + "9" * 400 + "}", "[" * 5000],
+)
 def test_a_load_report_that_cannot_be_read_is_none(text: str) -> None:
     destinations = Destinations(Hub(), Limits(MS, MS, 9), ("queue",))
     assert destinations.load_of(Message(names={"x-backend-load": text})) is None
@@ -335,24 +355,32 @@
     path = folder / "config.json"
     path.write_text(json.dumps({**player.config(), **change}))
     player.end()
-    return subprocess.run([sys.executable, "-B", "-m", "lugtally", command], cwd=ROOT, text=True, check=False,
-                          capture_output=True, env={"PROXY_CONFIG": str(path)})
-
-
-@pytest.mark.parametrize("change, field", [
-    ({"listen": "nowhere"}, "listen"),
-    ({"discovery": "host.example:80"}, "discovery"),
-    ({"seed": "xyz"}, "seed"),
-    ({"limits": {"sockets": 3}}, "limits.sockets"),
-    ({"settings": {"grades": []}}, "settings.grades"),
-    ({"settings": {"grades": [{"effect": "twice"}]}}, "settings: effect"),
-    ({"settings": {"grades": [{"slo_ns": "soon"}]}}, "settings: aim_ns"),
-    ({"settings": {"grades": [{}], "accounts": ["a"]}}, "settings: accounts"),
-    ({"settings": {"grades": [{}], "accounts": [{"quota_per_s": "many"}]}}, "settings: quota_per_s"),
-    ({"known": {"version": 1, "servers": [{"id": "s", "state": "ready", "addr": 4}]}},
-     "known.servers[0].addr"),
-    ({"known": {"servers": []}}, "known.version"),
-])
+    return subprocess.run(
+        [sys.executable, "-B", "-m", "lugtally", command],
+        cwd=ROOT,
+        text=True,
+        check=False,
+        capture_output=True,
+        env={"PROXY_CONFIG": str(path)},
+    )
+
+
+@pytest.mark.parametrize(
+    "change, field",
+    [
+        ({"listen": "nowhere"}, "listen"),
+        ({"discovery": "host.example:80"}, "discovery"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"settings": {"grades": []}}, "settings.grades"),
+        ({"settings": {"grades": [{"effect": "twice"}]}}, "settings: effect"),
+        ({"settings": {"grades": [{"slo_ns": "soon"}]}}, "settings: aim_ns"),
+        ({"settings": {"grades": [{}], "accounts": ["a"]}}, "settings: accounts"),
+        ({"settings": {"grades": [{}], "accounts": [{"quota_per_s": "many"}]}}, "settings: quota_per_s"),
+        ({"known": {"version": 1, "servers": [{"id": "s", "state": "ready", "addr": 4}]}}, "known.servers[0].addr"),
+        ({"known": {"servers": []}}, "known.version"),
+    ],
+)
 def test_bad_configuration_is_one_line(change: dict[str, Any], field: str, tmp_path: Path) -> None:
     for command in ("check-config", "serve"):
         done = command_line(tmp_path, change, command)
@@ -375,7 +403,7 @@
     def work() -> None:
         for _ in range(20_000):
             signal.set()
-            signal.wait(hub.now() + 8_000 * MS)     # passes at once
+            signal.wait(hub.now() + 8_000 * MS)  # passes at once
             hub.spawn(signal.set)
             assert signal.wait(hub.now() + 8_000 * MS) is Woken.READY
         woken.append(signal.wait(hub.now() + 2 * MS))
@@ -401,8 +429,16 @@
     where = front._listener.getsockname()
     server = listener()
     host, port = server.getsockname()
-    pool.start(read_list({"version": 1, "full": True, "servers": [
-        {"id": "s", "addr": f"{host}:{port}", "zone": "a", "state": "ready"}]}, "known"))
+    pool.start(
+        read_list(
+            {
+                "version": 1,
+                "full": True,
+                "servers": [{"id": "s", "addr": f"{host}:{port}", "zone": "a", "state": "ready"}],
+            },
+            "known",
+        )
+    )
     left: list[int] = []
 
     def serve() -> None:
@@ -462,8 +498,14 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(player.config()))
     player.end()
-    done = subprocess.run([sys.executable, "-B", "-m", "lugtally", "serve"], cwd=ROOT, text=True, check=False,
-                          capture_output=True, env={"PROXY_CONFIG": str(path), "PROXY_SOCKET_FD": text})
+    done = subprocess.run(
+        [sys.executable, "-B", "-m", "lugtally", "serve"],
+        cwd=ROOT,
+        text=True,
+        check=False,
+        capture_output=True,
+        env={"PROXY_CONFIG": str(path), "PROXY_SOCKET_FD": text},
+    )
     assert done.returncode == 2 and done.stdout == ""
     assert done.stderr.startswith("lugtally: PROXY_SOCKET_FD: ") and done.stderr.count("\n") == 1
 
@@ -475,7 +517,7 @@
         with sock:
             with pytest.raises(ValueError, match="PROXY_SOCKET_FD: .* no listening TCP socket"):
                 front.adopt(sock.fileno())
-            os.fstat(sock.fileno())     # a refused descriptor is not closed behind its owner
+            os.fstat(sock.fileno())  # a refused descriptor is not closed behind its owner
     with listener() as held:
         front.adopt(held.fileno())
         assert front._listener is not None and front._listener.fileno() == held.fileno()
@@ -500,9 +542,9 @@
         ask = facade.Ask(hub, 0, hub.now() + 5 * MS, False, cancelled.append)
         front.pick(ask), front.pick(ask)
         assert front.claim(ask, 1) and not front.claim(ask, 0) and not front.claim(ask, 1)
-        front.report(facade.AttemptEnded(ask, 0, Ending.SERVED))       # the other step's whole answer comes too late
-        front._act(hub.now(), api.Fail(ask.id))                      # and so does the module's verdict
-        hub.sleep(30 * MS)                                           # past the deadline and the backstop
+        front.report(facade.AttemptEnded(ask, 0, Ending.SERVED))  # the other step's whole answer comes too late
+        front._act(hub.now(), api.Fail(ask.id))  # and so does the module's verdict
+        hub.sleep(30 * MS)  # past the deadline and the backstop
         assert not ask.over
         front.report(facade.AttemptEnded(ask, 1, Ending.BROKEN))
         verdicts.append(front.pick(ask))
@@ -510,5 +552,8 @@
     run(hub, work, front)
     assert verdicts == [facade.Failed()]
     assert [type(e).__name__ for e in scripted.told if isinstance(e, (api.FirstByte, api.Outcome))] == [
-        "FirstByte", "Outcome", "Outcome"]
+        "FirstByte",
+        "Outcome",
+        "Outcome",
+    ]
     assert [e.over for e in scripted.told if isinstance(e, api.Outcome)] == [False, True]
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,7 +9,7 @@
 
 MS = api.MS
 S = api.SECOND
-T0 = 1000 * S       # servers with started_ns = 0 are long warm by then
+T0 = 1000 * S  # servers with started_ns = 0 are long warm by then
 
 SAFE = api.RequestClass("safe", api.Effect.SAFE, aim_ns=300 * MS, deadline_ns=S)
 UNSAFE = api.RequestClass("unsafe", api.Effect.UNSAFE, aim_ns=300 * MS, deadline_ns=S)
@@ -23,9 +23,17 @@
 def settings(*classes: api.RequestClass, **more: Any) -> api.Settings:
     """Settings of a deployment that allows most things."""
     plain = api.Settings(
-        classes=classes or (SAFE,), balancers=3, max_attempts=4, second_copies=True, may_cancel=True,
-        advice=True, max_advice_ns=2 * S,
-        warm_within_ns=20 * S, cold_from=0.12, fall_multiple=3.0)
+        classes=classes or (SAFE,),
+        balancers=3,
+        max_attempts=4,
+        second_copies=True,
+        may_cancel=True,
+        advice=True,
+        max_advice_ns=2 * S,
+        warm_within_ns=20 * S,
+        cold_from=0.12,
+        fall_multiple=3.0,
+    )
     return replace(plain, **more)
 
 
@@ -67,7 +75,7 @@
         self.lines: dict[int, api.Server] = {}
         self.drained: set[int] = set()
         self.wakes: list[tuple[int, str]] = []
-        self.sends: list[tuple[int, int]] = []      # when, where
+        self.sends: list[tuple[int, int]] = []  # when, where
         self.log: list[api.Action] = []
 
     def feed(self, event: api.Event) -> list[api.Action]:
