--- a/tests/rehearsal/offender.py
+++ b/tests/rehearsal/offender.py
@@ -108,7 +108,8 @@
             return _answer(503, b"")
         if self.fault == "drop" and strike:
             return None
-        late = asyncio.get_running_loop().time() + left + 0.25
+        due = asyncio.get_running_loop().time() + left
+        late = due + 0.25
         status, got = await self.send(chosen, line, headers, body, left)
         if self.fault == "late" and strike:
             await asyncio.sleep(late - asyncio.get_running_loop().time())
@@ -123,11 +124,13 @@
         elif self.fault == "pledge-elsewhere" and again:
             other = self.choose(next(z for z in self.told["settings"]["zones"] if z != chosen["zone"]))
             if other is not None:
-                await self.send(other, line, headers, body, left)
+                await self.send(other, line, headers, body, max(0.0, due - asyncio.get_running_loop().time()))
         elif self.fault == "receipt-twice" and cls == "receipt-issue" and status == 200 and self.count % 5 == 0:
             other = self.choose(besides=chosen["id"])
             if other is not None:
-                status, got = await self.send(other, line, headers, body, left)
+                # Its client waits no longer for two attempts than for one.
+                rest = max(0.0, due - asyncio.get_running_loop().time())
+                status, got = await self.send(other, line, headers, body, rest)
         elif self.fault == "refuse-ran" and cls == "receipt-issue" and self.count % 5 == 0:
             return _answer(503, b"")
         if status in (503, 504):
