--- a/lugtally/admin/server.py
+++ b/lugtally/admin/server.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from lugtally.address import Address
 from lugtally.admin.calls import AdminBackend, Answer, execute_call, parse_call
 from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, WakeReason
 from lugtally.http1 import MessageParser, ProtocolError, serialize_response
@@ -36,7 +37,7 @@
 class AdminServer:
     """The listening socket of the operators' address, and its callers."""
 
-    def __init__(self, loop: EventLoop, address: tuple[str, int], books: AdminBackend) -> None:
+    def __init__(self, loop: EventLoop, address: Address, books: AdminBackend) -> None:
         """Listen there; an ``OSError`` says why that cannot be."""
         self._loop = loop
         self._books = books
--- a/lugtally/config/endpoint_list.py
+++ b/lugtally/config/endpoint_list.py
@@ -10,6 +10,8 @@
 from hashlib import blake2b
 from typing import Any
 
+from lugtally.address import Address
+
 UNNAMED = -1  # in the place of a destination's number, where a row does not even name it
 
 
@@ -17,8 +19,8 @@
 class EndpointRecord:
     """One destination, decoded."""
 
-    number: int
-    address: tuple[str, int]
+    endpoint_id: int
+    address: Address
     zone: str
     cell: int
     state: str
@@ -35,7 +37,7 @@
     rejected: dict[int, str] = field(default_factory=dict)  # destinations whose row cannot be read -> what is wrong
 
 
-def parse_address(text: Any, field: str) -> tuple[str, int]:
+def parse_address(text: Any, field: str) -> Address:
     """``host:port`` with a numeric host, as there is no DNS."""
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     host = host.removeprefix("[").removesuffix("]")
@@ -45,7 +47,7 @@
         socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
     except OSError as error:
         raise ValueError(f"{field}: {text!r} is no numeric address") from error
-    return host, int(port)
+    return Address(host, int(port))
 
 
 def endpoint_id_of(name: str) -> int:
@@ -91,5 +93,5 @@
     if not isinstance(started, (int, float)) or not abs(started) < 2**53:
         raise ValueError(f"{field}.started_ms: {started!r} is no number")
     gone = state == "gone" and raw.get("addr") is None
-    address = ("", 0) if gone else parse_address(raw.get("addr"), f"{field}.addr")
+    address = Address("", 0) if gone else parse_address(raw.get("addr"), f"{field}.addr")
     return EndpointRecord(number, address, str(raw.get("zone") or ""), cell, state, int(started))
--- a/lugtally/config/sidecar.py
+++ b/lugtally/config/sidecar.py
@@ -13,6 +13,7 @@
 import ujson
 
 from lugtally import balancing
+from lugtally.address import Address
 from lugtally.config.balancing_settings import read_settings
 from lugtally.config.endpoint_list import EndpointList, parse_address, parse_endpoint_list
 from lugtally.units import NS_PER_MS, NS_PER_S
@@ -29,8 +30,8 @@
     """The values that the sidecar uses."""
 
     name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
+    listen: Address
+    discovery: Address
     seed: int
     sockets: int
     memory_mb: int
@@ -42,7 +43,7 @@
     connect_timeout_ns: int
     answers_report: bool  # answers carry load reports
     inherited: int | None = None  # the front socket's descriptor, where the platform holds it
-    operators: tuple[str, int] | None = None  # the address for operators' calls; none: off
+    operators: Address | None = None  # the address for operators' calls; none: off
 
 
 def load(environment: Mapping[str, str], path: str | None = None, *, again: bool = False) -> SidecarConfig:
@@ -141,7 +142,7 @@
     )
 
 
-def _operators(text: Any) -> tuple[str, int] | None:
+def _operators(text: Any) -> Address | None:
     """The operators' address (``operator``, or ``$PROXY_OPERATOR`` before it); none where neither is set."""
     return None if text is None or text == "" else parse_address(text, "operator")
 
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -21,7 +21,7 @@
 from lugtally.config.endpoint_list import endpoint_id_of
 from lugtally.daemon.status_socket import StatusSocket, StatusSocketError
 from lugtally.discovery.watcher import MAX_BACKOFF_NS, EndpointWatcher
-from lugtally.dispatch.dispatcher import BalancingPolicyFactory, Dispatcher
+from lugtally.dispatch import BalancingPolicyFactory, Dispatcher
 from lugtally.downstream.server import DownstreamServer
 from lugtally.eventloop import READABLE, EventLoop
 from lugtally.overload.admission import MOST_ADVICE_NS, AdmissionController, OverloadLimits
@@ -172,7 +172,7 @@
 
     def figures(self) -> dict[str, object]:
         dispatcher = self._dispatcher
-        return dispatcher.counters.figures(
+        return dispatcher.metrics.snapshot(
             dispatcher.in_progress, dispatcher.endpoint_count, dispatcher.disabled_count()
         )
 
--- a/lugtally/discovery/watcher.py
+++ b/lugtally/discovery/watcher.py
@@ -7,8 +7,11 @@
 import ujson
 from loguru import logger
 
+from lugtally.address import Address
+from lugtally.balancing import EndpointUpdateKind
 from lugtally.config.endpoint_list import EndpointList, EndpointRecord, parse_endpoint_list
-from lugtally.dispatch.dispatcher import Dispatcher, ListedEndpoint, ListNews
+from lugtally.dispatch.dispatcher import Dispatcher
+from lugtally.dispatch.endpoint_registry import ListedEndpoint
 from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, Task, WakeReason
 from lugtally.http1 import Message, MessageParser, ProtocolError, serialize_get
 from lugtally.units import NS_PER_MS
@@ -34,7 +37,7 @@
 class DiscoveryClient:
     """One discovery service: its address, the version last heard from it, and the connection to it."""
 
-    def __init__(self, loop: EventLoop, address: tuple[str, int], version: int | None) -> None:
+    def __init__(self, loop: EventLoop, address: Address, version: int | None) -> None:
         self._loop = loop
         self._address = address
         self._sock: socket.socket | None = None
@@ -127,7 +130,7 @@
         loop: EventLoop,
         dispatcher: Dispatcher,
         upstream: UpstreamPool,
-        discovery: tuple[str, int],
+        discovery: Address,
         zones: tuple[str, ...],
     ) -> None:
         self._loop = loop
@@ -146,7 +149,7 @@
 
     def start(self, kept: EndpointList) -> None:
         """Begin with the list kept over a restart, then watch whenever the module asks for it."""
-        self._take(kept, "kept")
+        self._take(kept, EndpointUpdateKind.CACHED)
         self._discovery.version = kept.version
         self._task = self._loop.spawn(self._follow, self._discovery)
 
@@ -154,7 +157,7 @@
         """The module wants to be told of changes; it paces this after a failure."""
         self._discovery.wanted.set()
 
-    def move_to(self, address: tuple[str, int]) -> None:
+    def move_to(self, address: Address) -> None:
         """Watch at another address from now on; the list at hand stays in force until it answers.
 
         It is asked for its whole list: nothing says that its versions continue those of the old one.
@@ -167,7 +170,7 @@
 
     # ------------------------------------------------------------ the list
 
-    def _take(self, pool: EndpointList, kind: str) -> None:
+    def _take(self, pool: EndpointList, kind: EndpointUpdateKind) -> None:
         if pool.rejected:
             logger.warning(
                 "{count} rows of the server list cannot be read: {reason}",
@@ -177,9 +180,9 @@
             )
         # What is known of a row that cannot be read stays in force: the others must not be hidden by it, nor it go.
         listed = [self._known[number] for number in pool.rejected if number in self._known]
-        gone = {row.number for row in pool.records if row.state == "gone"}
-        if kind != "changes":  # a full list lacks them
-            gone |= self._known.keys() - {row.number for row in pool.records} - pool.rejected.keys()
+        gone = {row.endpoint_id for row in pool.records if row.state == "gone"}
+        if kind is not EndpointUpdateKind.DELTA:  # a full list lacks them
+            gone |= self._known.keys() - {row.endpoint_id for row in pool.records} - pool.rejected.keys()
         for number in gone:
             # Nothing may be kept of them: on a long day ids are always new.
             self._known.pop(number, None)
@@ -187,13 +190,13 @@
             self._upstream.remove(number)
         for row in pool.records:
             # Servers whose zone is not told are no group that drops repeats: each is by itself.
-            zone = self._zones.setdefault(row.zone, len(self._zones)) if row.zone else ~row.number
-            line = ListedEndpoint(row.number, zone, row.cell, row.state, self._started_ns(row))
+            zone = self._zones.setdefault(row.zone, len(self._zones)) if row.zone else ~row.endpoint_id
+            line = ListedEndpoint(row.endpoint_id, zone, row.cell, row.state, self._started_ns(row))
             if row.state != "gone":
-                self._known[row.number] = line
-                self._upstream.set_address(row.number, row.address)
+                self._known[row.endpoint_id] = line
+                self._upstream.set_address(row.endpoint_id, row.address)
             listed.append(line)
-        self._dispatcher.report(ListNews(kind, listed))
+        self._dispatcher.update_endpoints(kind, listed)
 
     def _started_ns(self, row: EndpointRecord) -> int:
         """Unix time to the module's clock; 0 stays "long ago".
@@ -203,11 +206,11 @@
         """
         if row.started_ms <= 0:
             return 0
-        told, started = self._started.get(row.number, (0, 0))
+        told, started = self._started.get(row.endpoint_id, (0, 0))
         if told != row.started_ms:
             started = max(1, row.started_ms * NS_PER_MS - (self._loop.wall_clock() - self._loop.now()))
             if row.state != "gone":
-                self._started[row.number] = row.started_ms, started
+                self._started[row.endpoint_id] = row.started_ms, started
         return started
 
     # ------------------------------------------------------------ the watch
@@ -230,7 +233,7 @@
                 # The list at hand stays in force; the module says when to try again.  A wake-up from before this
                 # failure would let the next call go without a pause.
                 discovery.wanted = Event(self._loop)
-                self._dispatcher.report(ListNews("failed", []))
+                self._dispatcher.update_endpoints(EndpointUpdateKind.FAILED)
 
     def _ask(self, discovery: DiscoveryClient) -> None:
         begun = self._loop.now()
@@ -241,7 +244,7 @@
         if before is not None and pool.version < before and not pool.full:
             discovery.version = None  # it has begun anew: what it calls changes does not follow what we hold
             return
-        self._take(pool, "whole" if pool.full else "changes")
+        self._take(pool, EndpointUpdateKind.FULL if pool.full else EndpointUpdateKind.DELTA)
         discovery.version = pool.version
         if pool.version == before and self._loop.now() - begun < EMPTY_PAUSE_NS:
             self._loop.sleep(EMPTY_PAUSE_NS)
--- a/lugtally/dispatch/metrics.py
+++ b/lugtally/dispatch/metrics.py
@@ -17,22 +17,26 @@
         self.error = [0] * len(names)  # failed, or at fault
         self.dispatches = 0  # attempts whose last byte was written
 
-    def served(self, cls: int) -> None:
+    def record_success(self, cls: int) -> None:
         """A request of that class was served."""
         if 0 <= cls < len(self.success):
             self.success[cls] += 1
 
-    def refused(self, cls: int) -> None:
+    def record_rejection(self, cls: int) -> None:
         """A request of that class got a busy reply."""
         if 0 <= cls < len(self.overload):
             self.overload[cls] += 1
 
-    def failed(self, cls: int) -> None:
+    def record_failure(self, cls: int) -> None:
         """A request of that class failed."""
         if 0 <= cls < len(self.error):
             self.error[cls] += 1
 
-    def figures(self, concurrent: int, targets: int, disabled: int) -> dict[str, Any]:
+    def record_dispatch(self) -> None:
+        """Count an attempt whose last byte was written."""
+        self.dispatches += 1
+
+    def snapshot(self, concurrent: int, targets: int, disabled: int) -> dict[str, Any]:
         """The object of the page, with what the books hold and what is in force now."""
         return {
             "replies": {
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -8,16 +8,11 @@
 from loguru import logger
 
 from lugtally import balancing
+from lugtally.address import Address
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
-from lugtally.dispatch.dispatcher import (
-    UNKNOWN,
-    AttemptEnded,
-    ClientGone,
-    Dispatcher,
-    PendingRequest,
-    Rejected,
-    StartAttempt,
-)
+from lugtally.dispatch.decision import Rejected, StartAttempt
+from lugtally.dispatch.dispatcher import Dispatcher
+from lugtally.dispatch.pending_request import UNKNOWN_TENANT, PendingRequest
 from lugtally.eventloop import PEER_CLOSED, READABLE, WRITABLE, Event, EventLoop, Task, WakeReason
 from lugtally.http1 import (
     METHODS,
@@ -77,7 +72,7 @@
 
 
 def _busy(verdict: Rejected) -> Answer:
-    wait = verdict.retry_in_ns / NS_PER_S
+    wait = verdict.retry_after_ns / NS_PER_S
     return 503, b"busy\n", [("Retry-After", f"{wait:.3f}")] if wait else []
 
 
@@ -101,7 +96,7 @@
 class Exchange:
     """One request and its attempts."""
 
-    __slots__ = ("loop", "ask", "forward", "tasks", "answer", "gone", "connection", "streamed")
+    __slots__ = ("loop", "request", "forward", "tasks", "answer", "gone", "connection", "streamed")
 
     def __init__(
         self,
@@ -120,7 +115,7 @@
         self.gone = False
         self.connection = connection
         self.streamed = -1  # the step that has begun to pass its answer on: no other answer may follow
-        self.ask = PendingRequest(loop, cls, deadline, is_retry, self.cancel, tenant)
+        self.request = PendingRequest(loop, cls, deadline, is_retry, self.cancel, tenant)
 
     def cancel(self, number: int) -> None:
         """Call off an attempt; it reports its own end."""
@@ -133,7 +128,7 @@
         A ring waits for the collector: 13 objects a request, and the pauses to find them, grow with the rate.
         """
         self.tasks.clear()
-        self.ask.cancel = _nothing
+        self.request.cancel_attempt = _nothing
 
 
 def _nothing(_: int) -> None:
@@ -183,7 +178,7 @@
         self._health_since = self._health_calls = 0
         self.ready = False
 
-    def listen(self, address: tuple[str, int]) -> None:
+    def listen(self, address: Address) -> None:
         """Accept front sockets at this address and no other."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -432,15 +427,15 @@
             cls,
             self._loop.now() + left_ns,
             message.header_map.get("x-repeat") == "1",
-            self._tenants.get(message.header_map.get("x-account", ""), UNKNOWN),
+            self._tenants.get(message.header_map.get("x-account", ""), UNKNOWN_TENANT),
             connection,
         )
 
         self._loop.register(connection.fd, PEER_CLOSED, lambda _: self._client_left(exchange))
-        verdict = self._dispatcher.next_decision(exchange.ask)
+        verdict = self._dispatcher.next_decision(exchange.request)
         while isinstance(verdict, StartAttempt):
             exchange.tasks[verdict.number] = self._loop.spawn(self._step, exchange, verdict)
-            verdict = self._dispatcher.next_decision(exchange.ask)
+            verdict = self._dispatcher.next_decision(exchange.request)
         self._loop.unregister(connection.fd)
         exchange.release()
         if exchange.streamed >= 0 and not exchange.gone and not connection.cut:
@@ -484,12 +479,12 @@
 
     def _step(self, exchange: Exchange, step: StartAttempt) -> None:
         ending, answer = AttemptOutcome.CANCELLED_BEFORE_SENT, None
-        if not exchange.ask.over:
+        if not exchange.request.finished:
             try:
                 ending, answer = self._upstream.execute_attempt(
-                    step.destination,
+                    step.endpoint_id,
                     exchange.forward,
-                    step.until,
+                    step.deadline_ns,
                     lambda head: self._claim(exchange, step, head),
                     lambda: self._may_begin(exchange, step),
                 )
@@ -505,30 +500,30 @@
             "attempt {number} at endpoint {endpoint_id}: {outcome}",
             event="attempt.finished",
             number=step.number,
-            endpoint_id=step.destination,
+            endpoint_id=step.endpoint_id,
             outcome=ending.name,
         )
-        self._dispatcher.report(AttemptEnded(exchange.ask, step.number, ending, self._upstream.load_report(answer)))
+        self._dispatcher.attempt_finished(exchange.request, step.number, ending, self._upstream.load_report(answer))
 
     def _client_left(self, exchange: Exchange) -> None:
         self._loop.unregister(exchange.connection.fd)
         exchange.gone = True
-        self._dispatcher.report(ClientGone(exchange.ask))
+        self._dispatcher.client_disconnected(exchange.request)
 
     def _may_begin(self, exchange: Exchange, step: StartAttempt) -> bool:
         """Whether the request's bytes may go out now.
 
         A client may have left since the last poll, or before its request was read: nothing is begun for it.
         """
-        if exchange.gone or exchange.ask.over:
+        if exchange.gone or exchange.request.finished:
             return False  # its front socket may be another's by now
         if self._loop.is_ready(exchange.connection.fd, PEER_CLOSED):
             self._client_left(exchange)
-        return not exchange.gone and self._dispatcher.may_start(exchange.ask, step.number)
+        return not exchange.gone and self._dispatcher.may_start(exchange.request, step.number)
 
     def _claim(self, exchange: Exchange, step: StartAttempt, head: Message) -> ResponseSink | None:
         """A step has a long answer: pass it on to the client as it comes, where the facade lets this step."""
-        if exchange.gone or not self._dispatcher.claim_stream(exchange.ask, step.number):
+        if exchange.gone or not self._dispatcher.claim_stream(exchange.request, step.number):
             return None
         exchange.streamed = step.number
         sink = _Passing(self, exchange.connection)
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -18,6 +18,7 @@
 import ujson
 from loguru import logger
 
+from lugtally.address import Address
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import READABLE, WRITABLE, EventLoop, WakeReason
 from lugtally.http1 import MAX_BODY_BYTES, BodyFraming, ForwardedRequest, Message, MessageParser, ProtocolError
@@ -38,7 +39,7 @@
 
     __slots__ = ("sock", "fd", "address", "parser", "idle_since")
 
-    def __init__(self, sock: socket.socket, address: tuple[str, int], most_answer: int) -> None:
+    def __init__(self, sock: socket.socket, address: Address, most_answer: int) -> None:
         self.sock = sock
         self.address = address
         self.fd = sock.fileno()
@@ -90,12 +91,12 @@
         self._loop = loop
         self._limits = limits
         self._load_fields = load_fields
-        self._addresses: dict[int, tuple[str, int]] = {}
+        self._addresses: dict[int, Address] = {}
         self._idle: dict[int, list[UpstreamConnection]] = {}  # the most recently used last
         self._settling: set[int] = set()  # destinations where a step waits for a connection to settle
         self.open_connections = 0
 
-    def set_address(self, number: int, address: tuple[str, int]) -> None:
+    def set_address(self, number: int, address: Address) -> None:
         """Where a destination is; idle connections to where it was are closed."""
         if self._addresses.get(number) != address:
             self.close_idle_connections(number)
--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -70,7 +70,7 @@
     counters.success[0] += 2
     counters.overload[1] += 1
     counters.dispatches += 3
-    assert counters.figures(4, 10, 1) == {
+    assert counters.snapshot(4, 10, 1) == {
         "replies": {
             "campaign-read": {"success": 2, "overload": 0, "error": 0},
             "receipt-issue": {"success": 0, "overload": 1, "error": 0},
--- a/tests/admin/test_drains.py
+++ b/tests/admin/test_drains.py
@@ -13,7 +13,7 @@
 from lugtally.admin.drain_store import DrainStore, decode, encode
 from lugtally.balancing.balancer import Balancer
 from lugtally.config.balancing_settings import read_settings
-from lugtally.dispatch.dispatcher import Dispatcher, ListedEndpoint, ListNews
+from lugtally.dispatch import Dispatcher, ListedEndpoint
 from lugtally.eventloop import EventLoop
 from lugtally.units import NS_PER_MS
 from tests.integration.player import SETTINGS
@@ -42,10 +42,10 @@
 def test_a_banned_server_drains_whatever_the_list_says() -> None:
     told = ResourceLimits()
     dispatcher = Dispatcher(balancing.Settings(), 1, EventLoop(), lambda *_: told)
-    dispatcher.report(ListNews("whole", [line(1), line(2)]))
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1), line(2)])
     dispatcher.start_drain(1)
-    dispatcher.report(ListNews("whole", [line(1), line(2)]))
-    dispatcher.report(ListNews("changes", [line(1)]))
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1), line(2)])
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.DELTA, [line(1)])
     assert states(told)[1:] == [
         {1: balancing.EndpointState.DRAINING},
         {1: balancing.EndpointState.DRAINING, 2: balancing.EndpointState.READY},
@@ -57,11 +57,11 @@
 def test_a_server_back_from_a_ban_is_cold_from_then_on_whatever_the_list_says() -> None:
     told, loop = ResourceLimits(), EventLoop()
     dispatcher = Dispatcher(balancing.Settings(), 1, loop, lambda *_: told)
-    dispatcher.report(ListNews("whole", [line(1, started=5)]))
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1, started=5)])
     dispatcher.start_drain(1)
     before = loop.now()
     dispatcher.end_drain(1)
-    dispatcher.report(ListNews("whole", [line(1, started=5)]))
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1, started=5)])
     back, later = told.lists[-2].endpoints[0], told.lists[-1].endpoints[0]
     assert back.state is later.state is balancing.EndpointState.READY
     assert before <= back.started_ns == later.started_ns <= loop.now()
@@ -73,16 +73,16 @@
     dispatcher = Dispatcher(balancing.Settings(), 1, EventLoop(), lambda *_: told)
     dispatcher.start_drain(3)  # read from the file of the process before
     assert not told.lists and not dispatcher.was_listed(3)
-    dispatcher.report(ListNews("kept", [line(3)]))
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.CACHED, [line(3)])
     assert states(told) == [{3: balancing.EndpointState.DRAINING}] and dispatcher.was_listed(3)
 
 
 def test_the_module_sends_nothing_new_to_a_banned_server() -> None:
     loop = EventLoop()
     dispatcher = Dispatcher(read_settings(SETTINGS), 1, loop)
-    module = dispatcher._balancer
+    module = dispatcher._policy
     assert isinstance(module, Balancer)
-    dispatcher.report(ListNews("whole", [line(1), line(2)]))
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1), line(2)])
     dispatcher.start_drain(1)
     sends = []
     for at in range(200):
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from lugtally import balancing
+from lugtally import balancing, dispatch
+from lugtally.address import Address
 from lugtally.balancing.balancer import Balancer
 from lugtally.config import sidecar as config
 from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
@@ -67,7 +68,7 @@
     yield module
 
 
-def run(loop: EventLoop, work: Any, downstream: dispatcher.Dispatcher) -> None:
+def run(loop: EventLoop, work: Any, downstream: dispatch.Dispatcher) -> None:
     """Run ``work`` as a task until it is done."""
 
     def body() -> None:
@@ -82,19 +83,19 @@
 
 def test_first_served_step_wins_and_the_other_is_cancelled(scripted: Scripted) -> None:
     loop = EventLoop()
-    downstream = dispatcher.Dispatcher(balancing.Settings(), 1, loop)
+    downstream = dispatch.Dispatcher(balancing.Settings(), 1, loop)
     cancelled: list[int] = []
     closed: list[int] = []
     downstream.set_handlers(closed.append, lambda: None)
 
     def work() -> None:
-        ask = dispatcher.PendingRequest(loop, 0, loop.now() + 5000 * NS_PER_MS, False, cancelled.append)
+        ask = dispatch.PendingRequest(loop, 0, loop.now() + 5000 * NS_PER_MS, False, cancelled.append)
         first, second = downstream.next_decision(ask), downstream.next_decision(ask)
-        assert isinstance(first, dispatcher.StartAttempt) and isinstance(second, dispatcher.StartAttempt)
-        downstream.report(dispatcher.AttemptEnded(ask, 1, AttemptOutcome.SERVED))
-        assert isinstance(downstream.next_decision(ask), dispatcher.Finished) and cancelled == [0] and closed == [9]
-        downstream.report(dispatcher.AttemptEnded(ask, 0, AttemptOutcome.CANCELLED))
-        downstream.report(dispatcher.ClientGone(ask))  # too late to mean anything
+        assert isinstance(first, dispatch.StartAttempt) and isinstance(second, dispatch.StartAttempt)
+        downstream.attempt_finished(ask, 1, AttemptOutcome.SERVED)
+        assert isinstance(downstream.next_decision(ask), dispatch.Finished) and cancelled == [0] and closed == [9]
+        downstream.attempt_finished(ask, 0, AttemptOutcome.CANCELLED)
+        downstream.client_disconnected(ask)  # too late to mean anything
 
     run(loop, work, downstream)
     ends = [
@@ -107,18 +108,18 @@
 def test_a_request_without_a_verdict_fails_at_its_deadline(scripted: Scripted) -> None:
     """A fault in the module must not cost the one final answer."""
     loop = EventLoop()
-    downstream = dispatcher.Dispatcher(balancing.Settings(), 1, loop)
-    verdicts: list[dispatcher.Decision] = []
+    downstream = dispatch.Dispatcher(balancing.Settings(), 1, loop)
+    verdicts: list[dispatch.Decision] = []
     run(
         loop,
         lambda: verdicts.append(
             downstream.next_decision(
-                dispatcher.PendingRequest(loop, 1, loop.now() + 5 * NS_PER_MS, False, lambda _: None)
+                dispatch.PendingRequest(loop, 1, loop.now() + 5 * NS_PER_MS, False, lambda _: None)
             )
         ),
         downstream,
     )
-    assert verdicts == [dispatcher.Failed()]
+    assert verdicts == [dispatch.Failed()]
 
 
 def test_an_interrupted_task_does_not_block_again() -> None:
@@ -258,9 +259,13 @@
 def test_start_times_are_converted_once(scripted: Scripted, monkeypatch: pytest.MonkeyPatch) -> None:
     """A step of the wall clock used to look like a restart: a warm server would have turned cold."""
     loop = EventLoop()
-    downstream = dispatcher.Dispatcher(balancing.Settings(), 1, loop)
+    downstream = dispatch.Dispatcher(balancing.Settings(), 1, loop)
     pool = EndpointWatcher(
-        loop, downstream, UpstreamPool(loop, ConnectionLimits(NS_PER_MS, NS_PER_MS, 9), ()), ("127.0.0.1", 9), ("a",)
+        loop,
+        downstream,
+        UpstreamPool(loop, ConnectionLimits(NS_PER_MS, NS_PER_MS, 9), ()),
+        Address("127.0.0.1", 9),
+        ("a",),
     )
     lately = loop.wall_clock() // NS_PER_MS - 700
     raw = {
@@ -273,7 +278,7 @@
     }
     run(loop, lambda: pool.start(parse_endpoint_list(raw, "known")), downstream)
     monkeypatch.setattr(EventLoop, "wall_clock", staticmethod(lambda: 5))
-    pool._take(parse_endpoint_list(raw, "known"), "whole")
+    pool._take(parse_endpoint_list(raw, "known"), balancing.EndpointUpdateKind.FULL)
     lists = [e.endpoints for e in scripted.told if isinstance(e, balancing.EndpointUpdate)]
     assert lists[0] == lists[1] and pool.ready_count == 1
     assert [(s.id, s.zone, s.state) for s in lists[0]] == [
@@ -286,16 +291,16 @@
 def test_nothing_is_kept_of_servers_that_are_gone(scripted: Scripted) -> None:
     """On a long day thousands of ids come and go, and an address may return under a new one."""
     loop = EventLoop()
-    downstream = dispatcher.Dispatcher(balancing.Settings(), 1, loop)
+    downstream = dispatch.Dispatcher(balancing.Settings(), 1, loop)
     upstream = UpstreamPool(loop, ConnectionLimits(NS_PER_MS, NS_PER_MS, 9), ())
-    pool = EndpointWatcher(loop, downstream, upstream, ("127.0.0.1", 9), ("a",))
+    pool = EndpointWatcher(loop, downstream, upstream, Address("127.0.0.1", 9), ("a",))
     module = Balancer(balancing.Settings(), 1)
     for n in range(1, 40):
         rows = [
             {"id": f"s-{at}", "addr": "127.0.0.1:1", "zone": "a", "state": state, "started_ms": 1000 * at}
             for at, state in ((n, "ready"), (n - 1, "gone"))
         ]
-        kind = "whole" if n % 9 == 0 else "changes"
+        kind = balancing.EndpointUpdateKind.FULL if n % 9 == 0 else balancing.EndpointUpdateKind.DELTA
         pool._take(parse_endpoint_list({"version": n, "servers": rows}, "list"), kind)
         module.handle(n, scripted.told[-1])
     assert [len(table) for table in (pool._known, pool._started, upstream._addresses)] == [1, 1, 1]
@@ -455,12 +460,12 @@
         2 * NS_PER_S,
         8 * NS_PER_S,
     )
-    front_facade = dispatcher.Dispatcher(balancing.Settings((cls,), max_attempts=4), 1, loop)
+    front_facade = dispatch.Dispatcher(balancing.Settings((cls,), max_attempts=4), 1, loop)
     upstream = UpstreamPool(loop, ConnectionLimits(1000 * NS_PER_MS, 60_000 * NS_PER_MS, 9), ())
-    pool = EndpointWatcher(loop, front_facade, upstream, ("127.0.0.1", 9), ("a",))
+    pool = EndpointWatcher(loop, front_facade, upstream, Address("127.0.0.1", 9), ("a",))
     front_facade.set_handlers(upstream.close_idle_connections, lambda: None)
     downstream = DownstreamServer(loop, front_facade, upstream, (cls,), 9)
-    downstream.listen(("127.0.0.1", 0))
+    downstream.listen(Address("127.0.0.1", 0))
     assert downstream._listener is not None
     where = downstream._listener.getsockname()
     server = listener()
@@ -508,7 +513,7 @@
 def test_the_front_tells_the_module_whose_request_it_is(scripted: Scripted) -> None:
     """The account reached no decision: all requests passed for those of the first tenant."""
     loop = EventLoop()
-    middle = dispatcher.Dispatcher(balancing.Settings(), 1, loop)
+    middle = dispatch.Dispatcher(balancing.Settings(), 1, loop)
     classes = (
         balancing.RequestClass("first", deadline_ns=50 * NS_PER_MS),
         balancing.RequestClass("second", deadline_ns=50 * NS_PER_MS),
@@ -521,7 +526,7 @@
         8,
         (balancing.Tenant("a"), balancing.Tenant("b")),
     )
-    downstream.listen(("127.0.0.1", 0))
+    downstream.listen(Address("127.0.0.1", 0))
     assert downstream._listener is not None
     where = downstream._listener.getsockname()
 
@@ -538,8 +543,8 @@
     assert [e.tenant_index for e in scripted.told if isinstance(e, balancing.Request)] == [
         1,
         0,
-        dispatcher.UNKNOWN,
-        dispatcher.UNKNOWN,
+        dispatch.UNKNOWN_TENANT,
+        dispatch.UNKNOWN_TENANT,
     ]
 
 
@@ -565,7 +570,7 @@
     loop = EventLoop()
     downstream = DownstreamServer(
         loop,
-        dispatcher.Dispatcher(config_settings(), 1, loop),
+        dispatch.Dispatcher(config_settings(), 1, loop),
         UpstreamPool(loop, ConnectionLimits(NS_PER_MS, NS_PER_MS, 9), ()),
         (),
         8,
@@ -591,29 +596,27 @@
 def test_a_streamed_step_alone_ends_its_request(scripted: Scripted) -> None:
     """Once a step passes its answer on, no other step's answer and no verdict of the module may follow."""
     loop = EventLoop()
-    downstream = dispatcher.Dispatcher(balancing.Settings(), 1, loop)
+    downstream = dispatch.Dispatcher(balancing.Settings(), 1, loop)
     cancelled: list[int] = []
-    verdicts: list[dispatcher.Decision] = []
+    verdicts: list[dispatch.Decision] = []
 
     def work() -> None:
-        ask = dispatcher.PendingRequest(loop, 0, loop.now() + 5 * NS_PER_MS, False, cancelled.append)
+        ask = dispatch.PendingRequest(loop, 0, loop.now() + 5 * NS_PER_MS, False, cancelled.append)
         downstream.next_decision(ask), downstream.next_decision(ask)
         assert (
             downstream.claim_stream(ask, 1)
             and not downstream.claim_stream(ask, 0)
             and not downstream.claim_stream(ask, 1)
         )
-        downstream.report(
-            dispatcher.AttemptEnded(ask, 0, AttemptOutcome.SERVED)
-        )  # the other step's whole answer comes too late
-        downstream._act(loop.now(), balancing.FailRequest(ask.id))  # and so does the module's verdict
+        downstream.attempt_finished(ask, 0, AttemptOutcome.SERVED)  # the other step's whole answer comes too late
+        downstream._perform(loop.now(), balancing.FailRequest(ask.id))  # and so does the module's verdict
         loop.sleep(30 * NS_PER_MS)  # past the deadline and the backstop
-        assert not ask.over
-        downstream.report(dispatcher.AttemptEnded(ask, 1, AttemptOutcome.RESET))
+        assert not ask.finished
+        downstream.attempt_finished(ask, 1, AttemptOutcome.RESET)
         verdicts.append(downstream.next_decision(ask))
 
     run(loop, work, downstream)
-    assert verdicts == [dispatcher.Failed()]
+    assert verdicts == [dispatch.Failed()]
     assert [
         type(e).__name__ for e in scripted.told if isinstance(e, (balancing.ResponseStarted, balancing.AttemptFinished))
     ] == [
--- a/tests/races/parties.py
+++ b/tests/races/parties.py
@@ -13,8 +13,9 @@
 import ujson
 
 from lugtally import balancing
+from lugtally.address import Address
 from lugtally.discovery.watcher import EndpointWatcher
-from lugtally.dispatch import dispatcher
+from lugtally.dispatch import Dispatcher
 from lugtally.downstream.server import DownstreamServer
 from lugtally.eventloop import READABLE, EventLoop, WakeReason
 from lugtally.units import NS_PER_MS, NS_PER_S
@@ -127,9 +128,9 @@
         self.sock.setblocking(False)
 
     @property
-    def address(self) -> tuple[str, int]:
+    def address(self) -> Address:
         host, port = self.sock.getsockname()
-        return host, port
+        return Address(host, port)
 
     def link(self) -> Link:
         """The next connection that comes."""
@@ -154,7 +155,7 @@
         self.loop = EventLoop()
         self.module = module or Scripted()
         settings = balancing.Settings(CLASSES, max_attempts=4)
-        self.dispatcher = dispatcher.Dispatcher(settings, 1, self.loop, lambda *_: self.module)
+        self.dispatcher = Dispatcher(settings, 1, self.loop, lambda *_: self.module)
         self.limits = ConnectionLimits(2000 * NS_PER_MS, 60_000 * NS_PER_MS, 64)
         self.upstream = UpstreamPool(self.loop, self.limits, ())
         self.discovery, self.second = Party(self.loop), Party(self.loop)
@@ -169,14 +170,14 @@
         host, port = self.server.address
         return {"id": name, "addr": f"{host}:{port}", "zone": "a", "cell": 1, "state": state, "started_ms": 0, **more}
 
-    def listen(self) -> tuple[str, int]:
+    def listen(self) -> Address:
         """Accept clients; returns where."""
-        self.downstream.listen(("127.0.0.1", 0))
+        self.downstream.listen(Address("127.0.0.1", 0))
         assert self.downstream._listener is not None
         host, port = self.downstream._listener.getsockname()
-        return host, port
+        return Address(host, port)
 
-    def client(self, where: tuple[str, int]) -> Link:
+    def client(self, where: Address) -> Link:
         """A new connection of the application's."""
         return Link(self.loop, socket.create_connection(where))
 
--- a/tests/races/test_attempts.py
+++ b/tests/races/test_attempts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from lugtally import balancing
+from lugtally.address import Address
 from lugtally.balancing.balancer import Balancer
 from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
 from lugtally.eventloop import READABLE
@@ -33,7 +34,7 @@
     return orders
 
 
-def ready(sidecar: Sidecar) -> tuple[str, int]:
+def ready(sidecar: Sidecar) -> Address:
     """Listening, with one server listed and every request sent there."""
     sidecar.module.orders = sending(sidecar)
     sidecar.watch.start(parse_endpoint_list({"version": 1, "full": True, "servers": [sidecar.row("s-a")]}, "known"))
--- a/tests/races/test_closing.py
+++ b/tests/races/test_closing.py
@@ -14,6 +14,7 @@
 import pytest
 
 from lugtally import balancing
+from lugtally.address import Address
 from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
 from lugtally.downstream import server
 from lugtally.eventloop import Event, WakeReason
@@ -25,7 +26,7 @@
 A = endpoint_id_of("s-a")
 
 
-def ready(sidecar: Sidecar) -> tuple[str, int]:
+def ready(sidecar: Sidecar) -> Address:
     """Listening, with every request sent to the one server."""
 
     def orders(event: balancing.Event) -> list[balancing.Action]:
@@ -38,7 +39,7 @@
     return sidecar.listen()
 
 
-def slow_reader(sidecar: Sidecar, where: tuple[str, int]) -> Link:
+def slow_reader(sidecar: Sidecar, where: Address) -> Link:
     """A client that takes in little at a time."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
