--- a/lugtally/__main__.py
+++ b/lugtally/__main__.py
@@ -10,20 +10,20 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run one command; returns the exit status."""
-    told = sys.argv[1:] if arguments is None else arguments
-    if told[:1] == ["serve"]:
-        # The daemon has days of 32 MB: it loads its own command and none of the groups round it.
+    """Run one command; return the exit status."""
+    command_line = sys.argv[1:] if arguments is None else arguments
+    if command_line[:1] == ["serve"]:
+        # A sidecar may be limited to 32 MB of memory: it loads its own command and no other group.
         from lugtally.cli.daemon import serve
 
-        return run(serve, told[1:], "lugtally serve")
+        return run(serve, command_line[1:], "lugtally serve")
     from lugtally.cli.root import root
 
-    return run(root, told, "lugtally")
+    return run(root, command_line, "lugtally")
 
 
 def run(command: object, arguments: list[str], name: str) -> int:
-    """A click command to an exit status: ours where it returns one, 2 for a bad command line."""
+    """Run a click command; return its exit status, or 2 for a bad command line."""
     import click
 
     assert isinstance(command, click.Command)
--- a/lugtally/cli/root.py
+++ b/lugtally/cli/root.py
@@ -1,4 +1,4 @@
-"""The root of the command line: each command is found when it is asked for."""
+"""The root of the command line: the module of a command is imported with the command."""
 
 from __future__ import annotations
 
@@ -16,15 +16,15 @@
 }
 
 
-class Lazy(click.Group):
-    """Loads the module of a command with the command."""
+class LazyGroup(click.Group):
+    """Imports the module of a command when the command is run."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        """All names, in the order of the table."""
+        """Return all names, in the order of the table."""
         return list(COMMANDS)
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        """The command of that name."""
+        """Return the command of that name."""
         if cmd_name not in COMMANDS:
             return None
         module, name = COMMANDS[cmd_name].split(".")
@@ -33,6 +33,6 @@
         return command
 
 
-@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.command(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 def root() -> None:
     """A load-balancing sidecar, and the kit to rehearse its worst days."""
--- a/lugtally/logs.py
+++ b/lugtally/logs.py
@@ -16,32 +16,33 @@
 if TYPE_CHECKING:
     from loguru import Message
 
-TEXT = "{time:HH:mm:ss.SSS} {level: <7} {message}"
+TEXT_FORMAT = "{time:HH:mm:ss.SSS} {level: <7} {message}"
 Format = Literal["text", "json"]
-UNNAMED = "unnamed"  # a line without an event's name would be a slip of ours
+UNNAMED_EVENT = "unnamed"
+"""In the place of an event's name; a line without one would be a mistake in this program."""
 
 
-def _json(message: Message) -> None:
-    """One object: time, level, event, text, the event's fields, and the trace of what was raised."""
+def _write_json(message: Message) -> None:
+    """Write one object: time, level, event, text, the event's fields, and the traceback of an exception."""
     record = message.record
     fields = dict(record["extra"])
     line = {
         "time": record["time"].astimezone(UTC).isoformat(timespec="milliseconds"),
         "level": record["level"].name.lower(),
-        "event": fields.pop("event", UNNAMED),
+        "event": fields.pop("event", UNNAMED_EVENT),
         "text": record["message"],
         **fields,
     }
-    if (raised := record["exception"]) is not None and raised.value is not None:
-        line["raised"] = "".join(traceback.format_exception(raised.value))
+    if (exception := record["exception"]) is not None and exception.value is not None:
+        line["raised"] = "".join(traceback.format_exception(exception.value))
     sys.stderr.write(ujson.dumps(line, default=str, escape_forward_slashes=False) + "\n")
     sys.stderr.flush()
 
 
-def start(level: str, form: Format) -> None:
-    """Log from ``level`` on, in that form; replaces what was set before."""
+def start(level: str, log_format: Format) -> None:
+    """Log events of this level and above, in this format; replaces what was set before."""
     logger.remove()
-    if form == "json":
-        logger.add(_json, level=level, format="{message}", backtrace=False, diagnose=False)
+    if log_format == "json":
+        logger.add(_write_json, level=level, format="{message}", backtrace=False, diagnose=False)
     else:
-        logger.add(sys.stderr, level=level, format=TEXT, backtrace=False, diagnose=False)
+        logger.add(sys.stderr, level=level, format=TEXT_FORMAT, backtrace=False, diagnose=False)
