--- a/lugtally/admin/__init__.py
+++ b/lugtally/admin/__init__.py
@@ -1,5 +1,5 @@
-"""The operators' address: its listener, the calls it takes, the counters it shows and the drains by hand.
+"""The operators' address: its listener, the calls that it takes, and the file of drains by operators.
 
-It owns the books that operators read and the bans they order; it must not know how a server is picked, nor any
-front socket: the facade counts into its books, and bans reach the module as a list in which the server drains.
+It owns the paths of the calls, their responses and the file's format.  It must not know how an endpoint is picked,
+nor any downstream connection: the daemon's :class:`~lugtally.admin.calls.AdminBackend` answers the calls.
 """
--- a/lugtally/admin/calls.py
+++ b/lugtally/admin/calls.py
@@ -1,4 +1,4 @@
-"""The calls of the operators' address: from a method and a path to what is asked, and back to an answer.
+"""The calls of the operators' address: from a method and a path to a typed call, and from there to a response.
 
 Free of I/O.  One call a connection; 2xx says yes, 4xx and 5xx say no.
 """
@@ -7,59 +7,84 @@
 
 import re
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 import ujson
 
-PREFIX = "/control/"
-_SERVER = re.compile(r"/control/pledge-servers/([^/?#]{1,256})/(offline|online)")
 
-Answer = tuple[int, bytes]
+class AdminOperation(Enum):
+    """What a call wants; the value is the last segment of its path."""
 
+    READY = "ready"
+    COUNTERS = "counters"
+    OFFLINE = "offline"
+    ONLINE = "online"
 
-class AdminBackend(Protocol):
-    """What the calls read and change; the service gives it."""
 
-    def ready(self) -> bool:
-        """Whether this process is ready to serve."""
+_READ_PATHS = {"/control/ready": AdminOperation.READY, "/control/counters": AdminOperation.COUNTERS}
+_SERVER_PATH = re.compile(r"/control/pledge-servers/([^/?#]{1,256})/(offline|online)")
 
-    def figures(self) -> dict[str, object]:
-        """The counters."""
 
-    def offline(self, server: str) -> bool:
-        """Ban that server; false where it was never listed."""
+@dataclass(frozen=True, slots=True)
+class AdminCall:
+    """One call that is understood; ``server`` is the server's id in the endpoint list, where the call names one."""
 
-    def online(self, server: str) -> bool:
-        """End its ban; false where it was never listed nor banned."""
+    operation: AdminOperation
+    server: str = ""
 
 
 @dataclass(frozen=True, slots=True)
-class AdminCall:
-    """One call that is understood: ``ready``, ``counters``, ``offline`` or ``online``, with its server."""
+class AdminResponse:
+    """What a caller gets."""
 
-    name: str
-    server: str = ""
+    status: int
+    body: bytes
+    content_type: str = "text/plain"
 
 
-def parse_call(method: str, target: str) -> AdminCall | Answer:
-    """What is asked, or the answer of a call that cannot be taken (404 unknown, 405 wrong method)."""
-    path = target.partition("?")[0]
-    if path in ("/control/ready", "/control/counters"):
-        return AdminCall(path.removeprefix(PREFIX)) if method in ("GET", "HEAD") else _no(405, "GET is wanted")
-    if (match := _SERVER.fullmatch(path)) is not None:
-        return AdminCall(match[2], match[1]) if method == "POST" else _no(405, "POST is wanted")
-    return _no(404, "no such call")
+class AdminBackend(Protocol):
+    """What the calls read and change; the daemon implements it."""
+
+    def is_ready(self) -> bool:
+        """Return whether this process is ready to serve."""
 
+    def counters(self) -> dict[str, object]:
+        """Return the counters, by the keys of the page."""
 
-def execute_call(call: AdminCall, books: AdminBackend) -> Answer:
-    """Carry a call out and say how it went."""
-    if call.name == "ready":
-        return (200, b"ready\n") if books.ready() else _no(503, "not ready")
-    if call.name == "counters":
-        return 200, ujson.dumps(books.figures()).encode()
-    done = books.offline(call.server) if call.name == "offline" else books.online(call.server)
-    return (200, f"{call.name}\n".encode()) if done else _no(404, "that pledge server was never listed")
+    def start_drain(self, server: str) -> bool:
+        """Drain the server until :meth:`end_drain`; false where it was never listed."""
 
+    def end_drain(self, server: str) -> bool:
+        """End the server's drain; false where it was never listed nor drained."""
 
-def _no(status: int, why: str) -> Answer:
-    return status, f"{why}\n".encode()
+
+def parse_call(method: str, target: str) -> AdminCall | AdminResponse:
+    """Return the call, or the response to one that cannot be taken (404 unknown, 405 wrong method)."""
+    path = target.partition("?")[0]
+    if (operation := _READ_PATHS.get(path)) is not None:
+        return AdminCall(operation) if method in ("GET", "HEAD") else _error(405, "GET is wanted")
+    if (match := _SERVER_PATH.fullmatch(path)) is not None:
+        server, name = match.groups()
+        return AdminCall(AdminOperation(name), server) if method == "POST" else _error(405, "POST is wanted")
+    return _error(404, "no such call")
+
+
+def execute_call(call: AdminCall, backend: AdminBackend) -> AdminResponse:
+    """Carry a call out and return how it went."""
+    match call.operation:
+        case AdminOperation.READY:
+            return AdminResponse(200, b"ready\n") if backend.is_ready() else _error(503, "not ready")
+        case AdminOperation.COUNTERS:
+            return AdminResponse(200, ujson.dumps(backend.counters()).encode(), "application/json")
+        case AdminOperation.OFFLINE:
+            known = backend.start_drain(call.server)
+        case AdminOperation.ONLINE:
+            known = backend.end_drain(call.server)
+    if not known:
+        return _error(404, "that pledge server was never listed")
+    return AdminResponse(200, f"{call.operation.value}\n".encode())
+
+
+def _error(status: int, reason: str) -> AdminResponse:
+    return AdminResponse(status, f"{reason}\n".encode())
--- a/lugtally/admin/server.py
+++ b/lugtally/admin/server.py
@@ -1,7 +1,8 @@
-"""The operators' address on the hub: one call a connection, answered and closed.
+"""The listener of the operators' address: one call a connection, answered and closed.
 
-A caller that connects and says nothing holds a slot for ``WHOLE_NS`` at most; when all slots are taken, the one
-that has waited longest without a whole call makes room.  Nothing here waits for the front's work.
+A caller that connects and sends nothing holds a slot for ``CALL_TIMEOUT_NS`` at most; when all slots are taken, the
+one that has gone longest without sending a complete call is disconnected.  Nothing here waits for the downstream
+connections.
 """
 
 from __future__ import annotations
@@ -11,141 +12,175 @@
 from loguru import logger
 
 from lugtally.address import Address
-from lugtally.admin.calls import AdminBackend, Answer, execute_call, parse_call
+from lugtally.admin.calls import AdminBackend, AdminCall, AdminResponse, execute_call, parse_call
 from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, WakeReason
-from lugtally.http1 import MessageParser, ProtocolError, serialize_response
+from lugtally.http1 import Message, MessageParser, ProtocolError, serialize_response
 from lugtally.units import NS_PER_MS
 
-WHOLE_NS = 2000 * NS_PER_MS  # from connecting to the end of the call
-WRITE_NS = 1000 * NS_PER_MS
-MOST_CALLERS = 32
+CALL_TIMEOUT_NS = 2000 * NS_PER_MS
+"""From connecting to the end of the call."""
+RESPONSE_WRITE_TIMEOUT_NS = 1000 * NS_PER_MS
+FREE_SLOT_RETRY_NS = 50 * NS_PER_MS
+"""How often another caller is disconnected while all slots are taken."""
+ACCEPT_ERROR_PAUSE_NS = 20 * NS_PER_MS
+"""Without it a backlog that stays readable, as where no descriptor is free, would keep the loop busy."""
+LISTEN_BACKLOG = 64
+MAX_CALLERS = 32
 MAX_BODY_BYTES = 1024
-CHUNK = 4096
+READ_BYTES = 4096
+
+
+class _CallerDisconnected(Exception):
+    """The caller went away, or was disconnected, before its call was complete."""
+
+
+class _CallTimeout(Exception):
+    """The call was not complete in time."""
 
 
 class _Caller:
-    __slots__ = ("sock", "since", "signal", "whole", "unwanted")
+    """One connection."""
+
+    __slots__ = ("sock", "connected_ns", "wake", "call_complete", "evicted")
 
     def __init__(self, sock: socket.socket, loop: EventLoop) -> None:
         self.sock = sock
-        self.since = loop.now()
-        self.signal = Event(loop)
-        self.whole = False
-        self.unwanted = False
+        self.connected_ns = loop.now()
+        self.wake = Event(loop)
+        self.call_complete = False
+        self.evicted = False
 
 
 class AdminServer:
     """The listening socket of the operators' address, and its callers."""
 
-    def __init__(self, loop: EventLoop, address: Address, books: AdminBackend) -> None:
-        """Listen there; an ``OSError`` says why that cannot be."""
+    def __init__(self, loop: EventLoop, address: Address, backend: AdminBackend) -> None:
+        """Listen at the address.
+
+        Raises:
+            OSError: the address cannot be listened on.
+        """
         self._loop = loop
-        self._books = books
+        self._backend = backend
         self._callers: set[_Caller] = set()
-        self._room = Event(loop)
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._sock.bind(address)
-            self._sock.listen(64)
-        except OSError:
-            self._sock.close()
-            raise
-        loop.spawn(self._accept)
+        self._slot_freed = Event(loop)
+        self._listener = _listen(address)
+        loop.spawn(self._accept_callers)
 
     def close(self) -> None:
         """Take no more calls."""
-        self._loop.unregister(self._sock.fileno())
-        self._sock.close()
-
-    def _accept(self) -> None:
-        while self._sock.fileno() >= 0:
-            if len(self._callers) >= MOST_CALLERS:
-                waiting = [c for c in self._callers if not c.whole and not c.unwanted]
-                if waiting:
-                    oldest = min(waiting, key=lambda c: c.since)
-                    oldest.unwanted = True
-                    oldest.signal.set()
-                self._room.wait(self._loop.now() + 50 * NS_PER_MS)
-                continue
-            if self._loop.wait(self._sock.fileno(), READABLE) is not WakeReason.READY:
-                continue
-            try:
-                sock, _ = self._sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                continue
-            except OSError as error:
-                logger.warning(
-                    "the operators' address cannot accept: {reason}", event="admin.accept_failed", reason=error.strerror
-                )
-                self._loop.sleep(20 * NS_PER_MS)
+        self._loop.unregister(self._listener.fileno())
+        self._listener.close()
+
+    # ------------------------------------------------------------ callers
+
+    def _accept_callers(self) -> None:
+        while self._listener.fileno() >= 0:
+            if len(self._callers) >= MAX_CALLERS:
+                self._evict_oldest_caller()
+                self._slot_freed.wait(self._loop.now() + FREE_SLOT_RETRY_NS)
                 continue
-            sock.setblocking(False)
-            caller = _Caller(sock, self._loop)
-            self._callers.add(caller)
-            self._loop.spawn(self._serve, caller)
+            if self._loop.wait(self._listener.fileno(), READABLE) is WakeReason.READY:
+                self._accept_caller()
 
-    def _serve(self, caller: _Caller) -> None:
+    def _accept_caller(self) -> None:
         try:
-            status, body = self._call(caller)
-            if status:
-                self._write(
-                    caller, serialize_response(status, body, [("Content-Type", _kind(status, body))], close=True)
-                )
+            sock, _ = self._listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        except OSError as error:
+            logger.warning(
+                "the operators' address cannot accept: {reason}", event="admin.accept_failed", reason=error.strerror
+            )
+            self._loop.sleep(ACCEPT_ERROR_PAUSE_NS)
+            return
+        sock.setblocking(False)
+        caller = _Caller(sock, self._loop)
+        self._callers.add(caller)
+        self._loop.spawn(self._handle_caller, caller)
+
+    def _evict_oldest_caller(self) -> None:
+        """Disconnect whoever has gone longest without sending a complete call, if there is one."""
+        candidates = [caller for caller in self._callers if not caller.call_complete and not caller.evicted]
+        if candidates:
+            oldest = min(candidates, key=lambda caller: caller.connected_ns)
+            oldest.evicted = True
+            oldest.wake.set()
+
+    # ------------------------------------------------------------ one call
+
+    def _handle_caller(self, caller: _Caller) -> None:
+        try:
+            self._write(caller, self._respond(caller))
+        except _CallerDisconnected:
+            pass
         except OSError as error:
             logger.debug("an operator's call broke: {reason}", event="admin.connection_failed", reason=str(error))
         finally:
             self._loop.unregister(caller.sock.fileno())
             caller.sock.close()
             self._callers.discard(caller)
-            self._room.set()
+            self._slot_freed.set()
 
-    def _call(self, caller: _Caller) -> Answer:
-        """The answer owed to this caller; status 0 where it has gone or is to be dropped."""
-        parser = MessageParser(responses=False, max_body_bytes=MAX_BODY_BYTES)
-        until = caller.since + WHOLE_NS
-        fd = caller.sock.fileno()
+    def _respond(self, caller: _Caller) -> AdminResponse:
         try:
-            while True:
-                try:
-                    data = caller.sock.recv(CHUNK)
-                except BlockingIOError:
-                    self._loop.register(fd, READABLE, lambda _: caller.signal.set())
-                    why = caller.signal.wait(until)
-                    self._loop.unregister(fd)
-                    if caller.unwanted:
-                        return 0, b""
-                    if why is WakeReason.TIMEOUT:
-                        return 408, b"the call did not become whole in time\n"
-                    continue
-                if not data:
-                    return 0, b""
-                message = parser.feed(data)
-                if message is not None:
-                    break
+            message = self._read_message(caller)
         except ProtocolError as error:
-            return error.status, f"{error}\n".encode()
-        caller.whole = True
+            return AdminResponse(error.status, f"{error}\n".encode())
+        except _CallTimeout:
+            return AdminResponse(408, b"the call did not become whole in time\n")
+        caller.call_complete = True
         call = parse_call(message.method, message.target)
-        if not isinstance(call, tuple):
-            return execute_call(call, self._books)
-        return call
+        return execute_call(call, self._backend) if isinstance(call, AdminCall) else call
+
+    def _read_message(self, caller: _Caller) -> Message:
+        parser = MessageParser(responses=False, max_body_bytes=MAX_BODY_BYTES)
+        while True:
+            try:
+                data = caller.sock.recv(READ_BYTES)
+            except BlockingIOError:
+                self._wait_for_data(caller)
+                continue
+            if not data:
+                raise _CallerDisconnected
+            message = parser.feed(data)
+            if message is not None:
+                return message
 
-    def _write(self, caller: _Caller, data: bytes) -> None:
-        view = memoryview(data)
-        until = self._loop.now() + WRITE_NS
+    def _wait_for_data(self, caller: _Caller) -> None:
+        fd = caller.sock.fileno()
+        self._loop.register(fd, READABLE, lambda _: caller.wake.set())
+        reason = caller.wake.wait(caller.connected_ns + CALL_TIMEOUT_NS)
+        self._loop.unregister(fd)
+        if caller.evicted:
+            raise _CallerDisconnected
+        if reason is WakeReason.TIMEOUT:
+            raise _CallTimeout
+
+    def _write(self, caller: _Caller, response: AdminResponse) -> None:
+        headers = [("Content-Type", response.content_type)]
+        view = memoryview(serialize_response(response.status, response.body, headers, close=True))
+        deadline_ns = self._loop.now() + RESPONSE_WRITE_TIMEOUT_NS
         while view:
             try:
                 view = view[caller.sock.send(view) :]
             except BlockingIOError:
-                if self._loop.wait(caller.sock.fileno(), WRITABLE, until) is not WakeReason.READY:
+                if self._loop.wait(caller.sock.fileno(), WRITABLE, deadline_ns) is not WakeReason.READY:
                     return
         try:
             caller.sock.shutdown(socket.SHUT_WR)
         except OSError:
-            pass
-
-
-def _kind(status: int, body: bytes) -> str:
-    return "application/json" if status == 200 and body.startswith(b"{") else "text/plain"
+            pass  # the caller reset the connection; it is closed in any case
+
+
+def _listen(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(LISTEN_BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -13,6 +13,7 @@
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 FORMATS = ("text", "json")
+STATUS_TIMEOUT_S = 5
 
 
 @click.command()
@@ -22,26 +23,27 @@
 def serve(log_level: str | None, log_format: Literal["text", "json"] | None, operator: str | None) -> int:
     """Run the sidecar in the foreground, as the PROXY_* variables say."""
     from lugtally.config import sidecar
-    from lugtally.daemon.sidecar import overload_limits
+    from lugtally.daemon.own_overload import overload_limits
     from lugtally.daemon.sidecar import serve as run
 
     level: str = "INFO"
-    form: Literal["text", "json"] = "text"
+    file_format: Literal["text", "json"] = "text"
+    limits, status_path = None, ""
     try:
-        told = sidecar.load(os.environ)
-        bounds, control = None, ""
+        config = sidecar.load(os.environ)
         if operator is not None:
-            own = _operator(operator)
-            level, form = own.log.level, own.log.format
-            bounds, control = overload_limits(own.overload, told.settings), own.control.socket
+            operator_file = _load_operator_file(operator)
+            level, file_format = operator_file.log.level, operator_file.log.format
+            limits = overload_limits(operator_file.overload, config.settings)
+            status_path = operator_file.control.socket
     except ValueError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return 2
-    return run(told, log_level or level, log_format or form, overload=bounds, control=control)
+    return run(config, log_level or level, log_format or file_format, overload=limits, control=status_path)
 
 
-def _operator(path: str) -> Operator:
-    """The operator's file; its decoder is loaded where there is one."""
+def _load_operator_file(path: str) -> Operator:
+    """Read the operator's file; its decoder is loaded only where there is one."""
     from lugtally.config import operator
 
     return operator.load(path)
@@ -56,20 +58,20 @@
 
     try:
         if operator is not None:
-            own = _operator(operator)
+            operator_file = _load_operator_file(operator)
             print(
-                f"{operator}: log {own.log.format} from {own.log.level} on, "
-                f"own overload {'guarded' if own.overload.enabled else 'not guarded'}"
+                f"{operator}: log {operator_file.log.format} from {operator_file.log.level} on, "
+                f"own overload {'guarded' if operator_file.overload.enabled else 'not guarded'}"
             )
             if file is None and "PROXY_CONFIG" not in os.environ:
                 return 0
-        told = sidecar.load(os.environ, file)
+        config = sidecar.load(os.environ, file)
     except ValueError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return 2
     print(
-        f"{told.name}: {len(told.settings.classes)} classes, {len(told.known.records)} known destinations,"
-        f" listens at {told.listen[0]}:{told.listen[1]}"
+        f"{config.name}: {len(config.settings.classes)} classes,"
+        f" {len(config.cached_endpoints.records)} known destinations, listens at {config.listen}"
     )
     return 0
 
@@ -79,29 +81,33 @@
 @click.option("--json", "as_json", is_flag=True, help="the object as it came")
 def status(socket: str, as_json: bool) -> int:
     """Say how a running sidecar is.  SOCKET: the path that its operator's file names under [control]."""
-    import socket as sockets
-
     import ujson
 
     try:
-        with sockets.socket(sockets.AF_UNIX, sockets.SOCK_STREAM) as link:
-            link.settimeout(5)
-            link.connect(socket)
-            text = b"".join(iter(lambda: link.recv(65536), b""))
-        told = ujson.loads(text)
+        text = _read_status(socket)
+        state = ujson.loads(text)
     except (OSError, ValueError) as error:
         print(f"lugtally: {socket}: {getattr(error, 'strerror', None) or error}", file=sys.stderr)
         return 1
     if as_json:
         print(text.decode().rstrip())
         return 0
-    for name, value in told.items():
+    for name, value in state.items():
         if isinstance(value, dict):
-            value = ", ".join(f"{k} {v}" for k, v in value.items() if not isinstance(v, dict))
+            value = ", ".join(f"{key} {member}" for key, member in value.items() if not isinstance(member, dict))
         print(f"{name:14} {value}")
     return 0
 
 
+def _read_status(path: str) -> bytes:
+    import socket
+
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as client:
+        client.settimeout(STATUS_TIMEOUT_S)
+        client.connect(path)
+        return b"".join(iter(lambda: client.recv(65536), b""))
+
+
 @click.command()
 def version() -> int:
     """Print the version."""
--- a/lugtally/config/__init__.py
+++ b/lugtally/config/__init__.py
@@ -1,4 +1,5 @@
-"""What the program is told, decoded once from JSON or TOML into plain values, each fault named by its field.
+"""The program's configuration, decoded at the border from JSON or TOML into plain values.
 
-It owns the formats and the checks.  It must not know what is done with a value: no socket, no decision.
+It owns the formats, the wire's keys, and the checks; each fault is named by its key.  It must not know what is done
+with a value: no socket, no decision.
 """
--- a/lugtally/config/endpoint_list.py
+++ b/lugtally/config/endpoint_list.py
@@ -1,6 +1,6 @@
-"""The server list as discovery writes it, decoded once into the few values that the program uses.
+"""The endpoint list as discovery writes it, decoded once into the few values that the program uses.
 
-A ``ValueError`` names the field at fault.
+A ``ValueError`` names the member at fault.
 """
 
 from __future__ import annotations
@@ -12,12 +12,17 @@
 
 from lugtally.address import Address
 
-UNNAMED = -1  # in the place of a destination's number, where a row does not even name it
+UNKNOWN_ENDPOINT_ID = -1
+"""In the place of an endpoint's id, where its row does not even name it."""
+ENDPOINT_ID_BYTES = 6
+MAX_PORT = 65535
+MAX_TIMESTAMP_MS = 2**53
+"""The first integer that a JSON number need not hold exactly."""
 
 
 @dataclass(slots=True)
 class EndpointRecord:
-    """One destination, decoded."""
+    """One endpoint, decoded."""
 
     endpoint_id: int
     address: Address
@@ -25,6 +30,7 @@
     cell: int
     state: str
     started_ms: int
+    """Unix time of its start; 0: long ago."""
 
 
 @dataclass(slots=True)
@@ -34,64 +40,83 @@
     version: int
     full: bool
     records: list[EndpointRecord]
-    rejected: dict[int, str] = field(default_factory=dict)  # destinations whose row cannot be read -> what is wrong
+    rejected: dict[int, str] = field(default_factory=dict)
+    """By endpoint id: what is wrong with a row that cannot be read."""
 
 
-def parse_address(text: Any, field: str) -> Address:
-    """``host:port`` with a numeric host, as there is no DNS."""
+def parse_address(text: Any, key: str) -> Address:
+    """Decode ``host:port`` with a numeric host, as there is no DNS.
+
+    Raises:
+        ValueError: it is none; the text begins with ``key``.
+    """
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     host = host.removeprefix("[").removesuffix("]")
-    if not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{field}: {text!r} is no address with a port")
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{key}: {text!r} is no address with a port")
     try:
         socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
     except OSError as error:
-        raise ValueError(f"{field}: {text!r} is no numeric address") from error
+        raise ValueError(f"{key}: {text!r} is no numeric address") from error
     return Address(host, int(port))
 
 
 def endpoint_id_of(name: str) -> int:
-    """A destination's number: the same at every sidecar and after a restart, as its id is."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
+    """Return an endpoint's number: the same in every sidecar and after a restart, as its id in the list is."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=ENDPOINT_ID_BYTES).digest(), "big")
 
 
-def parse_endpoint_list(raw: Any, name: str, *, lenient: bool = False) -> EndpointList:
-    """Decode a list; a ``ValueError`` names the field at fault.
+def parse_endpoint_list(raw: Any, key: str, *, lenient: bool = False) -> EndpointList:
+    """Decode a list.
 
-    Where it is ``lenient``, a row that cannot be read is set apart as long as others can.
+    Raises:
+        ValueError: a row cannot be read; the text names the member at fault, below ``key``.  Where it is ``lenient``,
+            such a row is set apart in ``rejected`` as long as others can be read.
     """
     if not isinstance(raw, dict) or not isinstance(raw.get("servers"), list):
-        raise ValueError(f"{name}.servers: a list is wanted")
-    version = raw.get("version")
-    if not isinstance(version, int) or isinstance(version, bool):
-        raise ValueError(f"{name}.version: {version!r} is no number")
-    pool = EndpointList(version, bool(raw.get("full")), [])
-    for at, row in enumerate(raw["servers"]):
+        raise ValueError(f"{key}.servers: a list is wanted")
+    endpoints = EndpointList(_integer(raw.get("version"), f"{key}.version"), bool(raw.get("full")), [])
+    for position, row in enumerate(raw["servers"]):
         try:
-            pool.records.append(_parse_record(row, f"{name}.servers[{at}]"))
+            endpoints.records.append(_parse_record(row, f"{key}.servers[{position}]"))
         except ValueError as error:
-            id = row.get("id") if isinstance(row, dict) else None
-            pool.rejected[endpoint_id_of(id) if isinstance(id, str) else UNNAMED] = str(error)
             if not lenient:
                 raise
-    if pool.rejected and not pool.records:
-        raise ValueError(next(iter(pool.rejected.values())))
-    return pool
+            endpoints.rejected[_id_of_faulty_row(row)] = str(error)
+    if endpoints.rejected and not endpoints.records:
+        raise ValueError(next(iter(endpoints.rejected.values())))
+    return endpoints
 
 
-def _parse_record(raw: Any, field: str) -> EndpointRecord:
+def _parse_record(raw: Any, key: str) -> EndpointRecord:
     if not isinstance(raw, dict) or not isinstance(raw.get("id"), str):
-        raise ValueError(f"{field}.id: a text is wanted")
-    state, cell, started = raw.get("state"), raw.get("cell"), raw.get("started_ms") or 0
-    number = endpoint_id_of(raw["id"])
+        raise ValueError(f"{key}.id: a text is wanted")
+    endpoint_id = endpoint_id_of(raw["id"])
+    state, cell = raw.get("state"), raw.get("cell")
     if cell is None:
-        cell = ~number  # not told: no group that drops repeats, so it is by itself
+        cell = ~endpoint_id  # unknown: it shares no record of idempotency keys, so it is a cell by itself
     if not isinstance(state, str):
-        raise ValueError(f"{field}.state: {state!r} is no text")
-    if not isinstance(cell, int) or isinstance(cell, bool):
-        raise ValueError(f"{field}.cell: {cell!r} is no number")
-    if not isinstance(started, (int, float)) or not abs(started) < 2**53:
-        raise ValueError(f"{field}.started_ms: {started!r} is no number")
-    gone = state == "gone" and raw.get("addr") is None
-    address = Address("", 0) if gone else parse_address(raw.get("addr"), f"{field}.addr")
-    return EndpointRecord(number, address, str(raw.get("zone") or ""), cell, state, int(started))
+        raise ValueError(f"{key}.state: {state!r} is no text")
+    cell = _integer(cell, f"{key}.cell")
+    started_ms = _timestamp_ms(raw.get("started_ms") or 0, f"{key}.started_ms")
+    # A removed endpoint need not have an address any more.
+    has_no_address = state == "gone" and raw.get("addr") is None
+    address = Address("", 0) if has_no_address else parse_address(raw.get("addr"), f"{key}.addr")
+    return EndpointRecord(endpoint_id, address, str(raw.get("zone") or ""), cell, state, started_ms)
+
+
+def _integer(value: Any, key: str) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise ValueError(f"{key}: {value!r} is no number")
+    return value
+
+
+def _timestamp_ms(value: Any, key: str) -> int:
+    if not isinstance(value, (int, float)) or not abs(value) < MAX_TIMESTAMP_MS:
+        raise ValueError(f"{key}: {value!r} is no number")
+    return int(value)
+
+
+def _id_of_faulty_row(row: Any) -> int:
+    name = row.get("id") if isinstance(row, dict) else None
+    return endpoint_id_of(name) if isinstance(name, str) else UNKNOWN_ENDPOINT_ID
--- a/lugtally/config/operator.py
+++ b/lugtally/config/operator.py
@@ -1,4 +1,4 @@
-"""The operator's own file: what the platform's configuration has no place for.  TOML, every part off by default.
+"""The operator's own file, in TOML: what the platform's configuration has no key for.  Each section is off by default.
 
 Without the file the daemon is as the platform's pages describe it.  Only ``serve --operator`` and ``check-config``
 import this module, as its decoder takes 1.2 MB of memory.
@@ -26,7 +26,7 @@
 
 
 class Overload(Struct, frozen=True, forbid_unknown_fields=True):
-    """``[overload]``: refuse by worth before this sidecar itself falls behind."""
+    """``[overload]``: shed load by priority before this sidecar itself falls behind."""
 
     enabled: bool = False
     target_ms: Annotated[float, Meta(gt=0, le=1000)] = 10.0
@@ -36,7 +36,7 @@
 
 
 class StatusSocket(Struct, frozen=True, forbid_unknown_fields=True):
-    """``[control]``: a Unix socket that says how the sidecar is."""
+    """``[control]``: a Unix socket that shows the state of the sidecar."""
 
     socket: str = ""  # its path; empty: none
 
@@ -50,7 +50,11 @@
 
 
 def load(path: str) -> Operator:
-    """Read and check the file at ``path``; :class:`OperatorFileError` says what is wrong with it."""
+    """Read and check the file at ``path``.
+
+    Raises:
+        OperatorFileError: it cannot be read, or a value in it cannot be used.
+    """
     try:
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
@@ -60,6 +64,6 @@
     try:
         return msgspec.convert(raw, Operator)
     except msgspec.ValidationError as error:
-        text, _, place = str(error).partition(" - at `$")
-        field = place.rstrip("`").lstrip(".")
-        raise OperatorFileError(f"operator file: {path}: {field + ': ' if field else ''}{text}") from error
+        reason, _, location = str(error).partition(" - at `$")
+        field = location.rstrip("`").lstrip(".")
+        raise OperatorFileError(f"operator file: {path}: {field + ': ' if field else ''}{reason}") from error
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -1,32 +1,34 @@
-"""Builds the sidecar from its configuration, runs it, and answers signals."""
+"""One sidecar: built from its configuration, started, run until it is told to stop, and stopped."""
 
 from __future__ import annotations
 
 import gc
-import os
 import signal
-import socket
 import sys
 import tempfile
-from collections.abc import Callable
-from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 from loguru import logger
 
 from lugtally import __version__, balancing, logs
 from lugtally.admin.drain_store import DrainStore
 from lugtally.admin.server import AdminServer
-from lugtally.config import sidecar as config
-from lugtally.config.endpoint_list import endpoint_id_of
-from lugtally.daemon.status_socket import StatusSocket, StatusSocketError
+from lugtally.config.sidecar import SidecarConfig
+from lugtally.daemon.errors import InvalidConfigurationError, ListenError, StartupError
+from lugtally.daemon.maintenance import maintain_connections
+from lugtally.daemon.operator_drains import OperatorDrains, follow_drain_file
+from lugtally.daemon.own_overload import monitor_resources
+from lugtally.daemon.reload import reload_configuration
+from lugtally.daemon.signals import handle_signals
+from lugtally.daemon.status_socket import StatusSocket
 from lugtally.discovery.watcher import MAX_BACKOFF_NS, EndpointWatcher
 from lugtally.dispatch import BalancingPolicyFactory, Dispatcher
 from lugtally.downstream.server import DownstreamServer
-from lugtally.eventloop import READABLE, EventLoop
-from lugtally.overload.admission import MOST_ADVICE_NS, AdmissionController, OverloadLimits
+from lugtally.eventloop import EventLoop
+from lugtally.overload.admission import AdmissionController, OverloadLimits
 from lugtally.overload.resource_monitor import ResourceLimits, ResourceMonitor
-from lugtally.units import NS_PER_MS
+from lugtally.units import NS_PER_S
 from lugtally.upstream.pool import (
     ConnectionLimits,
     UpstreamPool,
@@ -35,267 +37,198 @@
     split_descriptors,
 )
 
-if TYPE_CHECKING:
-    from lugtally.config.operator import Overload
-
-RETIRE_EVERY_NS = 1000 * NS_PER_MS
-BANS_EVERY_NS = 250 * NS_PER_MS  # how soon a ban called at another process of the same name binds this one
-LATE_NS = 50 * NS_PER_MS
-READ_EVERY_NS = 250 * NS_PER_MS
-
 
 def serve(
-    told: config.SidecarConfig,
+    config: SidecarConfig,
     level: str,
-    form: logs.Format = "text",
+    log_format: logs.Format = "text",
     *,
     overload: OverloadLimits | None = None,
     control: str = "",
     decisions: BalancingPolicyFactory | None = None,
 ) -> int:
-    """Run the sidecar until it is told to stop; returns the exit status.
+    """Run a sidecar until it is told to stop; return the exit status.
 
-    ``overload`` has it refuse by worth before it falls behind itself; without, all is let in that the module lets in.
+    ``overload`` has it shed load before it falls behind itself; without, only the balancer rejects requests.
     ``control`` is the path of a Unix socket for ``lugtally status``.
-    ``decisions`` makes what decides in the place of the shipped module: for comparisons by the rehearsal kit alone.
+    ``decisions`` builds what decides in the place of the balancer: only for the testbed's comparisons.
     """
-    logs.start(level, form)
-    loop = EventLoop()
-    # Whatever the settings allow, the module's pauses after a failed call must leave a change's term time enough.
-    settings = replace(
-        told.settings, max_poll_interval_ns=min(told.settings.max_poll_interval_ns or MAX_BACKOFF_NS, MAX_BACKOFF_NS)
-    )
-    dispatcher = Dispatcher(settings, told.seed, loop, decisions)
-    most_fronts, most_links = split_descriptors(told.sockets)
-    limits = ConnectionLimits(
-        told.connect_timeout_ns,
-        safe_idle_timeout_ns(told.keepalive_ns),
-        most_links,
-        max_response_body_bytes(told.memory_mb),
-    )
-    fields = told.settings.load_report_fields if told.answers_report else ()
-    upstream = UpstreamPool(loop, limits, fields)
-    pool = EndpointWatcher(loop, dispatcher, upstream, told.discovery, told.zones)
-    dispatcher.set_handlers(upstream.close_idle_connections, pool.watch)
-    downstream = DownstreamServer(loop, dispatcher, upstream, told.settings.classes, most_fronts, told.settings.tenants)
+    logs.start(level, log_format)
+    try:
+        sidecar = build_sidecar(config, overload, decisions)
+        sidecar.start(status_path=control)
+    except StartupError as error:
+        print(f"lugtally: {error}", file=sys.stderr)
+        return error.exit_status
+    sidecar.run()
+    sidecar.stop()
+    return 0
+
+
+@dataclass(slots=True)
+class Sidecar:
+    """The parts of one sidecar, and the order in which they start and stop."""
+
+    config: SidecarConfig
+    loop: EventLoop
+    dispatcher: Dispatcher
+    upstream: UpstreamPool
+    endpoint_watcher: EndpointWatcher
+    downstream: DownstreamServer
     admission: AdmissionController | None = None
-    if overload is not None:
-        try:
-            admission = AdmissionController(told.settings.classes, overload, told.seed, loop.now())
-        except ValueError as error:
-            print(f"lugtally: operator file: overload.refuse_first: {error}", file=sys.stderr)
-            return 2
-        dispatcher.set_admission_controller(admission)
-        probe = ResourceMonitor(
-            ResourceLimits(told.cores, told.memory_mb << 20, told.sockets),
-            lambda: downstream.open + upstream.open_connections,
+    _started_ns: int = field(default=0, init=False)
+    _status_socket: StatusSocket | None = field(default=None, init=False)
+    _admin_server: AdminServer | None = field(default=None, init=False)
+
+    def start(self, status_path: str = "") -> None:
+        """Open the sockets and spawn the tasks; nothing runs before :meth:`run`.
+
+        Raises:
+            StartupError: an address, a path or a descriptor of the configuration cannot be used.
+        """
+        self._started_ns = self.loop.now()
+        if self.admission is not None:
+            self.loop.spawn(monitor_resources, self.loop, self.admission, self._resource_monitor())
+        drains = OperatorDrains(self.dispatcher, self.downstream, DrainStore(tempfile.gettempdir(), self.config.name))
+        drains.reload()
+        if status_path:
+            self._status_socket = StatusSocket(self.loop, status_path, self.snapshot)
+        self._admin_server = self._open_admin_server(drains)
+        self._open_downstream()
+        self._handle_signals()
+        self._spawn_tasks(drains)
+
+    def run(self) -> None:
+        """Serve until a graceful shutdown is complete."""
+        # What has been built by now is never garbage: collections that skip it stay short.
+        gc.collect()
+        gc.freeze()
+        config = self.config
+        logger.info(
+            "{sidecar} serves at {host}:{port}",
+            event="sidecar.serving",
+            sidecar=config.name,
+            host=config.listen.host,
+            port=config.listen.port,
         )
-        loop.spawn(_watch_self, loop, admission, probe)
-    started = loop.now()
-
-    def snapshot() -> dict[str, Any]:
+        self.loop.run(self.dispatcher.run_due_timers)
+
+    def stop(self) -> None:
+        """Close what a graceful shutdown leaves open."""
+        if self._status_socket is not None:
+            self._status_socket.close()
+        if self._admin_server is not None:
+            self._admin_server.close()
+        logger.info("{sidecar} has stopped", event="sidecar.stopped", sidecar=self.config.name)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the object that the status socket shows."""
         return {
-            "sidecar": told.name,
+            "sidecar": self.config.name,
             "version": __version__,
-            "ready": downstream.ready,
-            "draining": downstream.draining,
-            "up_s": (loop.now() - started) / 1e9,
-            "front_sockets": downstream.open,
-            "connections": upstream.open_connections,
-            "destinations": pool.ready_count,
-            "requests": dispatcher.request_counts(),
-            "overload": admission and admission.snapshot(),
+            "ready": self.downstream.ready,
+            "draining": self.downstream.draining,
+            "up_s": (self.loop.now() - self._started_ns) / NS_PER_S,
+            "front_sockets": self.downstream.open,
+            "connections": self.upstream.open_connections,
+            "destinations": self.endpoint_watcher.ready_count,
+            "requests": self.dispatcher.request_counts(),
+            "overload": self.admission and self.admission.snapshot(),
         }
 
-    told_by = None
-    desk = _Desk(dispatcher, downstream, DrainStore(tempfile.gettempdir(), told.name))
-    desk.reread()
-    operators: AdminServer | None = None
-    try:
-        if control:
-            told_by = StatusSocket(loop, control, snapshot)
-        if told.operators is not None:
-            try:
-                operators = AdminServer(loop, told.operators, desk)
-            except OSError as error:
-                print(f"lugtally: operator: {told.operators[0]}:{told.operators[1]}: {error.strerror}", file=sys.stderr)
-                return 1
-        if told.inherited is None:
-            downstream.listen(told.listen)
-        else:
-            downstream.adopt(told.inherited)
-    except ValueError as error:
-        print(f"lugtally: {error}", file=sys.stderr)
-        return 2
-    except StatusSocketError as error:
-        print(f"lugtally: operator file: {error}", file=sys.stderr)
-        return 2
-    except OSError as error:
-        print(f"lugtally: listen: {told.listen[0]}:{told.listen[1]}: {error.strerror}", file=sys.stderr)
-        return 1
-    _on_signals(
-        loop, {signal.SIGTERM: downstream.drain, signal.SIGINT: downstream.drain, signal.SIGHUP: lambda: _reread(pool)}
-    )
-    loop.spawn(pool.start, told.known)
-    loop.spawn(_keep_house, loop, upstream, pool, downstream)
-    loop.spawn(_follow_bans, loop, desk)
-    # What lives from the start is never garbage: collections then stay short.
-    gc.collect()
-    gc.freeze()
-    logger.info(
-        "{sidecar} serves at {host}:{port}",
-        event="sidecar.serving",
-        sidecar=told.name,
-        host=told.listen[0],
-        port=told.listen[1],
-    )
-    loop.run(dispatcher.run_due_timers)
-    if told_by is not None:
-        told_by.close()
-    if operators is not None:
-        operators.close()
-    logger.info("{sidecar} has stopped", event="sidecar.stopped", sidecar=told.name)
-    return 0
+    def _resource_monitor(self) -> ResourceMonitor:
+        config = self.config
+        return ResourceMonitor(
+            ResourceLimits(config.cores, config.memory_limit_mb << 20, config.descriptor_limit),
+            lambda: self.downstream.open + self.upstream.open_connections,
+        )
 
+    def _open_admin_server(self, drains: OperatorDrains) -> AdminServer | None:
+        address = self.config.admin_address
+        if address is None:
+            return None
+        try:
+            return AdminServer(self.loop, address, drains)
+        except OSError as error:
+            raise ListenError(f"operator: {address}: {error.strerror}") from error
 
-class _Desk:
-    """What the operators' calls read and change: readiness, the counters, and the drains by hand."""
+    def _open_downstream(self) -> None:
+        """Listen at the configured address, or on the socket that the platform passed."""
+        config = self.config
+        try:
+            if config.inherited_socket_fd is None:
+                self.downstream.listen(config.listen)
+            else:
+                self.downstream.adopt(config.inherited_socket_fd)
+        except ValueError as error:
+            raise InvalidConfigurationError(str(error)) from error
+        except OSError as error:
+            raise ListenError(f"listen: {config.listen}: {error.strerror}") from error
+
+    def _handle_signals(self) -> None:
+        handlers = {
+            signal.SIGTERM: self.downstream.drain,
+            signal.SIGINT: self.downstream.drain,
+            signal.SIGHUP: lambda: reload_configuration(self.endpoint_watcher),
+        }
+        handle_signals(self.loop, handlers)
 
-    def __init__(self, dispatcher: Dispatcher, downstream: DownstreamServer, file: DrainStore) -> None:
-        self._dispatcher = dispatcher
-        self._front = downstream
-        self._file = file
-        self._banned: set[str] = set()
+    def _spawn_tasks(self, drains: OperatorDrains) -> None:
+        loop = self.loop
+        loop.spawn(self.endpoint_watcher.start, self.config.cached_endpoints)
+        loop.spawn(maintain_connections, loop, self.upstream, self.endpoint_watcher, self.downstream)
+        loop.spawn(follow_drain_file, loop, drains)
 
-    def ready(self) -> bool:
-        return self._front.ready and not self._front.draining
 
-    def figures(self) -> dict[str, object]:
-        dispatcher = self._dispatcher
-        return dispatcher.metrics.snapshot(
-            dispatcher.in_progress, dispatcher.endpoint_count, dispatcher.disabled_count()
-        )
+def build_sidecar(
+    config: SidecarConfig,
+    overload: OverloadLimits | None = None,
+    policy_factory: BalancingPolicyFactory | None = None,
+) -> Sidecar:
+    """Build a sidecar; see :func:`serve` for the arguments.
 
-    def offline(self, server: str) -> bool:
-        if server not in self._banned:
-            if not self._dispatcher.was_listed(endpoint_id_of(server)):
-                return False
-            self._banned.add(server)
-            self._dispatcher.start_drain(endpoint_id_of(server))
-            logger.warning("pledge server {server} is drained by hand", event="drain.started", server=server)
-        self._file.write(self._banned)
-        return True
-
-    def online(self, server: str) -> bool:
-        if server not in self._banned:
-            return self._dispatcher.was_listed(endpoint_id_of(server))
-        self._banned.discard(server)
-        self._dispatcher.end_drain(endpoint_id_of(server))
-        logger.warning("pledge server {server} is back from a drain by hand", event="drain.ended", server=server)
-        self._file.write(self._banned)
-        return True
-
-    def reread(self) -> None:
-        """Take over the bans that another process of this name wrote, as a process replacement has two."""
-        told = self._file.read()
-        if told is None:
-            return
-        for server in told - self._banned:
-            self._dispatcher.start_drain(endpoint_id_of(server))
-        for server in self._banned - told:
-            self._dispatcher.end_drain(endpoint_id_of(server))
-        if told != self._banned:
-            logger.info("drains by hand taken from the file: {banned}", event="drain.reloaded", banned=sorted(told))
-        self._banned = told
-
-
-def _follow_bans(loop: EventLoop, desk: _Desk) -> None:
-    while True:
-        loop.sleep(BANS_EVERY_NS)
-        desk.reread()
-
-
-def overload_limits(own: Overload, settings: balancing.Settings) -> OverloadLimits | None:
-    """The operator's words on own overload in the units of the gate; none where it is off."""
-    if not own.enabled:
-        return None
-    advice = min(settings.max_retry_after_ns, MOST_ADVICE_NS) if settings.retry_after_allowed else 0
-    return OverloadLimits(
-        target_ns=int(own.target_ms * NS_PER_MS),
-        memory_fraction=own.memory,
-        descriptors_fraction=own.descriptors,
-        shed_first=own.refuse_first,
-        max_retry_after_ns=advice,
-    )
+    Raises:
+        InvalidConfigurationError: ``overload`` names a class that the settings do not have.
+    """
+    loop = EventLoop()
+    settings = config.settings
+    dispatcher = Dispatcher(_limit_poll_interval(settings), config.seed, loop, policy_factory)
+    max_downstream, max_upstream = split_descriptors(config.descriptor_limit)
+    upstream = UpstreamPool(loop, _connection_limits(config, max_upstream), _load_report_fields(config))
+    endpoint_watcher = EndpointWatcher(loop, dispatcher, upstream, config.discovery, config.zones)
+    dispatcher.set_handlers(upstream.close_idle_connections, endpoint_watcher.watch)
+    downstream = DownstreamServer(loop, dispatcher, upstream, settings.classes, max_downstream, settings.tenants)
+    admission = None
+    if overload is not None:
+        admission = _build_admission_controller(config, overload, loop.now())
+        dispatcher.set_admission_controller(admission)
+    return Sidecar(config, loop, dispatcher, upstream, endpoint_watcher, downstream, admission)
 
 
-def _keep_house(loop: EventLoop, upstream: UpstreamPool, pool: EndpointWatcher, downstream: DownstreamServer) -> None:
-    """Retire idle connections; be ready once there is somewhere to send to."""
-    while True:
-        downstream.ready = downstream.ready or pool.ready_count > 0
-        loop.sleep(RETIRE_EVERY_NS if downstream.ready else 10 * NS_PER_MS)
-        upstream.close_expired()
-        if loop.max_timer_lag_ns > LATE_NS:
-            # The machine or a collection held the process up: look here before blaming a decision.
-            logger.warning(
-                "timers ran {lag_ms:.0f} ms late", event="sidecar.timer_lag", lag_ms=loop.max_timer_lag_ns / NS_PER_MS
-            )
-        loop.max_timer_lag_ns = 0
-
-
-def _watch_self(loop: EventLoop, admission: AdmissionController, probe: ResourceMonitor) -> None:
-    """Read the machine now and then; say when refusing begins and ends, with what was seen."""
-    refusing = False
-    while True:
-        loop.sleep(READ_EVERY_NS)
-        admission.read(probe.read())
-        admission.update_when_idle(loop.now())
-        reading = admission.meter.reading
-        if refusing != admission.is_shedding:
-            refusing = admission.is_shedding
-            logger.warning(
-                "{what} for own overload: {shed_fraction:.0%} of the requests, delay {delay_ms:.1f} ms, "
-                "{cpu:.0%} of the cores, {memory:.0%} of the memory, {descriptors:.0%} of the descriptors",
-                event="overload.shedding",
-                what="shedding load" if refusing else "no longer shedding load",
-                shedding=refusing,
-                shed_fraction=admission.shed_fraction,
-                delay_ms=admission.meter.delay_ns / NS_PER_MS,
-                cpu=reading.cpu_share,
-                memory=reading.memory_share,
-                descriptors=reading.descriptors_share,
-            )
-
-
-def _reread(pool: EndpointWatcher) -> None:
-    """SIGHUP: move the watch where the configuration now says.  All else in it holds from the next start."""
-    try:
-        told = config.load(os.environ, again=True)
-    except config.ConfigurationError as error:
-        # A slip in the file must not end the service: all goes on as it was told before.
-        logger.error("the new configuration is not used: {reason}", event="config.rejected", reason=str(error))
-        return
-    logger.info(
-        "told to read the configuration again: discovery at {host}:{port}",
-        event="config.reloaded",
-        host=told.discovery[0],
-        port=told.discovery[1],
+def _limit_poll_interval(settings: balancing.Settings) -> balancing.Settings:
+    """Return the settings with a poll interval that leaves time enough to learn of a change.
+
+    Whatever they allow, the balancer's pauses after a failed call must fit the term in which a change takes effect.
+    """
+    interval_ns = min(settings.max_poll_interval_ns or MAX_BACKOFF_NS, MAX_BACKOFF_NS)
+    return replace(settings, max_poll_interval_ns=interval_ns)
+
+
+def _connection_limits(config: SidecarConfig, max_connections: int) -> ConnectionLimits:
+    return ConnectionLimits(
+        config.connect_timeout_ns,
+        safe_idle_timeout_ns(config.idle_timeout_ns),
+        max_connections,
+        max_response_body_bytes(config.memory_limit_mb),
     )
-    pool.move_to(told.discovery)
 
 
-def _on_signals(loop: EventLoop, handlers: dict[signal.Signals, Callable[[], None]]) -> None:
-    """Signals wake the poll through a socket, as a blocked poll would go on after a handler."""
-    reader, writer = socket.socketpair()
-    reader.setblocking(False)
-    writer.setblocking(False)
-    signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-    for number in handlers:
-        signal.signal(number, lambda *_: None)
+def _load_report_fields(config: SidecarConfig) -> tuple[str, ...]:
+    return config.settings.load_report_fields if config.load_reports_in_responses else ()
 
-    def told(_: int) -> None:
-        writer.fileno()  # keeps the other end alive
-        for number in dict.fromkeys(reader.recv(64)):
-            handlers[signal.Signals(number)]()
 
-    loop.register(reader.fileno(), READABLE, told)
+def _build_admission_controller(config: SidecarConfig, limits: OverloadLimits, now_ns: int) -> AdmissionController:
+    try:
+        return AdmissionController(config.settings.classes, limits, config.seed, now_ns)
+    except ValueError as error:
+        raise InvalidConfigurationError(f"operator file: overload.refuse_first: {error}") from error
--- a/lugtally/daemon/status_socket.py
+++ b/lugtally/daemon/status_socket.py
@@ -1,6 +1,6 @@
-"""The control socket: a Unix socket that tells whoever connects how the sidecar is, as one JSON object.
+"""The status socket: a Unix socket that gives whoever connects the state of the sidecar, as one JSON object.
 
-It takes no orders: what can be read there changes nothing.  The socket is open to the sidecar's own user alone.
+It takes no commands: what can be read there changes nothing.  Only the sidecar's own user may open it.
 """
 
 from __future__ import annotations
@@ -14,83 +14,90 @@
 import ujson
 from loguru import logger
 
+from lugtally.daemon.errors import StatusSocketError
 from lugtally.eventloop import READABLE, WRITABLE, EventLoop, WakeReason
 from lugtally.units import NS_PER_MS
 
-WRITE_NS = 1000 * NS_PER_MS
-PAUSE_NS = 50 * NS_PER_MS
-BACKLOG = 4
+CLIENT_WRITE_TIMEOUT_NS = 1000 * NS_PER_MS
+ACCEPT_ERROR_PAUSE_NS = 50 * NS_PER_MS
+LISTEN_BACKLOG = 4
 Snapshot = Callable[[], dict[str, Any]]
 
 
-class StatusSocketError(Exception):
-    """The socket cannot be opened; the text is one line."""
-
-
 class StatusSocket:
-    """One listening socket; each connection gets a snapshot and an end."""
+    """One listening socket; each client gets a snapshot, then the end of the connection."""
 
     def __init__(self, loop: EventLoop, path: str, snapshot: Snapshot) -> None:
-        """Listen at ``path``; a :class:`StatusSocketError` says why that cannot be."""
+        """Listen at the path.
+
+        Raises:
+            StatusSocketError: it cannot be listened on, or holds a file that is no socket.
+        """
         self._loop = loop
         self._path = path
         self._snapshot = snapshot
         try:
-            _clear(path)
-            self._listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            before = os.umask(0o177)
-            try:
-                self._listener.bind(path)
-            finally:
-                os.umask(before)
-            self._listener.listen(BACKLOG)
+            _remove_stale_socket(path)
+            self._listener = _listen(path)
         except OSError as error:
-            raise StatusSocketError(f"control.socket: {path}: {error.strerror or error}") from error
-        loop.spawn(self._serve)
+            reason = error.strerror or error
+            raise StatusSocketError(f"operator file: control.socket: {path}: {reason}") from error
+        loop.spawn(self._serve_clients)
 
     def close(self) -> None:
-        """Stop listening and take the file away."""
+        """Stop listening and remove the socket's file."""
         self._listener.close()
         try:
             os.unlink(self._path)
         except OSError:
-            pass  # somebody took it away before
+            pass  # somebody removed it before
 
-    def _serve(self) -> None:
-        # One at a time: a reader that does not read must not pile up others, and this is for people.
+    def _serve_clients(self) -> None:
+        # One at a time: a client that does not read must not pile up others, and this is for people.
         while self._listener.fileno() >= 0:
-            if self._loop.wait(self._listener.fileno(), READABLE) is not WakeReason.READY:
-                continue
+            if self._loop.wait(self._listener.fileno(), READABLE) is WakeReason.READY:
+                self._serve_client()
+
+    def _serve_client(self) -> None:
+        try:
+            client, _ = self._listener.accept()
+        except OSError:
+            # Most likely no descriptor is free: the backlog stays readable, so without a pause this would spin.
+            self._loop.sleep(ACCEPT_ERROR_PAUSE_NS)
+            return
+        with client:
+            client.setblocking(False)
             try:
-                link, _ = self._listener.accept()
-            except OSError:
-                # Most likely no descriptor is free: the backlog stays readable, so without a pause this would spin.
-                self._loop.sleep(PAUSE_NS)
-                continue
-            with link:
-                link.setblocking(False)
-                try:
-                    self._tell(link)
-                except OSError as error:
-                    logger.debug(
-                        "a reader of the status went away: {reason}",
-                        event="status.client_disconnected",
-                        reason=str(error),
-                    )
-
-    def _tell(self, link: socket.socket) -> None:
+                self._write_snapshot(client)
+            except OSError as error:
+                logger.debug(
+                    "a reader of the status went away: {reason}", event="status.client_disconnected", reason=str(error)
+                )
+
+    def _write_snapshot(self, client: socket.socket) -> None:
         view = memoryview(ujson.dumps(self._snapshot(), escape_forward_slashes=False).encode() + b"\n")
-        until = self._loop.now() + WRITE_NS
+        deadline_ns = self._loop.now() + CLIENT_WRITE_TIMEOUT_NS
         while view:
             try:
-                view = view[link.send(view) :]
+                view = view[client.send(view) :]
             except BlockingIOError:
-                if self._loop.wait(link.fileno(), WRITABLE, until) is not WakeReason.READY:
+                if self._loop.wait(client.fileno(), WRITABLE, deadline_ns) is not WakeReason.READY:
                     return
 
 
-def _clear(path: str) -> None:
-    """Take away the socket of an earlier life; anything else at that place is somebody's file."""
+def _listen(path: str) -> socket.socket:
+    listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    previous_umask = os.umask(0o177)
+    try:
+        listener.bind(path)
+    finally:
+        os.umask(previous_umask)
+    listener.listen(LISTEN_BACKLOG)
+    return listener
+
+
+def _remove_stale_socket(path: str) -> None:
+    """Remove the socket that an earlier process left; anything else at the path is somebody's file."""
     try:
         mode = os.lstat(path).st_mode
     except FileNotFoundError:
--- a/lugtally/overload/admission.py
+++ b/lugtally/overload/admission.py
@@ -1,7 +1,7 @@
-"""Whether a request is let in at all: the share to refuse, moved by the sidecar's own delay.
+"""Admission control: which requests are shed, by a fraction that follows the sidecar's own delay.
 
-The rule that won in ``benchmarks/gates.py`` (docs/overload-design.md has the table of all five).  The gate sees a
-request's head before anything is done for it, and never again.
+The rule that won in ``benchmarks/gates.py`` (docs/overload-design.md has the table of all five).  The controller sees
+a request's head before anything is done for it, and never again.
 """
 
 from __future__ import annotations
@@ -15,23 +15,46 @@
 from lugtally.overload.shedding_order import SheddingOrder
 from lugtally.units import NS_PER_MS
 
+MIN_RETRY_AFTER_NS = 100 * NS_PER_MS
+MAX_RETRY_AFTER_NS = 2000 * NS_PER_MS
+DELAY_GAIN = 1.25
+"""How much the shed fraction moves in a period, for each second of delay beyond the target (RFC 8033's alpha)."""
+DELAY_GROWTH_GAIN = 6.25
+"""How much the shed fraction moves in a period, for each second by which the delay grew (RFC 8033's beta)."""
+MAX_INCREASE = 0.1
+"""The most that the shed fraction rises in one period."""
+MAX_IDLE_PERIODS = 200
+"""Of 20 ms; after that many without a request nothing is shed any more."""
+DECAY = 0.98
+"""Of the shed fraction in each period in which the delay is well below the target."""
+MIN_SHED_FRACTION = 0.001
+"""A fraction that has decayed below this is 0."""
+
 
 @dataclass(frozen=True, slots=True)
 class OverloadLimits:
-    """What the operator may set; times in nanoseconds, shares of what the sidecar was told it may have."""
-
-    target_ns: int = 10 * NS_PER_MS  # own delay that is no trouble
-    period_ns: int = 20 * NS_PER_MS  # between two looks
-    memory_fraction: float = 0.9  # resident memory from which nothing more is let in
+    """What the operator may set; fractions are of what the configuration grants the sidecar."""
+
+    target_ns: int = 10 * NS_PER_MS
+    """Own delay that is no overload."""
+    period_ns: int = 20 * NS_PER_MS
+    """Between two adjustments of the shed fraction."""
+    memory_fraction: float = 0.9
+    """Resident memory from which on every request is shed."""
     descriptors_fraction: float = 0.9
-    max_shed_fraction: float = 0.97  # refused at most for delay: some must be let in to see that it is over
-    min_time_left_fraction: float = 0.5  # part of the usual answer time that must be left for a request to be let in
-    shed_first: tuple[str, ...] = ()  # classes refused before the others, in that order
-    max_retry_after_ns: int = 0  # the longest Retry-After; 0: clients are given none
+    """Open descriptors from which on every request is shed."""
+    max_shed_fraction: float = 0.97
+    """The most that is shed for delay: some must come in to show that it is over."""
+    min_time_left_fraction: float = 0.5
+    """A request is admitted only with this part of the usual response time left."""
+    shed_first: tuple[str, ...] = ()
+    """Names of the classes that are shed before the others, in that order."""
+    max_retry_after_ns: int = 0
+    """The longest ``Retry-After``; 0: clients get none."""
 
 
 class ShedReason(Enum):
-    """Why a request was refused here."""
+    """Why a request was shed."""
 
     DELAY = "own delay"
     HOPELESS = "it cannot be answered in time any more"
@@ -40,125 +63,145 @@
 
 
 class AdmissionController:
-    """One sidecar's admission."""
+    """The admission of one sidecar."""
 
     def __init__(
-        self, classes: tuple[balancing.RequestClass, ...], limits: OverloadLimits, seed: int, now: int
+        self, classes: tuple[balancing.RequestClass, ...], limits: OverloadLimits, seed: int, now_ns: int
     ) -> None:
+        """Start with nothing shed.
+
+        Raises:
+            ValueError: ``limits.shed_first`` names a class that there is not.
+        """
         self.limits = limits
-        self.meter = DelayMeter(limits.period_ns, now)
+        self.meter = DelayMeter(limits.period_ns, now_ns)
         self.order = SheddingOrder(classes, limits.shed_first)
-        self.shed_fraction = 0.0  # share of all requests to refuse for delay
+        self.shed_fraction = 0.0
+        """The fraction of all requests to shed for delay."""
         self.rejected: dict[ShedReason, int] = dict.fromkeys(ShedReason, 0)
         self.admitted = 0
         self._random = Random(seed)
-        self._old_ns = 0.0  # standing delay of the period before
-        self._before_ns = 0.0  # mean delay of the period before
+        self._last_standing_ns = 0.0  # standing delay of the period before
+        self._last_mean_ns = 0.0  # mean delay of the period before
 
-    def check(self, now: int, cls: int, left_ns: int, delay_ns: int, usual_ns: float) -> ShedReason | None:
-        """None where the request of that class may come in, else why not.
+    def check(
+        self, now_ns: int, class_index: int, time_left_ns: int, delay_ns: int, usual_duration_ns: float
+    ) -> ShedReason | None:
+        """Return ``None`` where the request may come in, else why not.
 
-        ``left_ns`` is what remains of its time by its own word, counted from its last byte; ``delay_ns`` bounds how
-        long it has waited for us since; ``usual_ns`` is how long an answer usually takes.
+        ``time_left_ns`` is what remains until the deadline that the request states, counted from its last byte;
+        ``delay_ns`` bounds how long it has waited for this process since; ``usual_duration_ns`` is how long a
+        response usually takes.
         """
         meter = self.meter
-        meter.note(delay_ns)
-        if (period := meter.period(now)) is not None:
-            self._look(period)
-        self.order.note(now, cls)
-        reason = self._judge(cls, left_ns, delay_ns, usual_ns)
+        meter.record(delay_ns)
+        if (period := meter.end_period(now_ns)) is not None:
+            self._adjust(period)
+        self.order.record_request(now_ns, class_index)
+        reason = self._reason_to_shed(class_index, time_left_ns, delay_ns, usual_duration_ns)
         if reason is None:
             self.admitted += 1
         else:
             self.rejected[reason] += 1
         return reason
 
-    def _judge(self, cls: int, left_ns: int, delay_ns: int, usual_ns: float) -> ShedReason | None:
-        reading = self.meter.reading
-        if reading.memory_share >= self.limits.memory_fraction:
+    def _reason_to_shed(
+        self, class_index: int, time_left_ns: int, delay_ns: int, usual_duration_ns: float
+    ) -> ShedReason | None:
+        usage = self.meter.usage
+        if usage.memory_fraction >= self.limits.memory_fraction:
             return ShedReason.MEMORY
-        if reading.descriptors_share >= self.limits.descriptors_fraction:
+        if usage.descriptors_fraction >= self.limits.descriptors_fraction:
             return ShedReason.DESCRIPTORS
-        if left_ns - delay_ns < self.limits.min_time_left_fraction * usual_ns:
+        if time_left_ns - delay_ns < self.limits.min_time_left_fraction * usual_duration_ns:
             return ShedReason.HOPELESS
         if self.shed_fraction > 0.0:
-            part = self.order.refused(cls, self.shed_fraction)
-            if part > 0.0 and (part >= 1.0 or self._random.random() < part):
+            fraction = self.order.class_shed_fraction(class_index, self.shed_fraction)
+            if fraction > 0.0 and (fraction >= 1.0 or self._random.random() < fraction):
                 return ShedReason.DELAY
         return None
 
     def snapshot(self) -> dict[str, object]:
-        """How it is, for people."""
-        reading = self.meter.reading
+        """Return the state for people, by the keys of the status socket."""
+        usage = self.meter.usage
         return {
             "refusing": self.is_shedding,
             "share": round(self.shed_fraction, 4),
             "let_in": self.admitted,
             "refused": {reason.name.lower(): count for reason, count in self.rejected.items()},
-            "delay_ms": round(self.meter.delay_ns / NS_PER_MS, 3),
-            "worst_ms": round(self.meter.worst_ns / NS_PER_MS, 3),
-            "cpu": round(reading.cpu_share, 3),
-            "memory": round(reading.memory_share, 3),
-            "descriptors": round(reading.descriptors_share, 3),
+            "delay_ms": round(self.meter.mean_delay_ns / NS_PER_MS, 3),
+            "worst_ms": round(self.meter.max_delay_ns / NS_PER_MS, 3),
+            "cpu": round(usage.cpu_fraction, 3),
+            "memory": round(usage.memory_fraction, 3),
+            "descriptors": round(usage.descriptors_fraction, 3),
         }
 
     @property
     def is_shedding(self) -> bool:
-        """Whether requests are refused for delay or for want of memory or descriptors."""
-        reading = self.meter.reading
+        """Whether requests are shed for delay, or for want of memory or descriptors."""
+        usage = self.meter.usage
         return (
             self.shed_fraction > 0.0
-            or reading.memory_share >= self.limits.memory_fraction
-            or reading.descriptors_share >= self.limits.descriptors_fraction
+            or usage.memory_fraction >= self.limits.memory_fraction
+            or usage.descriptors_fraction >= self.limits.descriptors_fraction
         )
 
     def retry_after_ns(self) -> int:
-        """When to come back: the longer, the more is refused, and spread so that not all come back at once."""
-        longest = self.limits.max_retry_after_ns
-        wait = LEAST_ADVICE_NS + self.shed_fraction * (longest - LEAST_ADVICE_NS)
-        return int(min(longest, max(0.0, wait) * self._random.uniform(0.5, 1.5))) if longest else 0
-
-    def update_when_idle(self, now: int) -> None:
-        """Called now and then where nothing asks, so that old trouble does not outlive its cause."""
-        spans = self.meter.spans(now)
-        if (period := self.meter.period(now)) is None:
+        """Return when a shed client may come back: the longer, the more is shed.
+
+        It is spread at random, so that not all come back at once.
+        """
+        max_ns = self.limits.max_retry_after_ns
+        if not max_ns:
+            return 0
+        retry_after_ns = max(0.0, MIN_RETRY_AFTER_NS + self.shed_fraction * (max_ns - MIN_RETRY_AFTER_NS))
+        return int(min(max_ns, retry_after_ns * self._random.uniform(0.5, 1.5)))
+
+    def update_when_idle(self, now_ns: int) -> None:
+        """Adjust the shed fraction where no request comes, so that an overload does not outlive its cause.
+
+        To be called periodically.
+        """
+        elapsed = self.meter.elapsed_periods(now_ns)
+        if (period := self.meter.end_period(now_ns)) is None:
             return
-        self._look(period)
+        self._adjust(period)
         if not period.count:
-            for _ in range(min(spans, MOST_SPANS) - 1):  # each empty one counts, as it would have by itself
-                self._look(period)
+            for _ in range(min(elapsed, MAX_IDLE_PERIODS) - 1):  # each empty period counts, as if it had been seen
+                self._adjust(period)
 
-    def read(self, reading: ResourceUsage) -> None:
-        """Take over what the machine says of the process."""
-        self.meter.read(reading)
+    def read(self, usage: ResourceUsage) -> None:
+        """Take a reading of the process's resources."""
+        self.meter.read(usage)
 
-    def _look(self, period: DelayPeriod) -> None:
-        """Move the share: PIE's law (RFC 8033, 4.2) on the standing delay, the lesser of two periods' means.
+    def _adjust(self, period: DelayPeriod) -> None:
+        """Move the shed fraction by PIE's law (RFC 8033, 4.2) on the standing delay: the lesser of two periods' means.
 
-        One long turn, of a collection or of the machine, is over before anything could be done about it.
+        One long turn, of a garbage collection or of the machine, is over before anything could be done about it.
         """
-        target = self.limits.target_ns
-        standing = min(period.mean, self._before_ns)
-        self._before_ns = period.mean
-        grown = standing - self._old_ns
-        if standing < target:
-            grown = min(0.0, grown)  # what grows under the target is no trouble yet
-        step = 1e-9 * (ALPHA * (standing - target) + BETA * grown)
-        scale = 0.25 if self.shed_fraction < 0.01 else 0.5 if self.shed_fraction < 0.1 else 1.0
-        self.shed_fraction = min(
-            self.limits.max_shed_fraction, max(0.0, self.shed_fraction + min(MOST_STEP, scale * step))
-        )
-        if standing < target / 2 and self._old_ns < target / 2:
-            self.shed_fraction *= FADE
-            if self.shed_fraction < 0.001:
-                self.shed_fraction = 0.0
-        self._old_ns = standing
-
-
-LEAST_ADVICE_NS = 100 * NS_PER_MS
-MOST_ADVICE_NS = 2000 * NS_PER_MS
-ALPHA = 1.25  # of the share, a second of delay beyond the target and period
-BETA = 6.25  # of the share, a second of growth
-MOST_STEP = 0.1
-MOST_SPANS = 200  # of 20 ms; by then nothing is refused any more
-FADE = 0.98
+        standing_ns = min(period.mean_ns, self._last_mean_ns)
+        self._last_mean_ns = period.mean_ns
+        increase = min(MAX_INCREASE, self._scale() * self._raw_change(standing_ns))
+        self.shed_fraction = min(self.limits.max_shed_fraction, max(0.0, self.shed_fraction + increase))
+        if standing_ns < self.limits.target_ns / 2 and self._last_standing_ns < self.limits.target_ns / 2:
+            self._decay()
+        self._last_standing_ns = standing_ns
+
+    def _raw_change(self, standing_ns: float) -> float:
+        """Return the change by PIE's law, before it is scaled."""
+        target_ns = self.limits.target_ns
+        growth_ns = standing_ns - self._last_standing_ns
+        if standing_ns < target_ns:
+            growth_ns = min(0.0, growth_ns)  # growth below the target is no overload yet
+        return 1e-9 * (DELAY_GAIN * (standing_ns - target_ns) + DELAY_GROWTH_GAIN * growth_ns)
+
+    def _scale(self) -> float:
+        """Return the factor of a change: smaller steps while little is shed, as RFC 8033 has it."""
+        if self.shed_fraction < 0.01:
+            return 0.25
+        return 0.5 if self.shed_fraction < 0.1 else 1.0
+
+    def _decay(self) -> None:
+        self.shed_fraction *= DECAY
+        if self.shed_fraction < MIN_SHED_FRACTION:
+            self.shed_fraction = 0.0
--- a/lugtally/overload/shedding_order.py
+++ b/lugtally/overload/shedding_order.py
@@ -1,60 +1,73 @@
-"""In which order classes are refused, and how much of each: cheapest first, receipts last.
+"""In which order classes are shed, and how much of each: what may be repeated first, non-idempotent requests last.
 
-The share to refuse, ``cut``, is laid over the classes' shares of the traffic in that order: those below it are refused
-whole, those above not at all, and the one in which it lies in part.
+The fraction of all requests to shed is laid over the classes' shares of the traffic in that order: a class that lies
+below it is shed completely, one above it not at all, and the one in which it ends in part.
 """
 
 from __future__ import annotations
 
 from lugtally import balancing
 from lugtally.balancing import Idempotency
+from lugtally.units import NS_PER_S
 
-RANK = {Idempotency.IDEMPOTENT: 0, Idempotency.IDEMPOTENCY_KEY: 1, Idempotency.NON_IDEMPOTENT: 2}
-SHARE_S = 2.0  # over which the shares of the traffic are smoothed
+IDEMPOTENCY_RANK = {Idempotency.IDEMPOTENT: 0, Idempotency.IDEMPOTENCY_KEY: 1, Idempotency.NON_IDEMPOTENT: 2}
+TRAFFIC_HALVING_INTERVAL_NS = 2 * NS_PER_S
+"""How often the counts of requests are halved, so that old traffic fades."""
 
 
 class SheddingOrder:
-    """The classes in the order in which they are refused, with their shares of what is asked."""
-
-    def __init__(self, classes: tuple[balancing.RequestClass, ...], named: tuple[str, ...] = ()) -> None:
-        """``named`` goes before the usual order: names of classes, first refused to last; unknown ones raise."""
-        by_name = {cls.name: at for at, cls in enumerate(classes)}
-        for name in named:
-            if name not in by_name:
-                raise ValueError(f"{name!r} is no class")
-        first = [by_name[name] for name in named]
-        rest = sorted(
-            (at for at in range(len(classes)) if at not in first),
-            key=lambda at: (RANK[classes[at].idempotency], classes[at].priority_weight, at),
-        )
-        self.order = first + rest
-        self._asked = [1.0] * len(classes)
-        self._total = float(len(classes))
-        self._since = 0
+    """The classes in the order in which they are shed, with their shares of the traffic."""
+
+    def __init__(self, classes: tuple[balancing.RequestClass, ...], shed_first: tuple[str, ...] = ()) -> None:
+        """Put the classes that ``shed_first`` names before the others, in that order.
+
+        Raises:
+            ValueError: it names a class that there is not.
+        """
+        self.order = _shedding_order(classes, shed_first)
+        """Positions of the classes, first shed to last."""
+        self._request_counts = [1.0] * len(classes)
+        self._total_count = float(len(classes))
+        self._last_halving_ns = 0
         self._bounds = [(0.0, 1.0)] * len(classes)
-        self._draw_up()
-
-    def note(self, now: int, cls: int) -> None:
-        """A request of that class was asked."""
-        self._asked[cls] += 1
-        self._total += 1
-        if now - self._since > SHARE_S * 1e9:
-            # Halving, not sliding: two list operations a window, and the old half fades.
-            self._since = now
-            self._asked = [asked / 2 for asked in self._asked]
-            self._total /= 2
-            self._draw_up()
-
-    def _draw_up(self) -> None:
+        self._update_bounds()
+
+    def record_request(self, now_ns: int, class_index: int) -> None:
+        """Count a request of that class."""
+        self._request_counts[class_index] += 1
+        self._total_count += 1
+        if now_ns - self._last_halving_ns > TRAFFIC_HALVING_INTERVAL_NS:
+            # Halving, not sliding: two list operations an interval, and the old half fades.
+            self._last_halving_ns = now_ns
+            self._request_counts = [count / 2 for count in self._request_counts]
+            self._total_count /= 2
+            self._update_bounds()
+
+    def _update_bounds(self) -> None:
+        """Lay the classes' shares of the traffic, in order, over the range from 0 to 1."""
         low = 0.0
-        for cls in self.order:
-            high = low + self._asked[cls] / self._total
-            self._bounds[cls] = (low, high)
+        for class_index in self.order:
+            high = low + self._request_counts[class_index] / self._total_count
+            self._bounds[class_index] = (low, high)
             low = high
 
-    def refused(self, cls: int, cut: float) -> float:
-        """The part of that class to refuse where ``cut`` of all is refused, from 0 to 1."""
-        low, high = self._bounds[cls]
-        if cut <= low:
+    def class_shed_fraction(self, class_index: int, shed_fraction: float) -> float:
+        """Return the fraction of that class to shed where ``shed_fraction`` of all requests is shed."""
+        low, high = self._bounds[class_index]
+        if shed_fraction <= low:
             return 0.0
-        return 1.0 if cut >= high else (cut - low) / (high - low)
+        return 1.0 if shed_fraction >= high else (shed_fraction - low) / (high - low)
+
+
+def _shedding_order(classes: tuple[balancing.RequestClass, ...], shed_first: tuple[str, ...]) -> list[int]:
+    positions = {request_class.name: position for position, request_class in enumerate(classes)}
+    for name in shed_first:
+        if name not in positions:
+            raise ValueError(f"{name!r} is no class")
+
+    def rank(position: int) -> tuple[int, float, int]:
+        request_class = classes[position]
+        return IDEMPOTENCY_RANK[request_class.idempotency], request_class.priority_weight, position
+
+    first = [positions[name] for name in shed_first]
+    return first + sorted((position for position in range(len(classes)) if position not in first), key=rank)
--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -4,41 +4,41 @@
 
 import ujson
 
-from lugtally.admin.calls import AdminCall, execute_call, parse_call
+from lugtally.admin.calls import AdminCall, AdminOperation, execute_call, parse_call
 from lugtally.dispatch.attempt_outcome import FULLY_SENT, AttemptOutcome
 from lugtally.dispatch.metrics import RequestMetrics
 
 
 class AdminBackend:
     def __init__(self) -> None:
-        self.banned: set[str] = set()
+        self.drained: set[str] = set()
         self.listed = {"s-1", "s-2"}
-        self.is_ready = True
+        self.service_ready = True
 
-    def ready(self) -> bool:
-        return self.is_ready
+    def is_ready(self) -> bool:
+        return self.service_ready
 
-    def figures(self) -> dict[str, object]:
+    def counters(self) -> dict[str, object]:
         return {"concurrent": 3}
 
-    def offline(self, server: str) -> bool:
+    def start_drain(self, server: str) -> bool:
         if server in self.listed:
-            self.banned.add(server)
+            self.drained.add(server)
         return server in self.listed
 
-    def online(self, server: str) -> bool:
-        self.banned.discard(server)
+    def end_drain(self, server: str) -> bool:
+        self.drained.discard(server)
         return server in self.listed
 
 
 def test_each_call_is_understood_and_the_rest_refused() -> None:
-    assert parse_call("GET", "/control/ready") == AdminCall("ready")
-    assert parse_call("GET", "/control/counters?x=1") == AdminCall("counters")
-    assert parse_call("POST", "/control/pledge-servers/s-1/offline") == AdminCall("offline", "s-1")
-    assert parse_call("POST", "/control/pledge-servers/s-1/online") == AdminCall("online", "s-1")
+    assert parse_call("GET", "/control/ready") == AdminCall(AdminOperation.READY)
+    assert parse_call("GET", "/control/counters?x=1") == AdminCall(AdminOperation.COUNTERS)
+    assert parse_call("POST", "/control/pledge-servers/s-1/offline") == AdminCall(AdminOperation.OFFLINE, "s-1")
+    assert parse_call("POST", "/control/pledge-servers/s-1/online") == AdminCall(AdminOperation.ONLINE, "s-1")
     assert [
-        parse_call(*asked)[0]  # type: ignore[index]
-        for asked in [
+        parse_call(*arguments).status  # type: ignore[union-attr]
+        for arguments in [
             ("POST", "/control/ready"),
             ("GET", "/control/pledge-servers/s-1/offline"),
             ("GET", "/control/"),
@@ -50,19 +50,19 @@
 
 
 def test_answers_say_yes_with_2xx_and_no_otherwise() -> None:
-    books = AdminBackend()
-    assert execute_call(AdminCall("ready"), books)[0] == 200
-    books.is_ready = False
-    assert execute_call(AdminCall("ready"), books)[0] == 503
-    assert ujson.loads(execute_call(AdminCall("counters"), books)[1]) == {"concurrent": 3}
+    backend = AdminBackend()
+    assert execute_call(AdminCall(AdminOperation.READY), backend).status == 200
+    backend.service_ready = False
+    assert execute_call(AdminCall(AdminOperation.READY), backend).status == 503
+    assert ujson.loads(execute_call(AdminCall(AdminOperation.COUNTERS), backend).body) == {"concurrent": 3}
     assert (
-        execute_call(AdminCall("offline", "s-1"), books)[0]
-        == execute_call(AdminCall("offline", "s-1"), books)[0]
+        execute_call(AdminCall(AdminOperation.OFFLINE, "s-1"), backend).status
+        == execute_call(AdminCall(AdminOperation.OFFLINE, "s-1"), backend).status
         == 200
     )
-    assert books.banned == {"s-1"}
-    assert execute_call(AdminCall("offline", "s-9"), books)[0] == 404 and books.banned == {"s-1"}
-    assert execute_call(AdminCall("online", "s-1"), books)[0] == 200 and not books.banned
+    assert backend.drained == {"s-1"}
+    assert execute_call(AdminCall(AdminOperation.OFFLINE, "s-9"), backend).status == 404 and backend.drained == {"s-1"}
+    assert execute_call(AdminCall(AdminOperation.ONLINE, "s-1"), backend).status == 200 and not backend.drained
 
 
 def test_the_figures_have_the_form_of_the_page() -> None:
--- a/tests/admin/test_drains.py
+++ b/tests/admin/test_drains.py
@@ -19,7 +19,7 @@
 from tests.integration.player import SETTINGS
 
 
-class ResourceLimits:
+class RecordingPolicy:
     """In the place of the module: keeps each list it is told."""
 
     def __init__(self) -> None:
@@ -31,8 +31,8 @@
         return []
 
 
-def states(told: ResourceLimits) -> list[dict[int, balancing.EndpointState]]:
-    return [{server.id: server.state for server in one.endpoints} for one in told.lists]
+def states(policy: RecordingPolicy) -> list[dict[int, balancing.EndpointState]]:
+    return [{server.id: server.state for server in update.endpoints} for update in policy.lists]
 
 
 def line(number: int, state: str = "ready", started: int = 0) -> ListedEndpoint:
@@ -40,13 +40,13 @@
 
 
 def test_a_banned_server_drains_whatever_the_list_says() -> None:
-    told = ResourceLimits()
-    dispatcher = Dispatcher(balancing.Settings(), 1, EventLoop(), lambda *_: told)
+    policy = RecordingPolicy()
+    dispatcher = Dispatcher(balancing.Settings(), 1, EventLoop(), lambda *_: policy)
     dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1), line(2)])
     dispatcher.start_drain(1)
     dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1), line(2)])
     dispatcher.update_endpoints(balancing.EndpointUpdateKind.DELTA, [line(1)])
-    assert states(told)[1:] == [
+    assert states(policy)[1:] == [
         {1: balancing.EndpointState.DRAINING},
         {1: balancing.EndpointState.DRAINING, 2: balancing.EndpointState.READY},
         {1: balancing.EndpointState.DRAINING},
@@ -55,26 +55,26 @@
 
 
 def test_a_server_back_from_a_ban_is_cold_from_then_on_whatever_the_list_says() -> None:
-    told, loop = ResourceLimits(), EventLoop()
-    dispatcher = Dispatcher(balancing.Settings(), 1, loop, lambda *_: told)
+    policy, loop = RecordingPolicy(), EventLoop()
+    dispatcher = Dispatcher(balancing.Settings(), 1, loop, lambda *_: policy)
     dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1, started=5)])
     dispatcher.start_drain(1)
     before = loop.now()
     dispatcher.end_drain(1)
     dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, [line(1, started=5)])
-    back, later = told.lists[-2].endpoints[0], told.lists[-1].endpoints[0]
+    back, later = policy.lists[-2].endpoints[0], policy.lists[-1].endpoints[0]
     assert back.state is later.state is balancing.EndpointState.READY
     assert before <= back.started_ns == later.started_ns <= loop.now()
     assert dispatcher.disabled_count() == 0
 
 
 def test_a_ban_before_the_list_binds_when_the_server_is_listed() -> None:
-    told = ResourceLimits()
-    dispatcher = Dispatcher(balancing.Settings(), 1, EventLoop(), lambda *_: told)
+    policy = RecordingPolicy()
+    dispatcher = Dispatcher(balancing.Settings(), 1, EventLoop(), lambda *_: policy)
     dispatcher.start_drain(3)  # read from the file of the process before
-    assert not told.lists and not dispatcher.was_listed(3)
+    assert not policy.lists and not dispatcher.was_listed(3)
     dispatcher.update_endpoints(balancing.EndpointUpdateKind.CACHED, [line(3)])
-    assert states(told) == [{3: balancing.EndpointState.DRAINING}] and dispatcher.was_listed(3)
+    assert states(policy) == [{3: balancing.EndpointState.DRAINING}] and dispatcher.was_listed(3)
 
 
 def test_the_module_sends_nothing_new_to_a_banned_server() -> None:
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -15,7 +15,7 @@
 
 from lugtally import balancing
 from lugtally.config import operator
-from lugtally.daemon.sidecar import overload_limits
+from lugtally.daemon.own_overload import overload_limits
 from lugtally.overload.admission import OverloadLimits
 from tests.integration.player import ROOT, Player
 
@@ -74,11 +74,11 @@
 
 def test_json_lines_have_the_documented_events(tmp_path: Path) -> None:
     player = Player(tmp_path)
-    config, told = tmp_path / "config.json", tmp_path / "operator.toml"
+    config, operator_file = tmp_path / "config.json", tmp_path / "operator.toml"
     config.write_text(json.dumps(player.config()))
-    told.write_text("[log]\nformat = 'json'\nlevel = 'DEBUG'\n")
+    operator_file.write_text("[log]\nformat = 'json'\nlevel = 'DEBUG'\n")
     child = subprocess.Popen(
-        [sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(told)],
+        [sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(operator_file)],
         cwd=ROOT,
         stderr=subprocess.PIPE,
         text=True,
@@ -122,10 +122,10 @@
 
 def test_status_tells_how_a_sidecar_is_and_a_file_in_its_place_is_left_alone(tmp_path: Path) -> None:
     player = Player(tmp_path)
-    config, told, path = tmp_path / "config.json", tmp_path / "operator.toml", tmp_path / "control"
+    config, operator_file, path = tmp_path / "config.json", tmp_path / "operator.toml", tmp_path / "control"
     config.write_text(json.dumps(player.config()))
-    told.write_text(f"[control]\nsocket = '{path}'\n[overload]\nenabled = true\n[log]\nformat = 'json'\n")
-    command = [sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(told)]
+    operator_file.write_text(f"[control]\nsocket = '{path}'\n[overload]\nenabled = true\n[log]\nformat = 'json'\n")
+    command = [sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(operator_file)]
     environment = {**os.environ, "PROXY_CONFIG": str(config)}
     path.write_text("somebody's")
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, env=environment)
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -27,7 +27,7 @@
 LEFT = 500 * NS_PER_MS
 
 
-def asked(
+def send_requests(
     admission: AdmissionController, start: int, span: int, delay: int, step: int = NS_PER_MS
 ) -> tuple[int, list[list[bool]]]:
     """Ask for each class in turn for a while under a steady delay; returns the end, and what was let in by class."""
@@ -43,26 +43,26 @@
 def test_short_delays_refuse_nobody() -> None:
     """A burst that the sidecar can carry is no overload."""
     admission = AdmissionController(CLASSES, OverloadLimits(), 1, 0)
-    now, seen = asked(admission, 0, 2000 * NS_PER_MS, 4 * NS_PER_MS)
+    now, seen = send_requests(admission, 0, 2000 * NS_PER_MS, 4 * NS_PER_MS)
     for _ in range(20):  # single long turns, as a collection or the machine brings them
         admission.check(now, READ, LEFT, 40 * NS_PER_MS, 0.0)
-        now, more = asked(admission, now, 100 * NS_PER_MS, 2 * NS_PER_MS)
+        now, more = send_requests(admission, now, 100 * NS_PER_MS, 2 * NS_PER_MS)
         seen = [a + b for a, b in zip(seen, more, strict=True)]
     assert all(all(part) for part in seen) and not admission.is_shedding
 
 
 def test_a_standing_delay_refuses_reads_first_and_receipts_last() -> None:
     admission = AdmissionController(CLASSES, OverloadLimits(), 1, 0)
-    now, _ = asked(admission, 0, 100 * NS_PER_MS, 2 * NS_PER_MS)
-    now, seen = asked(admission, now, 600 * NS_PER_MS, 60 * NS_PER_MS)
+    now, _ = send_requests(admission, 0, 100 * NS_PER_MS, 2 * NS_PER_MS)
+    now, seen = send_requests(admission, now, 600 * NS_PER_MS, 60 * NS_PER_MS)
     shares = [sum(part) / len(part) for part in seen]
     assert shares[READ] < shares[PLEDGE] < shares[RECEIPT] or shares[READ] < 0.2
     assert admission.is_shedding and admission.rejected[ShedReason.DELAY] > 0
-    now, late = asked(admission, now, 1500 * NS_PER_MS, 60 * NS_PER_MS)
+    now, late = send_requests(admission, now, 1500 * NS_PER_MS, 60 * NS_PER_MS)
     assert sum(late[READ][-200:]) == 0 and admission.shed_fraction <= OverloadLimits().max_shed_fraction
     # Once the delay is gone, all are let in again within a second.
-    now, after = asked(admission, now, 1000 * NS_PER_MS, 0)
-    now, after = asked(admission, now, 100 * NS_PER_MS, 0)
+    now, after = send_requests(admission, now, 1000 * NS_PER_MS, 0)
+    now, after = send_requests(admission, now, 100 * NS_PER_MS, 0)
     assert all(all(part) for part in after) and not admission.is_shedding
 
 
@@ -96,11 +96,11 @@
 def test_the_shares_refused_add_up_to_the_cut(stream: list[int], cut: float) -> None:
     order = SheddingOrder(CLASSES)
     for at, cls in enumerate(stream):
-        order.note(at * 50 * NS_PER_MS, cls)
+        order.record_request(at * 50 * NS_PER_MS, cls)
     widths = [order._bounds[cls][1] - order._bounds[cls][0] for cls in range(3)]
     assert sum(widths) == pytest.approx(1.0)
-    assert sum(w * order.refused(cls, cut) for cls, w in enumerate(widths)) == pytest.approx(cut, abs=1e-9)
-    parts = [order.refused(cls, cut) for cls in order.order]
+    assert sum(w * order.class_shed_fraction(cls, cut) for cls, w in enumerate(widths)) == pytest.approx(cut, abs=1e-9)
+    parts = [order.class_shed_fraction(cls, cut) for cls in order.order]
     assert parts == sorted(parts, reverse=True)
 
 
@@ -117,7 +117,7 @@
 def test_old_trouble_does_not_outlive_a_silence() -> None:
     """Looked at four times a second, an idle gate forgot one period a look, and refused whoever came first."""
     admission = AdmissionController(CLASSES, OverloadLimits(), 1, 0)
-    now, _ = asked(admission, 0, 2500 * NS_PER_MS, 60 * NS_PER_MS)
+    now, _ = send_requests(admission, 0, 2500 * NS_PER_MS, 60 * NS_PER_MS)
     assert admission.shed_fraction > 0.9
     for look in range(1, 11):
         admission.update_when_idle(now + look * 250 * NS_PER_MS)
@@ -126,28 +126,28 @@
 
 def test_a_period_without_an_item_had_no_delay() -> None:
     meter = DelayMeter(20 * NS_PER_MS, 0)
-    meter.note(5 * NS_PER_MS)
-    meter.note(15 * NS_PER_MS)
-    assert meter.period(19 * NS_PER_MS) is None
-    period = meter.period(20 * NS_PER_MS)
-    assert period is not None and (period.mean, period.least, period.most) == (
+    meter.record(5 * NS_PER_MS)
+    meter.record(15 * NS_PER_MS)
+    assert meter.end_period(19 * NS_PER_MS) is None
+    period = meter.end_period(20 * NS_PER_MS)
+    assert period is not None and (period.mean_ns, period.min_ns, period.max_ns) == (
         10 * NS_PER_MS,
         5 * NS_PER_MS,
         15 * NS_PER_MS,
     )
-    empty = meter.period(41 * NS_PER_MS)
-    assert empty is not None and empty.mean == 0 and empty.count == 0 and meter.worst_ns == 15 * NS_PER_MS
+    empty = meter.end_period(41 * NS_PER_MS)
+    assert empty is not None and empty.mean_ns == 0 and empty.count == 0 and meter.max_delay_ns == 15 * NS_PER_MS
 
 
 def test_the_probe_reads_this_process() -> None:
-    probe = ResourceMonitor(ResourceLimits(1.0, 1 << 30, 100), lambda: 25)
-    first = probe.resident()
+    monitor = ResourceMonitor(ResourceLimits(1.0, 1 << 30, 100), lambda: 25)
+    first = monitor.resident_bytes()
     block = bytearray(os.urandom(1 << 20) * 20)
-    assert probe.resident() - first > 15 << 20 and len(block) == 20 << 20
+    assert monitor.resident_bytes() - first > 15 << 20 and len(block) == 20 << 20
     until = os.times().user + 0.05
     while os.times().user < until:
         pass
-    reading = probe.read()
-    assert reading.descriptors_share == 0.25 and 0.01 < reading.memory_share < 0.5 and reading.cpu_share > 0.2
-    probe.close()
-    assert ResourceMonitor(ResourceLimits(1.0, 1, 1), lambda: 0, "/no/such/file").resident() == 0
+    usage = monitor.read()
+    assert usage.descriptors_fraction == 0.25 and 0.01 < usage.memory_fraction < 0.5 and usage.cpu_fraction > 0.2
+    monitor.close()
+    assert ResourceMonitor(ResourceLimits(1.0, 1, 1), lambda: 0, "/no/such/file").resident_bytes() == 0
