--- a/lugtally/overload/admission.py
+++ b/lugtally/overload/admission.py
@@ -46,7 +46,7 @@
     max_shed_fraction: float = 0.97
     """The most that is shed for delay: some must come in to show that it is over."""
     min_time_left_fraction: float = 0.5
-    """A request is admitted only with this part of the usual response time left."""
+    """A request is admitted only with this part of the typical response time left."""
     shed_first: tuple[str, ...] = ()
     """Names of the classes that are shed before the others, in that order."""
     max_retry_after_ns: int = 0
@@ -85,20 +85,20 @@
         self._last_mean_ns = 0.0  # mean delay of the period before
 
     def check(
-        self, now_ns: int, class_index: int, time_left_ns: int, delay_ns: int, usual_duration_ns: float
+        self, now_ns: int, class_index: int, time_left_ns: int, delay_ns: int, typical_duration_ns: float
     ) -> ShedReason | None:
         """Return ``None`` where the request may come in, else why not.
 
         ``time_left_ns`` is what remains until the deadline that the request states, counted from its last byte;
-        ``delay_ns`` bounds how long it has waited for this process since; ``usual_duration_ns`` is how long a
-        response usually takes.
+        ``delay_ns`` bounds how long it has waited for this process since; ``typical_duration_ns`` is how long a
+        response typically takes.
         """
         meter = self.meter
         meter.record(delay_ns)
         if (period := meter.end_period(now_ns)) is not None:
             self._adjust(period)
         self.order.record_request(now_ns, class_index)
-        reason = self._reason_to_shed(class_index, time_left_ns, delay_ns, usual_duration_ns)
+        reason = self._reason_to_shed(class_index, time_left_ns, delay_ns, typical_duration_ns)
         if reason is None:
             self.admitted += 1
         else:
@@ -106,14 +106,14 @@
         return reason
 
     def _reason_to_shed(
-        self, class_index: int, time_left_ns: int, delay_ns: int, usual_duration_ns: float
+        self, class_index: int, time_left_ns: int, delay_ns: int, typical_duration_ns: float
     ) -> ShedReason | None:
         usage = self.meter.usage
         if usage.memory_fraction >= self.limits.memory_fraction:
             return ShedReason.MEMORY
         if usage.descriptors_fraction >= self.limits.descriptors_fraction:
             return ShedReason.DESCRIPTORS
-        if time_left_ns - delay_ns < self.limits.min_time_left_fraction * usual_duration_ns:
+        if time_left_ns - delay_ns < self.limits.min_time_left_fraction * typical_duration_ns:
             return ShedReason.HOPELESS
         if self.shed_fraction > 0.0:
             fraction = self.order.class_shed_fraction(class_index, self.shed_fraction)
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -152,7 +152,7 @@
     finally:
         child.kill()
         player.end()
-    gone = subprocess.run(
+    after_stop = subprocess.run(
         [sys.executable, "-m", "lugtally", "status", str(path)], cwd=ROOT, capture_output=True, text=True
     )
-    assert gone.returncode == 1 and gone.stderr.count("\n") == 1
+    assert after_stop.returncode == 1 and after_stop.stderr.count("\n") == 1
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -28,15 +28,15 @@
 
 
 def send_requests(
-    admission: AdmissionController, start: int, span: int, delay: int, step: int = NS_PER_MS
+    admission: AdmissionController, start: int, duration: int, delay: int, interval: int = NS_PER_MS
 ) -> tuple[int, list[list[bool]]]:
     """Ask for each class in turn for a while under a steady delay; returns the end, and what was let in by class."""
     seen: list[list[bool]] = [[], [], []]
     now = start
-    while now < start + span:
+    while now < start + duration:
         for cls in range(3):
             seen[cls].append(admission.check(now, cls, LEFT, delay, 0.0) is None)
-        now += step
+        now += interval
     return now, seen
 
 
@@ -48,14 +48,14 @@
         admission.check(now, READ, LEFT, 40 * NS_PER_MS, 0.0)
         now, more = send_requests(admission, now, 100 * NS_PER_MS, 2 * NS_PER_MS)
         seen = [a + b for a, b in zip(seen, more, strict=True)]
-    assert all(all(part) for part in seen) and not admission.is_shedding
+    assert all(all(admitted) for admitted in seen) and not admission.is_shedding
 
 
 def test_a_standing_delay_refuses_reads_first_and_receipts_last() -> None:
     admission = AdmissionController(CLASSES, OverloadLimits(), 1, 0)
     now, _ = send_requests(admission, 0, 100 * NS_PER_MS, 2 * NS_PER_MS)
     now, seen = send_requests(admission, now, 600 * NS_PER_MS, 60 * NS_PER_MS)
-    shares = [sum(part) / len(part) for part in seen]
+    shares = [sum(admitted) / len(admitted) for admitted in seen]
     assert shares[READ] < shares[PLEDGE] < shares[RECEIPT] or shares[READ] < 0.2
     assert admission.is_shedding and admission.rejected[ShedReason.DELAY] > 0
     now, late = send_requests(admission, now, 1500 * NS_PER_MS, 60 * NS_PER_MS)
@@ -63,7 +63,7 @@
     # Once the delay is gone, all are let in again within a second.
     now, after = send_requests(admission, now, 1000 * NS_PER_MS, 0)
     now, after = send_requests(admission, now, 100 * NS_PER_MS, 0)
-    assert all(all(part) for part in after) and not admission.is_shedding
+    assert all(all(admitted) for admitted in after) and not admission.is_shedding
 
 
 def test_what_cannot_be_answered_in_time_any_more_is_refused_at_once() -> None:
@@ -93,24 +93,26 @@
 @draws_from(DRAWS)
 @settings(max_examples=80, deadline=None, derandomize=True)
 @given(st.lists(st.integers(0, 2), min_size=1, max_size=300), st.floats(0, 1))
-def test_the_shares_refused_add_up_to_the_cut(stream: list[int], cut: float) -> None:
+def test_the_shares_refused_add_up_to_the_cut(stream: list[int], shed_fraction: float) -> None:
     order = SheddingOrder(CLASSES)
     for at, cls in enumerate(stream):
         order.record_request(at * 50 * NS_PER_MS, cls)
     widths = [order._bounds[cls][1] - order._bounds[cls][0] for cls in range(3)]
     assert sum(widths) == pytest.approx(1.0)
-    assert sum(w * order.class_shed_fraction(cls, cut) for cls, w in enumerate(widths)) == pytest.approx(cut, abs=1e-9)
-    parts = [order.class_shed_fraction(cls, cut) for cls in order.order]
+    assert sum(w * order.class_shed_fraction(cls, shed_fraction) for cls, w in enumerate(widths)) == pytest.approx(
+        shed_fraction, abs=1e-9
+    )
+    parts = [order.class_shed_fraction(cls, shed_fraction) for cls in order.order]
     assert parts == sorted(parts, reverse=True)
 
 
 def test_advice_is_spread_and_grows_with_what_is_refused() -> None:
     admission = AdmissionController(CLASSES, OverloadLimits(max_retry_after_ns=2000 * NS_PER_MS), 1, 0)
-    calm = [admission.retry_after_ns() for _ in range(200)]
+    quiet = [admission.retry_after_ns() for _ in range(200)]
     admission.shed_fraction = 0.9
     busy = [admission.retry_after_ns() for _ in range(200)]
-    assert 50 * NS_PER_MS <= min(calm) and max(calm) <= 150 * NS_PER_MS and len(set(calm)) > 150
-    assert min(busy) > 5 * max(calm) and max(busy) <= 2000 * NS_PER_MS
+    assert 50 * NS_PER_MS <= min(quiet) and max(quiet) <= 150 * NS_PER_MS and len(set(quiet)) > 150
+    assert min(busy) > 5 * max(quiet) and max(busy) <= 2000 * NS_PER_MS
     assert AdmissionController(CLASSES, OverloadLimits(), 1, 0).retry_after_ns() == 0, "clients that are given none"
 
 
@@ -119,8 +121,8 @@
     admission = AdmissionController(CLASSES, OverloadLimits(), 1, 0)
     now, _ = send_requests(admission, 0, 2500 * NS_PER_MS, 60 * NS_PER_MS)
     assert admission.shed_fraction > 0.9
-    for look in range(1, 11):
-        admission.update_when_idle(now + look * 250 * NS_PER_MS)
+    for tick in range(1, 11):
+        admission.update_when_idle(now + tick * 250 * NS_PER_MS)
     assert admission.shed_fraction == 0.0 and admission.check(now + 2600 * NS_PER_MS, READ, LEFT, 0, 0.0) is None
 
 
