--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 import tempfile
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from loguru import logger
@@ -65,20 +65,29 @@
     return 0
 
 
-@dataclass(slots=True)
 class Sidecar:
     """The parts of one sidecar, and the order in which they start and stop."""
 
-    config: SidecarConfig
-    loop: EventLoop
-    dispatcher: Dispatcher
-    upstream: UpstreamPool
-    endpoint_watcher: EndpointWatcher
-    downstream: DownstreamServer
-    admission: AdmissionController | None = None
-    _started_ns: int = field(default=0, init=False)
-    _status_socket: StatusSocket | None = field(default=None, init=False)
-    _admin_server: AdminServer | None = field(default=None, init=False)
+    def __init__(
+        self,
+        config: SidecarConfig,
+        loop: EventLoop,
+        dispatcher: Dispatcher,
+        upstream: UpstreamPool,
+        endpoint_watcher: EndpointWatcher,
+        downstream: DownstreamServer,
+        admission: AdmissionController | None,
+    ) -> None:
+        self.config = config
+        self.loop = loop
+        self.dispatcher = dispatcher
+        self.upstream = upstream
+        self.endpoint_watcher = endpoint_watcher
+        self.downstream = downstream
+        self.admission = admission
+        self._started_ns = 0
+        self._status_socket: StatusSocket | None = None
+        self._admin_server: AdminServer | None = None
 
     def start(self, status_path: str = "") -> None:
         """Open the sockets and spawn the tasks; nothing runs before :meth:`run`.
