--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -39,7 +39,7 @@
     except ValueError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return 2
-    return run(config, log_level or level, log_format or file_format, overload=limits, control=status_path)
+    return run(config, log_level or level, log_format or file_format, overload=limits, status_path=status_path)
 
 
 def _load_operator_file(path: str) -> Operator:
--- a/lugtally/config/operator.py
+++ b/lugtally/config/operator.py
@@ -35,7 +35,7 @@
     refuse_first: tuple[str, ...] = ()
 
 
-class StatusSocket(Struct, frozen=True, forbid_unknown_fields=True):
+class Control(Struct, frozen=True, forbid_unknown_fields=True):
     """``[control]``: a Unix socket that shows the state of the sidecar."""
 
     socket: str = ""  # its path; empty: none
@@ -46,7 +46,7 @@
 
     log: Log = Log()
     overload: Overload = Overload()
-    control: StatusSocket = StatusSocket()
+    control: Control = Control()
 
 
 def load(path: str) -> Operator:
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -40,23 +40,23 @@
 
 def serve(
     config: SidecarConfig,
-    level: str,
+    log_level: str,
     log_format: logs.Format = "text",
     *,
     overload: OverloadLimits | None = None,
-    control: str = "",
-    decisions: BalancingPolicyFactory | None = None,
+    status_path: str = "",
+    policy_factory: BalancingPolicyFactory | None = None,
 ) -> int:
     """Run a sidecar until it is told to stop; return the exit status.
 
     ``overload`` has it shed load before it falls behind itself; without, only the balancer rejects requests.
-    ``control`` is the path of a Unix socket for ``lugtally status``.
-    ``decisions`` builds what decides in the place of the balancer: only for the testbed's comparisons.
+    ``status_path`` is the path of a Unix socket for ``lugtally status``.
+    ``policy_factory`` builds what decides in the place of the balancer: only for the testbed's comparisons.
     """
-    logs.start(level, log_format)
+    logs.start(log_level, log_format)
     try:
-        sidecar = build_sidecar(config, overload, decisions)
-        sidecar.start(status_path=control)
+        sidecar = build_sidecar(config, overload, policy_factory)
+        sidecar.start(status_path)
     except StartupError as error:
         print(f"lugtally: {error}", file=sys.stderr)
         return error.exit_status
--- a/lugtally/testbed/experiments/baselines.py
+++ b/lugtally/testbed/experiments/baselines.py
@@ -142,7 +142,7 @@
     from lugtally.config.sidecar import load
     from lugtally.daemon.sidecar import serve
 
-    return serve(load(os.environ), "WARNING", decisions=lambda settings, seed: Baseline(name, settings, seed))
+    return serve(load(os.environ), "WARNING", policy_factory=lambda settings, seed: Baseline(name, settings, seed))
 
 
 if __name__ == "__main__":
