--- a/lugtally/config/balancing_settings.py
+++ b/lugtally/config/balancing_settings.py
@@ -63,9 +63,9 @@
     contract = raw.get("contract") or {}
     values = _build_values(_merge_groups(raw), SETTINGS_FIELDS)
     values["classes"] = tuple(read_class(row) for row in _rows(raw, "grades"))
-    values["tenants"] = tuple(_read_tenant(row) for row in _rows(raw, "accounts"))
     values["subscribe_to_endpoints"] = raw.get("membership_mode") == "subscribe"
     values["load_report_fields"] = tuple((raw.get("report") or {}).get("columns") or ())
+    values["tenants"] = tuple(_read_tenant(row) for row in _rows(raw, "accounts"))
     values["removal_is_binding"] = not contract.get("removal_not_binding")
     return _build(balancing.Settings, values, SETTINGS_FIELDS)
 
