--- a/lugtally/http1/__init__.py
+++ b/lugtally/http1/__init__.py
@@ -3,14 +3,13 @@
 It owns the syntax and the limits on sizes.  It must not know sockets, timeouts or what a message is for.
 """
 
-from lugtally.http1.codec import (
-    MAX_BODY_BYTES,
-    METHODS,
-    BodyFraming,
+from lugtally.http1.body_framing import BodyFraming
+from lugtally.http1.errors import ProtocolError
+from lugtally.http1.limits import MAX_BODY_BYTES, METHODS
+from lugtally.http1.message import Message
+from lugtally.http1.parser import MessageParser
+from lugtally.http1.serializer import (
     ForwardedRequest,
-    Message,
-    MessageParser,
-    ProtocolError,
     serialize_get,
     serialize_response,
     serialize_streamed_head,
