--- a/lugtally/http1/body_framing.py
+++ b/lugtally/http1/body_framing.py
@@ -50,7 +50,7 @@
             if chunks.data_remaining:
                 count = min(chunks.data_remaining, len(data) - position)
                 position += count
-                chunks.take_data(count)
+                chunks.consume_data(count)
             else:
                 position = self._feed_line(chunks, data, position)
         self.done = chunks.done
@@ -67,6 +67,6 @@
             if not self._line.endswith(b"\r\n"):
                 # As strict as the parser: the client behind must not read the chunks otherwise.
                 raise ProtocolError(400, "a line of the chunked body ends without CRLF")
-            chunks.take_line(bytes(self._line[:-2]))
+            chunks.consume_line(bytes(self._line[:-2]))
             self._line.clear()
         return next_position
--- a/lugtally/http1/chunked_body.py
+++ b/lugtally/http1/chunked_body.py
@@ -35,14 +35,14 @@
         """Bytes of the present chunk's data that have not come; 0 in all states but ``DATA``."""
         self.done = False
 
-    def take_data(self, count: int) -> None:
-        """Take that many bytes of the present chunk's data."""
+    def consume_data(self, count: int) -> None:
+        """Count that many bytes of the present chunk's data as read."""
         self.data_remaining -= count
         if not self.data_remaining:
             self.state = _DATA_END
 
-    def take_line(self, line: bytes) -> None:
-        """Take a line, given without its line end.
+    def consume_line(self, line: bytes) -> None:
+        """Move on past a line, given without its line end.
 
         Raises:
             ProtocolError: the line is not one that may stand there.
--- a/lugtally/http1/message.py
+++ b/lugtally/http1/message.py
@@ -23,6 +23,16 @@
     streamed: bool = False
     """Whether this is the head alone of a response whose body is passed on as it comes."""
 
+    def copy_response_head(self) -> Message:
+        """Return a response with this head and no body; both share the headers, which must not be changed then."""
+        return Message(
+            status=self.status,
+            headers=self.headers,
+            header_map=self.header_map,
+            keep_alive=self.keep_alive,
+            expects_continue=self.expects_continue,
+        )
+
 
 def split_connection_options(value: str) -> list[str]:
     """Return the options of a ``Connection`` header, in lower case."""
--- a/lugtally/http1/parser.py
+++ b/lugtally/http1/parser.py
@@ -43,7 +43,7 @@
         self._streams = streams
         self._buffer = bytearray()
         self._head: Message | None = None
-        self._remaining = 0  # bytes that have not come of a body that is not chunked, or UNTIL_CLOSE
+        self._remaining = 0  # bytes of the body that have not come, or CHUNKED or UNTIL_CLOSE
         self._chunks: ChunkedBody | None = None  # none where the body is not chunked
         self._body = bytearray()
         self._interim_responses = 0
@@ -91,7 +91,7 @@
 
     def end_of_input(self) -> Message | None:
         """Return the message that the end of the connection completes, if any."""
-        if self._head is None or self._chunks is not None or self._remaining != UNTIL_CLOSE:
+        if self._head is None or self._remaining != UNTIL_CLOSE:
             return None
         message, self._head = self._head, None
         message.body = bytes(self._body)
@@ -115,9 +115,7 @@
             return None
         if self._responses and end <= MAX_CACHED_HEAD_BYTES:
             return self._read_cacheable_head(end)
-        message = parse_head(self._buffer, end, self._responses)
-        self._expect_body(self._body_length(message))
-        return message
+        return self._parse_head(end)
 
     def _check_partial_head(self) -> None:
         if len(self._buffer) > MAX_HEAD_BYTES:
@@ -130,20 +128,20 @@
         cached = _find_cached_head(head)
         if cached is not None and cached.body_length <= self._max_body_bytes:
             del self._buffer[: end + 4]
-            self._expect_body(cached.body_length)
-            return cached.new_message()
-        message = parse_head(self._buffer, end, True)
-        length = self._body_length(message)
-        self._expect_body(length)
+            self._remaining = cached.body_length
+            self._chunks = ChunkedBody() if self._remaining == CHUNKED else None
+            return cached.message.copy_response_head()
+        message = self._parse_head(end)
+        length = self._remaining
         if length != UNTIL_CLOSE and length <= self._max_body_bytes and not message.streamed:
             _response_heads.add(head, message, length)
         return message
 
-    def _expect_body(self, length: int) -> None:
-        if length == CHUNKED:
-            self._chunks, self._remaining = ChunkedBody(), 0
-        else:
-            self._chunks, self._remaining = None, length
+    def _parse_head(self, end: int) -> Message:
+        message = parse_head(self._buffer, end, self._responses)
+        self._remaining = self._body_length(message)
+        self._chunks = ChunkedBody() if self._remaining == CHUNKED else None
+        return message
 
     def _body_length(self, message: Message) -> int:
         """Return the length of the body, ``CHUNKED`` or ``UNTIL_CLOSE``; set what follows from it for the message."""
@@ -189,13 +187,13 @@
             if chunks.data_remaining:
                 count = min(chunks.data_remaining, len(self._buffer))
                 self._append_to_body(count)
-                chunks.take_data(count)
+                chunks.consume_data(count)
                 if chunks.data_remaining:
                     return False
             line = self._read_line()
             if line is None:
                 return False
-            chunks.take_line(line)
+            chunks.consume_line(line)
             if chunks.done:
                 return True
             if chunks.data_remaining > self._max_body_bytes:
