--- /dev/null
+++ b/lugtally/downstream/connection.py
@@ -0,0 +1,211 @@
+"""One connection of the application: reading requests, writing responses, and closing without losing either."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+from loguru import logger
+
+from lugtally.downstream.shutdown_state import ShutdownState
+from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, WakeReason
+from lugtally.http1 import Message, MessageParser, ProtocolError
+from lugtally.units import NS_PER_MS
+
+RECEIVE_BYTES = 16 * 1024
+"""Read at a time; small, as each connection may hold that much that it has not parsed."""
+CLIENT_IDLE_TIMEOUT_NS = 2_050 * NS_PER_MS
+"""How long a connection may have no request.
+
+Clients may open only so many, and some send one request and keep theirs open for good: one that is idle for longer
+keeps out requests that have come.
+"""
+REQUEST_TIMEOUT_NS = 2_500 * NS_PER_MS
+"""From the first byte of a request, or from connecting, until it is whole."""
+WRITE_STALL_TIMEOUT_NS = 5_000 * NS_PER_MS
+"""How long a client may take in nothing of a response."""
+LINGER_SILENCE_TIMEOUT_NS = 1_000 * NS_PER_MS
+"""How long a client that may send on after its response, mostly one at fault, may be silent before the close."""
+MAX_LINGER_NS = 2_500 * NS_PER_MS
+"""How long the close waits for such a client in all."""
+SHORT_LINGER_NS = 300 * NS_PER_MS
+"""Both, where the response alone ends the connection, or where the fault took long to see."""
+SHUTDOWN_REQUEST_TIMEOUT_NS = 500 * NS_PER_MS
+"""How long the rest of a request may take at the end of a graceful shutdown."""
+SHUTDOWN_FIRST_BYTE_TIMEOUT_NS = 100 * NS_PER_MS
+"""How long the first bytes on a new connection may be on their way then."""
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # as SO_LINGER: the close resets the connection
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class RequestTimeoutError(ProtocolError):
+    """The request did not become whole in time."""
+
+    def __init__(self) -> None:
+        super().__init__(408, "the request did not become whole in time")
+
+
+class DownstreamConnection:
+    """One client socket and its parser."""
+
+    __slots__ = (
+        "_loop",
+        "close_if_idle",
+        "fd",
+        "had_request",
+        "idle",
+        "parser",
+        "response_truncated",
+        "since_ns",
+        "sock",
+        "wake_up",
+    )
+
+    def __init__(self, sock: socket.socket, loop: EventLoop) -> None:
+        self._loop = loop
+        self.sock = sock
+        self.fd = sock.fileno()
+        self.parser = MessageParser(responses=False)
+        self.wake_up = Event(loop)
+        """Set where a wait for a request must look again: bytes have come, or the connection is to be closed."""
+        self.since_ns = loop.now()
+        """When it became idle, or when its present request began."""
+        self.had_request = False
+        """Whether a whole request has come on it."""
+        self.idle = False
+        """Whether it waits for a request of which nothing has come."""
+        self.close_if_idle = False
+        """Whether it is to be closed, unless a request has come."""
+        self.response_truncated = False
+        """Whether its response has begun and cannot be finished: the close must not pass for the response's end."""
+
+    # ------------------------------------------------------------ reading
+
+    def read_request(self, shutdown: ShutdownState) -> Message | None:
+        """Block until a request is whole and return it; ``None`` where the connection is over.
+
+        Raises:
+            ProtocolError: the client sent no sound request, or not all of it in time.
+            OSError: the connection broke.
+        """
+        if not self.parser.is_idle:
+            self._loop.sleep(0)  # a request that came together with the last one lets others go first
+        message = self.parser.feed(b"")
+        if self.had_request:
+            self.since_ns = self._loop.now()
+        self.idle = self.parser.is_idle
+        # Just after a response, most likely nothing is there yet: wait first, and save a call.
+        wait_first = self.idle and self.had_request
+        continue_sent = False
+        while message is None:
+            continue_sent = continue_sent or self._send_continue()
+            data = None if wait_first and not self.close_if_idle else self._receive()
+            wait_first = False
+            if data is None:
+                if self.idle and self.close_if_idle:
+                    return None
+                self._wait_for_bytes(shutdown)
+                continue
+            if not data:
+                return None
+            self._note_bytes()
+            message = self.parser.feed(data)
+        self.had_request, self.idle = True, False
+        self.close_if_idle = False  # it was to be closed if idle, and a request has come
+        return message
+
+    def _send_continue(self) -> bool:
+        """Tell a client that waits for it to send the body; return whether it has been told."""
+        head = self.parser.pending_head
+        if head is None or not head.expects_continue:
+            return False
+        self.write(_CONTINUE)
+        return True
+
+    def _receive(self) -> bytes | None:
+        """Return the bytes that are there, empty at the client's end of the connection; ``None`` without any."""
+        try:
+            return self.sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return None
+
+    def _wait_for_bytes(self, shutdown: ShutdownState) -> None:
+        self._loop.register(self.fd, READABLE, lambda _: self.wake_up.set())
+        reason = self.wake_up.wait(self._read_deadline_ns(shutdown))
+        self._loop.unregister(self.fd)
+        if reason is not WakeReason.TIMEOUT:
+            return
+        if not self.idle:
+            raise RequestTimeoutError
+        # Race: a request may have come between the poll that saw nothing and the close.  Read again before closing.
+        self.close_if_idle = True
+
+    def _read_deadline_ns(self, shutdown: ShutdownState) -> int:
+        """Return until when to wait: counted from a request's first byte, so that a trickle of bytes gains no time."""
+        if shutdown.closing:
+            timeout_ns = SHUTDOWN_FIRST_BYTE_TIMEOUT_NS if self.idle else SHUTDOWN_REQUEST_TIMEOUT_NS
+        else:
+            timeout_ns = CLIENT_IDLE_TIMEOUT_NS if self.idle else REQUEST_TIMEOUT_NS
+        return max(self.since_ns, shutdown.closing_since_ns) + timeout_ns
+
+    def _note_bytes(self) -> None:
+        """Take it that bytes have come: the first of a request begin its time, later ones must be within it."""
+        if self.idle:
+            self.idle = False
+            if self.had_request:  # the first request's time began with the connection
+                self.since_ns = self._loop.now()
+        elif self._loop.now() > self.since_ns + REQUEST_TIMEOUT_NS:
+            raise RequestTimeoutError
+
+    # ------------------------------------------------------------ writing and closing
+
+    def write(self, data: bytes | memoryview) -> bool:
+        """Block until all is written; return false where the client has gone or takes nothing in."""
+        view = memoryview(data)
+        try:
+            while view:
+                try:
+                    view = view[self.sock.send(view) :]
+                except BlockingIOError:
+                    deadline_ns = self._loop.now() + WRITE_STALL_TIMEOUT_NS
+                    if self._loop.wait(self.fd, WRITABLE, deadline_ns) is not WakeReason.READY:
+                        return False
+        except OSError:
+            return False  # a client that closes while its response is written costs its own connection alone
+        return True
+
+    def lingering_close(self, client_may_send: bool) -> None:
+        """End our side and let the client read the response, before :meth:`close`.
+
+        Race: closing over bytes that are unread, or that still come, resets the connection, and the reset takes along
+        what the client has not read of its response.  What it still sends is no request that we have taken: the end
+        of our side reaches it first.
+        """
+        if client_may_send:
+            silence_ns, linger_ns = LINGER_SILENCE_TIMEOUT_NS, MAX_LINGER_NS
+        else:
+            silence_ns = linger_ns = SHORT_LINGER_NS
+        deadline_ns = self._loop.now() + linger_ns
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            while (
+                self._loop.wait(self.fd, READABLE, min(deadline_ns, self._loop.now() + silence_ns)) is WakeReason.READY
+                and self._loop.now() < deadline_ns
+                and self.sock.recv(RECEIVE_BYTES)
+            ):
+                pass  # what it still sends is thrown away
+        except OSError as error:
+            logger.debug(
+                "the client did not wait for the end: {reason}",
+                event="downstream.client_disconnected",
+                reason=str(error),
+            )
+
+    def close(self) -> None:
+        """Close the socket at once."""
+        self._loop.unregister(self.fd)
+        if self.response_truncated:
+            # A body may end where its connection does: only a reset says that this one is not whole.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.sock.close()
--- /dev/null
+++ b/lugtally/downstream/exchange.py
@@ -0,0 +1,188 @@
+"""One request: its attempts as tasks, their cancellation, and its response, whole or passed on as it comes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from loguru import logger
+
+from lugtally.dispatch import AttemptOutcome, Decision, Dispatcher, PendingRequest, Rejected, StartAttempt
+from lugtally.dispatch.pending_request import NO_ATTEMPT
+from lugtally.downstream.connection import DownstreamConnection
+from lugtally.downstream.responses import (
+    Response,
+    failed_response,
+    forwarded_headers,
+    rejected_response,
+    served_response,
+)
+from lugtally.downstream.validation import ValidatedRequest
+from lugtally.eventloop import PEER_CLOSED, EventLoop, Task
+from lugtally.http1 import ForwardedRequest, Message, serialize_streamed_head
+from lugtally.upstream.pool import ResponseSink, UpstreamPool
+
+
+@dataclass(slots=True, frozen=True)
+class ExchangeServices:
+    """What every exchange works with; one of them for all, so that each request holds one reference."""
+
+    loop: EventLoop
+    dispatcher: Dispatcher
+    upstream: UpstreamPool
+
+
+class Exchange:
+    """One request and its attempts."""
+
+    __slots__ = (
+        "_client_closed",
+        "_connection",
+        "_forwarded",
+        "_request",
+        "_served",
+        "_services",
+        "_streaming_attempt",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        services: ExchangeServices,
+        connection: DownstreamConnection,
+        message: Message,
+        validated: ValidatedRequest,
+        tenant_index: int,
+    ) -> None:
+        self._services = services
+        self._connection = connection
+        self._forwarded = ForwardedRequest(message)
+        self._tasks: dict[int, Task] = {}  # by the attempt's number
+        self._served: Message | None = None  # the response of the attempt that was served first
+        self._client_closed = False
+        # The attempt that has begun to pass its response on: no other response may follow.
+        self._streaming_attempt = NO_ATTEMPT
+        self._request = PendingRequest(
+            services.loop,
+            validated.class_index,
+            services.loop.now() + validated.time_left_ns,
+            message.header_map.get("x-repeat") == "1",
+            self._cancel_attempt,
+            tenant_index,
+        )
+
+    def run(self) -> Response | None:
+        """Block until the request is over and return its response.
+
+        ``None`` where the connection is to be closed: the client is gone, or has got its response, or half of it, as
+        it came.
+        """
+        loop, dispatcher, connection = self._services.loop, self._services.dispatcher, self._connection
+        loop.register(connection.fd, PEER_CLOSED, lambda _: self._client_disconnected())
+        decision = dispatcher.next_decision(self._request)
+        while isinstance(decision, StartAttempt):
+            self._tasks[decision.number] = loop.spawn(self._run_attempt, decision)
+            decision = dispatcher.next_decision(self._request)
+        loop.unregister(connection.fd)
+        self._release()
+        streamed = self._streaming_attempt != NO_ATTEMPT
+        if streamed and not self._client_closed and not connection.response_truncated:
+            connection.lingering_close(client_may_send=False)
+        if self._client_closed or streamed:
+            return None
+        return self._final_response(decision)
+
+    def _final_response(self, decision: Decision) -> Response:
+        if isinstance(decision, Rejected):
+            return rejected_response(decision)
+        return failed_response() if self._served is None else served_response(self._served)
+
+    def _cancel_attempt(self, number: int) -> None:
+        """Call off an attempt; it reports its own end."""
+        if (task := self._tasks.get(number)) is not None:
+            self._services.loop.interrupt(task)
+
+    def _release(self) -> None:
+        """Drop the references that form a cycle, now that no decision follows and all attempts are called off.
+
+        A cycle waits for the garbage collector: 13 objects a request, and the pauses to find them, grow with the rate.
+        """
+        self._tasks.clear()
+        self._request.cancel_attempt = _cancel_nothing
+
+    # ------------------------------------------------------------ attempts
+
+    def _run_attempt(self, attempt: StartAttempt) -> None:
+        outcome, response = AttemptOutcome.CANCELLED_BEFORE_SENT, None
+        if not self._request.finished:
+            try:
+                outcome, response = self._services.upstream.execute_attempt(
+                    attempt.endpoint_id,
+                    self._forwarded,
+                    attempt.deadline_ns,
+                    lambda head: self._claim_stream(attempt, head),
+                    lambda: self._may_proceed(attempt),
+                )
+            except Exception:
+                # Every attempt must report its end, or the balancer would wait for it.
+                logger.exception("an attempt failed", event="attempt.failed")
+                outcome = AttemptOutcome.RESET
+        if outcome is AttemptOutcome.SERVED and self._served is None:
+            self._served = response
+        elif self._streaming_attempt == attempt.number:
+            self._connection.response_truncated = True
+        self._report_end(attempt, outcome, response)
+
+    def _report_end(self, attempt: StartAttempt, outcome: AttemptOutcome, response: Message | None) -> None:
+        logger.debug(
+            "attempt {number} at endpoint {endpoint_id}: {outcome}",
+            event="attempt.finished",
+            number=attempt.number,
+            endpoint_id=attempt.endpoint_id,
+            outcome=outcome.name,
+        )
+        load_report = self._services.upstream.load_report(response)
+        self._services.dispatcher.attempt_finished(self._request, attempt.number, outcome, load_report)
+
+    def _client_disconnected(self) -> None:
+        self._services.loop.unregister(self._connection.fd)
+        self._client_closed = True
+        self._services.dispatcher.client_disconnected(self._request)
+
+    def _may_proceed(self, attempt: StartAttempt) -> bool:
+        """Return whether bytes of the request may go out now.
+
+        Race: a client may have left since the loop's last poll, or before its request was read.  Nothing is started
+        for it.
+        """
+        if self._client_closed or self._request.finished:
+            return False  # its descriptor may be another connection's by now
+        if self._services.loop.is_ready(self._connection.fd, PEER_CLOSED):
+            self._client_disconnected()
+        return not self._client_closed and self._services.dispatcher.may_start(self._request, attempt.number)
+
+    def _claim_stream(self, attempt: StartAttempt, head: Message) -> ResponseSink | None:
+        """Return where an attempt may pass on a long response as it comes; ``None`` where it may not."""
+        if self._client_closed or not self._services.dispatcher.claim_stream(self._request, attempt.number):
+            return None
+        self._streaming_attempt = attempt.number
+        sink = _ConnectionSink(self._connection)
+        sink.send(serialize_streamed_head(head, forwarded_headers(head)))
+        return sink
+
+
+class _ConnectionSink:
+    """A client's connection as the sink of a streamed response; after a failed write it takes nothing more."""
+
+    __slots__ = ("_connection", "_writable")
+
+    def __init__(self, connection: DownstreamConnection) -> None:
+        self._connection = connection
+        self._writable = True
+
+    def send(self, data: bytes | memoryview) -> bool:
+        self._writable = self._writable and self._connection.write(data)
+        return self._writable
+
+
+def _cancel_nothing(_: int) -> None:
+    """Stand in for the cancellation of attempts where the request is over."""
--- /dev/null
+++ b/lugtally/downstream/listener.py
@@ -0,0 +1,46 @@
+"""Listening sockets: bound here, or inherited from the platform."""
+
+from __future__ import annotations
+
+import socket
+
+from lugtally.address import Address
+
+LISTEN_BACKLOG = 1024
+
+
+def bind_listener(address: Address) -> socket.socket:
+    """Return a non-blocking socket that listens at this address and no other.
+
+    Raises:
+        OSError: the address cannot be had.
+    """
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(LISTEN_BACKLOG)
+    return listener
+
+
+def adopt_listener(fd: int) -> socket.socket:
+    """Return the listening socket of a descriptor that the platform passed; it is never bound here.
+
+    Raises:
+        ValueError: in one line, why that descriptor cannot be used.  It is not closed.
+    """
+    try:
+        listener = socket.socket(fileno=fd)
+    except OSError as error:
+        raise ValueError(f"PROXY_SOCKET_FD: {fd}: {error.strerror}") from None
+    try:
+        listening = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        kind = listener.getsockopt(socket.SOL_SOCKET, socket.SO_TYPE)
+    except OSError as error:
+        listener.detach()
+        raise ValueError(f"PROXY_SOCKET_FD: {fd}: {error.strerror}") from None
+    if listener.family not in (socket.AF_INET, socket.AF_INET6) or kind != socket.SOCK_STREAM or not listening:
+        listener.detach()
+        raise ValueError(f"PROXY_SOCKET_FD: {fd} is no listening TCP socket")
+    listener.setblocking(False)
+    return listener
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -236,7 +236,7 @@
     """It used to close the front socket without a word: the request was taken and lost."""
     loop = EventLoop()
     downstream = DownstreamServer(loop, Any, Any, (), 9)  # type: ignore[arg-type]
-    downstream._answer = lambda *_: 1 / 0  # type: ignore[method-assign,assignment]
+    downstream._respond = lambda *_: 1 / 0  # type: ignore[method-assign,assignment]
     server = listener()
     client = socket.create_connection(server.getsockname())
     ours, _ = server.accept()
@@ -245,7 +245,7 @@
 
     def serve() -> None:
         try:
-            downstream._serve(DownstreamConnection(ours, loop))
+            downstream._handle_connection(DownstreamConnection(ours, loop))
         finally:
             loop.stop()
 
--- a/tests/races/test_closing.py
+++ b/tests/races/test_closing.py
@@ -16,7 +16,7 @@
 from lugtally import balancing
 from lugtally.address import Address
 from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
-from lugtally.downstream import server
+from lugtally.downstream import connection, graceful_shutdown, server
 from lugtally.eventloop import Event, WakeReason
 from lugtally.units import NS_PER_MS
 from lugtally.upstream.pool import UpstreamPool, split_descriptors
@@ -79,7 +79,7 @@
 
 def test_a_request_that_comes_as_its_resting_connection_is_closed_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """It came between the poll that saw nothing and the closing: the client got a reset."""
-    monkeypatch.setattr(server, "IDLE_NS", 20 * NS_PER_MS)
+    monkeypatch.setattr(connection, "CLIENT_IDLE_TIMEOUT_NS", 20 * NS_PER_MS)
     sidecar = Sidecar()
     waited = Event.wait
     sent: list[int] = []
@@ -89,9 +89,9 @@
 
         def wait(self: Event, until: int | None = None) -> WakeReason:
             why = waited(self, until)
-            if why is WakeReason.TIMEOUT and not sent and any(self is one.signal for one in sidecar.downstream._open):
+            if why is WakeReason.TIMEOUT and not sent and any(self is one.wake_up for one in sidecar.downstream._open):
                 sent.append(1)
-                monkeypatch.setattr(server, "IDLE_NS", 5_000 * NS_PER_MS)
+                monkeypatch.setattr(connection, "CLIENT_IDLE_TIMEOUT_NS", 5_000 * NS_PER_MS)
                 client.send(request("read"))
             return why
 
@@ -121,7 +121,8 @@
         link.head()
         sidecar.downstream.drain()
         sidecar.until(lambda: sidecar.downstream._listener is not None and sidecar.downstream._listener.fileno() < 0)
-        sidecar.loop.sleep(2 * server.ROOM_NS)  # past the last time at which the accepting task looks for room
+        # past the last time at which the accepting task looks for room
+        sidecar.loop.sleep(2 * server.EVICTION_INTERVAL_NS)
         link.answer()
         assert client.all().startswith(b"HTTP/1.1 200")
         client.sock.close()
@@ -135,8 +136,8 @@
 
 def test_a_connection_of_the_last_sweep_is_given_time_for_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
     """Taken from the backlog at the end, its bytes still on the way, it was closed without a word."""
-    monkeypatch.setattr(server, "FRESH_NS", 5_000 * NS_PER_MS)
-    monkeypatch.setattr(server, "SWEEP_NS", 5_000 * NS_PER_MS)
+    monkeypatch.setattr(connection, "SHUTDOWN_FIRST_BYTE_TIMEOUT_NS", 5_000 * NS_PER_MS)
+    monkeypatch.setattr(graceful_shutdown, "BACKLOG_DRAIN_TIMEOUT_NS", 5_000 * NS_PER_MS)
     sidecar = Sidecar(most=1)
 
     def script() -> None:
@@ -147,7 +148,7 @@
         link.head()
         second = sidecar.client(where)  # waits in the backlog: the one place is taken
         sidecar.downstream.drain()
-        sidecar.until(lambda: sidecar.downstream._closing)
+        sidecar.until(lambda: sidecar.downstream._shutdown.state.closing)
         link.answer()
         assert first.all().startswith(b"HTTP/1.1 200")
         first.sock.close()
@@ -190,8 +191,8 @@
     """One that sent on for good was held for 4 s; one too slow for 2.5 s, and then as long as any other."""
     margin = 100 * NS_PER_MS
     assert (
-        server.LINGER_MOST_NS + margin < 3_000 * NS_PER_MS
-        and server.PARTIAL_NS + server.CLOSE_NS + margin < 3_000 * NS_PER_MS
+        connection.MAX_LINGER_NS + margin < 3_000 * NS_PER_MS
+        and connection.REQUEST_TIMEOUT_NS + connection.SHORT_LINGER_NS + margin < 3_000 * NS_PER_MS
     )
     for slow in (True, False):
         sidecar = Sidecar()
@@ -209,9 +210,9 @@
             sidecar.until(lambda: not sidecar.downstream.open)
 
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(server, "PARTIAL_NS", 10 * NS_PER_MS)
-            patch.setattr(server, "LINGER_MOST_NS", 50 * NS_PER_MS)
-            patch.setattr(server, "CLOSE_NS", 50 * NS_PER_MS)
+            patch.setattr(connection, "REQUEST_TIMEOUT_NS", 10 * NS_PER_MS)
+            patch.setattr(connection, "MAX_LINGER_NS", 50 * NS_PER_MS)
+            patch.setattr(connection, "SHORT_LINGER_NS", 50 * NS_PER_MS)
             sidecar.play(script)
 
 
@@ -309,7 +310,7 @@
 
 def test_a_client_that_never_reads_its_answer_does_not_hold_up_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
     """An answer that is not taken for a while is given up, at a planned restart too."""
-    monkeypatch.setattr(server, "STALL_NS", 50 * NS_PER_MS)
+    monkeypatch.setattr(connection, "WRITE_STALL_TIMEOUT_NS", 50 * NS_PER_MS)
     sidecar = Sidecar()
 
     def script() -> None:
