--- a/lugtally/balancing/settings.py
+++ b/lugtally/balancing/settings.py
@@ -76,6 +76,10 @@
         _validate_numbers(self, positive=("latency_objective_ns", "deadline_ns"))
 
 
+UNKNOWN_CLASS = RequestClass()
+"""The class of requests whose class is not configured."""
+
+
 @dataclass(slots=True)
 class Tenant:
     """An account with a quota in requests a second, over all balancers together."""
@@ -132,3 +136,7 @@
         )
         if self.initial_capacity > 1:
             raise ValueError(f"initial_capacity: {self.initial_capacity!r} is above 1")
+
+    def request_class(self, index: int) -> RequestClass:
+        """Return the class at a position, :data:`UNKNOWN_CLASS` where there is none."""
+        return self.classes[index] if 0 <= index < len(self.classes) else UNKNOWN_CLASS
--- a/tests/admin/test_drains.py
+++ b/tests/admin/test_drains.py
@@ -101,7 +101,7 @@
             )
     assert len(sends) >= 200 and set(sends) == {2}
     dispatcher.end_drain(1)
-    assert module.usable and {p.id for p in module.usable} == {1, 2}
+    assert module.state.usable and {p.id for p in module.state.usable} == {1, 2}
 
 
 @given(st.sets(st.text(min_size=1, max_size=40), max_size=50))
--- a/tests/balancing/test_design.py
+++ b/tests/balancing/test_design.py
@@ -94,7 +94,7 @@
 
 def test_subset_has_ten_members_and_redraws_those_that_drain() -> None:
     world = started(settings(fleet_size=20), lines(40))
-    first = {p.id for p in world.balancer.members}
+    first = {p.id for p in world.balancer.state.subset.members}
     assert len(first) == 10
     gone = sorted(first)[:3]
     world.feed(
@@ -103,7 +103,7 @@
             [balancing.Endpoint(n, state=balancing.EndpointState.DRAINING) for n in gone],
         )
     )
-    second = {p.id for p in world.balancer.members}
+    second = {p.id for p in world.balancer.state.subset.members}
     assert len(second) == 10 and not second & set(gone) and first - set(gone) < second
 
 
@@ -113,14 +113,14 @@
     for n in range(14):
         world.ask(f"a{n}", left=5 * S)
         world.pass_time(100 * MS)
-    assert len(world.balancer.members) > 10
+    assert len(world.balancer.state.subset.members) > 10
 
 
 def test_pick_prefers_fewer_own_requests_in_flight() -> None:
     world = started(settings(fleet_size=1), lines(10))
     for n in range(10):
         world.ask(f"a{n}")
-    spread = [len(p.out) for p in world.balancer.members]
+    spread = [len(p.in_flight) for p in world.balancer.state.subset.members]
     assert sum(spread) == 10 and max(spread) <= 2
 
 
--- a/tests/balancing/test_exceptions.py
+++ b/tests/balancing/test_exceptions.py
@@ -5,7 +5,9 @@
 from dataclasses import replace
 
 from lugtally import balancing
-from lugtally.balancing.balancer import CROWDED, EJECT_MOST
+from lugtally.balancing import outlier_detection
+from lugtally.balancing.latency import CONGESTED_RATIO
+from lugtally.balancing.outlier_detection import MAX_EJECTED_SHARE
 from tests.balancing.world import MS, SAFE, S, World, age_connections, lines, served, settings, started
 
 
@@ -38,20 +40,20 @@
 def test_a_server_that_answers_again_is_found_within_seconds() -> None:
     """After a silence servers were shut out for up to 16 s, while the others carried too much."""
     world = started(settings(max_attempts=1), lines(10))
-    peer = world.balancer.members[0]
+    peer = world.balancer.state.subset.members[0]
     for _ in range(9):
-        world.now = max(world.now, peer.ejected)
-        world.balancer._eject(world.now, peer)
-        assert world.now < peer.ejected <= world.now + 5 * S
+        world.now = max(world.now, peer.ejected_until_ns)
+        outlier_detection.eject(world.balancer.state, world.now, peer)
+        assert world.now < peer.ejected_until_ns <= world.now + 5 * S
 
 
 def test_servers_that_turn_all_away_go_though_half_of_the_fleet_is_out() -> None:
     """Slow servers had taken up the half, and two that had just stopped took in 450 requests."""
     for result in balancing.AttemptResult.NO_CONNECTION, balancing.AttemptResult.REJECTED:
         world = started(settings(max_attempts=1), lines(10))
-        for peer in world.balancer.members[:5]:
-            peer.ejected = world.now + 60 * S
-        dead = world.balancer.members[5].id
+        for peer in world.balancer.state.subset.members[:5]:
+            peer.ejected_until_ns = world.now + 60 * S
+        dead = world.balancer.state.subset.members[5].id
         for n in range(60):
             world.ask(f"x{n}")
             world.now += 5 * MS
@@ -69,12 +71,12 @@
         world.ask(f"good{n}", left=S)
         world.pass_time(60 * MS)
         for copy in world.tracks[f"good{n}"].copies:
-            world.balancer.peers[copy.server].heard = world.now
+            world.balancer.state.endpoints[copy.server].last_response_ns = world.now
         for name in [f"late{n}"]:
             for copy in world.tracks[name].copies:  # its server answers somebody meanwhile
-                world.balancer.peers[copy.server].heard = world.now
+                world.balancer.state.endpoints[copy.server].last_response_ns = world.now
         world.pass_time(60 * MS)
-    assert not any(p.ejected > world.now for p in world.balancer.members)
+    assert not any(p.ejected_until_ns > world.now for p in world.balancer.state.subset.members)
 
 
 def test_errors_in_a_row_eject_but_never_more_than_the_cap() -> None:
@@ -85,8 +87,8 @@
         if world.tracks[name].copies:
             world.end(name, 0, balancing.AttemptResult.RESET)
         world.pass_time(5 * MS)
-    away = sum(p.ejected > world.now for p in world.balancer.members)
-    assert 0 < away <= EJECT_MOST * 10
+    away = sum(p.ejected_until_ns > world.now for p in world.balancer.state.subset.members)
+    assert 0 < away <= MAX_EJECTED_SHARE * 10
 
 
 def test_single_spoilt_answers_among_good_ones_eject_nobody() -> None:
@@ -97,7 +99,7 @@
         world.ask(f"x{n}")
         world.now += 20 * MS
         world.end(f"x{n}", 0, balancing.AttemptResult.RESET if n % 20 == 0 else balancing.AttemptResult.OK)
-        away += any(p.ejected > world.now for p in world.balancer.members)
+        away += any(p.ejected_until_ns > world.now for p in world.balancer.state.subset.members)
     assert away < 15
 
 
@@ -105,7 +107,7 @@
     world = started(settings(max_attempts=1), lines(10))
     world.ask("a")
     world.end("a", 0, balancing.AttemptResult.NO_CONNECTION)
-    until = [p.ejected for p in world.balancer.members if p.ejected]
+    until = [p.ejected_until_ns for p in world.balancer.state.subset.members if p.ejected_until_ns]
     assert len(until) == 1 and until[0] <= world.now + 1.2 * S
 
 
@@ -113,9 +115,9 @@
     """It rose from 60 to 400 ms with a jam and hid it."""
     world = started(settings(), lines(10))
     served(world, 100, took=40 * MS)
-    before = world.balancer.mean[0]
+    before = world.balancer.state.latency.baseline_ns[0]
     served(world, 20, took=400 * MS)
-    assert before <= world.balancer.mean[0] < 1.3 * before
+    assert before <= world.balancer.state.latency.baseline_ns[0] < 1.3 * before
 
 
 def test_window_stops_a_jam_from_feeding_itself() -> None:
@@ -141,9 +143,13 @@
         if n % 4 and world.tracks[f"x{n}"].copies:
             world.end(f"x{n}", 0, balancing.AttemptResult.OK)
     sent = sum(bool(world.tracks[f"x{n}"].copies) for n in range(60))
-    assert sent == 60 and world.balancer.stuck >= 4 and world.balancer.level > 0
+    assert (
+        sent == 60 and world.balancer.state.lost_responses >= 4 and world.balancer.state.admission.log_probability > 0
+    )
     world.pass_time(3 * S)
-    assert world.balancer.stuck == 0 and not any(p.stuck for p in world.balancer.members)
+    assert world.balancer.state.lost_responses == 0 and not any(
+        p.lost_responses for p in world.balancer.state.subset.members
+    )
 
 
 def test_as_many_may_be_in_flight_as_the_aims_leave_room_for() -> None:
@@ -153,17 +159,22 @@
         world.ask(f"x{n}")
         world.now += 2 * MS
         world.end(f"x{n}", 0, balancing.AttemptResult.OK)
-    assert world.balancer.window > 30, "the floor is 20"
+    assert world.balancer.state.concurrency.limit > 30, "the floor is 20"
 
 
 def test_worn_servers_rest_lowest_id_first() -> None:
     """Servers slow even one at a time need a rest, the same ones at every balancer."""
     world = started(settings(), lines(10))
     served(world, 40)
-    for peer in world.balancer.members:
-        peer.limit, peer.slow, peer.seen, peer.heard = 1.0, 2 * CROWDED, 20, world.now
-    world.balancer._settle(world.now)
-    assert {p.id for p in world.balancer.members if p.ejected > world.now} == {1, 2, 3, 4, 5}
+    for peer in world.balancer.state.subset.members:
+        peer.concurrency_limit, peer.slowness, peer.samples, peer.last_response_ns = (
+            1.0,
+            2 * CONGESTED_RATIO,
+            20,
+            world.now,
+        )
+    world.balancer._refresh(world.now)
+    assert {p.id for p in world.balancer.state.subset.members if p.ejected_until_ns > world.now} == {1, 2, 3, 4, 5}
 
 
 def test_lateness_lets_in_less_and_cheap_classes_first() -> None:
@@ -258,15 +269,17 @@
                     world.end(name, at, balancing.AttemptResult.OK)
     refused = sum(isinstance(a, balancing.RejectRequest) for a in world.log)
     assert refused <= 10, f"{refused} of {len(world.tracks)} refused though every answer was soon"
-    assert all(p.ejected <= world.now for p in world.balancer.members)
+    assert all(p.ejected_until_ns <= world.now for p in world.balancer.state.subset.members)
 
 
 def test_after_a_long_rest_nothing_is_left_of_what_was_asked() -> None:
     """What was asked for had faded to nothing, and the first request after the rest divided by it."""
     world = started(settings(SAFE, tenants=(balancing.Tenant("a", 10.0),), load_report_fields=("inflight",)), lines(4))
     served(world, 20)
-    world.balancer.ours = world.balancer.depth = 1.0  # as reports would have it
+    world.balancer.state.concurrency.own_load = world.balancer.state.concurrency.fleet_load = (
+        1.0  # as reports would have it
+    )
     world.now += 100 * 3600 * S
     served(world, 5)
-    assert all(n > 0 for n in world.balancer.asked.values())
-    assert 0 < world.balancer.least <= 1.0
+    assert all(n > 0 for n in world.balancer.state.priority.demand.values())
+    assert 0 < world.balancer.state.priority.lowest <= 1.0
--- a/tests/balancing/test_fleet.py
+++ b/tests/balancing/test_fleet.py
@@ -135,7 +135,7 @@
     asked = sum(n for what, n in world.tally.items() if what.startswith("asked"))
     refused = sum(n for what, n in world.tally.items() if what.startswith("refused"))
     assert refused < 0.15 * asked
-    assert sum(b.most > 5 for b in world.fleet_size) >= 4
+    assert sum(b.state.concurrency.fleet_limit > 5 for b in world.fleet_size) >= 4
 
 
 def test_in_overload_a_tenant_past_its_share_is_refused_first() -> None:
--- a/tests/balancing/test_rules.py
+++ b/tests/balancing/test_rules.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from lugtally import balancing
+from lugtally.balancing import rules
 from tests.balancing.world import MS, SAFE, UNSAFE, S, World, age_connections, keyed, lines, sent, settings, started
 
 
@@ -183,10 +184,10 @@
     world = started(settings(), lines(4))
     world.ask("a")
     balancer = world.balancer
-    held = balancer.held["a"]
-    assert balancer._may_send(world.now, held, balancer.peers[1])
+    held = balancer.state.requests["a"]
+    assert rules.may_send_to(balancer.state, world.now, held, balancer.state.endpoints[1])
     for state in (balancing.EndpointState.DRAINING, balancing.EndpointState.REMOVED):
-        balancer.peers[1].state = state
-        assert not balancer._may_send(world.now, held, balancer.peers[1])
-    del balancer.held["a"]
-    assert not balancer._may_send(world.now, held, balancer.peers[2])
+        balancer.state.endpoints[1].state = state
+        assert not rules.may_send_to(balancer.state, world.now, held, balancer.state.endpoints[1])
+    del balancer.state.requests["a"]
+    assert not rules.may_send_to(balancer.state, world.now, held, balancer.state.endpoints[2])
--- a/tests/http1/test_body_framing.py
+++ b/tests/http1/test_body_framing.py
@@ -71,11 +71,11 @@
         a for a in module.handle(1, balancing.Request("r", 0, 0, 2 * NS_PER_S)) if isinstance(a, balancing.SendAttempt)
     ]
     assert [s.endpoint_id for s in sends] == [7]
-    peer = module.peers[7]
-    assert len(peer.out) == 1
+    peer = module.state.endpoints[7]
+    assert len(peer.in_flight) == 1
     module.handle(5 * NS_PER_MS, balancing.ResponseStarted("r", 0, 7))
-    assert not peer.out and not module.out and "r" in module.held
+    assert not peer.in_flight and not module.state.attempts and "r" in module.state.requests
     later = module.handle(
         9 * NS_PER_S, balancing.AttemptFinished("r", 0, 7, balancing.AttemptResult.OK, True, 9 * NS_PER_S, None)
     )
-    assert "r" not in module.held and not any(isinstance(a, balancing.SendAttempt) for a in later)
+    assert "r" not in module.state.requests and not any(isinstance(a, balancing.SendAttempt) for a in later)
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -304,7 +304,7 @@
         pool._take(parse_endpoint_list({"version": n, "servers": rows}, "list"), kind)
         module.handle(n, scripted.told[-1])
     assert [len(table) for table in (pool._known, pool._started, upstream._addresses)] == [1, 1, 1]
-    assert len(module.peers) == 1
+    assert len(module.state.endpoints) == 1
 
 
 @pytest.mark.parametrize("gap", [0.0, 0.01])
--- a/tests/races/test_attempts.py
+++ b/tests/races/test_attempts.py
@@ -283,7 +283,7 @@
     window = CLASSES[1].deduplication_window_ns
     sent(module.handle(1, balancing.Request("q", 1, 0, 8 * NS_PER_S)))
     assert module.may_start(window + 2, "q", 0), "a first try has no window"
-    server = module.out["q", 0].peer.id
+    server = module.state.attempts["q", 0].endpoint.id
     wake = next(
         a
         for a in module.handle(
