--- a/lugtally/balancing/concurrency_limit.py
+++ b/lugtally/balancing/concurrency_limit.py
@@ -15,7 +15,7 @@
 FLEET_LIMIT = 3.5  # requests that all balancers together let an endpoint hold, by its report, at first
 SHARE_DECAY_NS = 5 * NS_PER_S  # how fast what was seen of our share of these fades
 PROMPT_SHARE = 0.25  # part of the objective within which a response shows that endpoints could hold more
-MIN_RISE_PER_S = 0.01  # how fast the least of these parts rises
+MIN_RISE_PER_S = 0.01  # how fast the smallest of these parts rises
 MAX_REPORT_AGE_NS = 2 * NS_PER_S
 CONGESTION_RESULTS = (AttemptResult.OK, AttemptResult.TIMEOUT, AttemptResult.REJECTED)
 
@@ -75,11 +75,11 @@
     load, decay = sum(m.reported_load for m in recent) / len(recent), exp(-elapsed_ns / SHARE_DECAY_NS)
     concurrency.own_load = decay * concurrency.own_load + len(state.attempts) * elapsed_ns
     concurrency.fleet_load = decay * concurrency.fleet_load + load * elapsed_ns
-    share, least = concurrency.objective_share, concurrency.min_objective_share
-    least = min(share, least * (1 + MIN_RISE_PER_S * elapsed_ns / NS_PER_S)) if least else share
-    concurrency.min_objective_share = least
+    share, min_share = concurrency.objective_share, concurrency.min_objective_share
+    min_share = min(share, min_share * (1 + MIN_RISE_PER_S * elapsed_ns / NS_PER_S)) if min_share else share
+    concurrency.min_objective_share = min_share
     if load > 0.7 * concurrency.fleet_limit:  # endpoints of many cores may hold more
-        rise = 0.4 if share < min(PROMPT_SHARE, 1.6 * least) else -0.4
+        rise = 0.4 if share < min(PROMPT_SHARE, 1.6 * min_share) else -0.4
         risen = concurrency.fleet_limit * (1 + rise * elapsed_ns / NS_PER_S)
         concurrency.fleet_limit = max(FLEET_LIMIT, risen)
     quota = concurrency.fleet_limit * concurrency.own_load / max(1.0, concurrency.fleet_load) + 1.0
