--- a/lugtally/balancing/actions.py
+++ b/lugtally/balancing/actions.py
@@ -1,4 +1,4 @@
-"""What a balancer orders.  Times are integer nanoseconds from the event that the action answers."""
+"""The actions that a balancer orders.  Times are integer nanoseconds from the event that is answered."""
 
 from __future__ import annotations
 
--- a/lugtally/balancing/events.py
+++ b/lugtally/balancing/events.py
@@ -1,4 +1,4 @@
-"""What a balancer is told.  Times are integer nanoseconds; endpoints are opaque integers.
+"""The events that a balancer decides on.  Times are integer nanoseconds; endpoints are opaque integers.
 
 Classes, tenants and zones are positions in the :class:`~lugtally.balancing.settings.Settings`.
 """
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True)
 class EndpointUpdate:
-    """News of the endpoint list, or the failure to get any."""
+    """An update of the endpoint list, or the failure to get one."""
 
     kind: EndpointUpdateKind
     endpoints: list[Endpoint]
@@ -83,7 +83,7 @@
 
 @dataclass(slots=True)
 class ClientDisconnected:
-    """The client has gone: the request is over without an answer."""
+    """The client has disconnected: the request ends without an answer."""
 
     request_id: str
 
--- a/lugtally/balancing/outlier_detection.py
+++ b/lugtally/balancing/outlier_detection.py
@@ -92,16 +92,16 @@
 
 
 def check_overdue_attempts(state: BalancerState, now: int) -> Iterator[tuple[str, int]]:
-    """Judge what is overdue; yield each attempt that waits at an endpoint that is surely silent."""
+    """Judge what is overdue; yield each attempt at a silent endpoint before the next one is judged."""
     state.overdue_timer_ns = 0
     while (key := state.overdue.pop_due(now)) is not None:
         attempt = state.attempts.get(key)
-        if attempt is not None and _is_silent(state, now, attempt):
+        if attempt is not None and _judge_overdue(state, now, attempt):
             yield key
 
 
-def _is_silent(state: BalancerState, now: int, attempt: InFlightAttempt) -> bool:
-    """Judge one overdue attempt; return whether its request needs another one elsewhere."""
+def _judge_overdue(state: BalancerState, now: int, attempt: InFlightAttempt) -> bool:
+    """Learn from an overdue attempt; return whether its request needs another one elsewhere."""
     endpoint, sent_ns, stale = attempt.endpoint, attempt.sent_ns, state.stale
     answers_others = endpoint.last_response_ns >= sent_ns
     if answers_others and endpoint.slowness < state.latency.prompt_below:
--- a/lugtally/balancing/slow_start.py
+++ b/lugtally/balancing/slow_start.py
@@ -22,6 +22,7 @@
 
 def has_token(state: BalancerState, now: int, endpoint: EndpointStats) -> bool:
     """Refill the bucket of a warming endpoint at our rate per member; return whether it allows a send."""
+    # Per member, not per endpoint: most of a large fleet never hears of us.
     rate = state.budget.requests.rate_per_ns / state.subset.warm_members * (now - endpoint.refilled_ns)
     earned = rate * RATE_SHARE * state.settings.overload_multiple * warm_fraction(state, now, endpoint)
     endpoint.tokens = min(MAX_TOKENS, endpoint.tokens + earned)
--- a/tests/balancing/fleet.py
+++ b/tests/balancing/fleet.py
@@ -78,7 +78,7 @@
         # Traffic is uneven: the busiest sidecar carries several times the mean, some next to nothing.
         parts = [self.rng.gammavariate(1.2, 1.0) for _ in range(sidecars)]
         self.rates = [rate * part / sum(parts) for part in parts]
-        self.fleet_size = [Balancer(told, seed * 1000 + n) for n in range(sidecars)]
+        self.balancers = [Balancer(told, seed * 1000 + n) for n in range(sidecars)]
         if reports is not None:
             for machine in self.machines.values():
                 self._refresh(machine)
@@ -102,17 +102,17 @@
             self.machines[number] = self._machine(number, self.now)
             if self.reports is not None:
                 self._refresh(self.machines[number])
-        for at in range(len(self.fleet_size)):
+        for at in range(len(self.balancers)):
             self.tell(at, balancing.EndpointUpdateKind.FULL)
 
     def restart(self, share: float) -> None:
         """That share of the instances, the busiest first, begins anew with the list as it was and nothing learnt."""
-        order = sorted(range(len(self.fleet_size)), key=lambda at: -self.rates[at])
+        order = sorted(range(len(self.balancers)), key=lambda at: -self.rates[at])
         for at in order[: round(share * len(order))]:
             self._count += 1
             for name in [name for other, name in self.asked if other == at and not self.asked[at, name].ended]:
                 self._end(at, name, "lost")
-            self.fleet_size[at] = Balancer(self.told, self._count)
+            self.balancers[at] = Balancer(self.told, self._count)
             self.tell(at, balancing.EndpointUpdateKind.CACHED)
 
     def _machine(self, number: int, started: int = 0) -> Machine:
@@ -176,7 +176,7 @@
         self._feed(at, balancing.Request(name, number, tenant, left))
 
     def _feed(self, at: int, event: balancing.Event) -> None:
-        for action in self.fleet_size[at].handle(self.now, event):
+        for action in self.balancers[at].handle(self.now, event):
             if isinstance(action, balancing.SendAttempt):
                 self._send(at, action)
             elif isinstance(action, balancing.RejectRequest | balancing.FailRequest):
--- a/tests/balancing/test_design.py
+++ b/tests/balancing/test_design.py
@@ -19,14 +19,14 @@
     delays = []
     for seed in range(200):
         world = started(settings(), lines(12), seed)
-        world.ask("a")
+        world.send_request("a")
         delays += waits(world.end("a", 0, balancing.AttemptResult.ERROR))
     assert len(delays) == 200 and max(delays) <= 100 * MS
     assert min(delays) < 10 * MS and max(delays) > 90 * MS, "full jitter spreads over the whole range"
     short = []
     for seed in range(100):
         world = started(settings(), lines(12), seed)
-        world.ask("a", left=80 * MS)
+        world.send_request("a", left=80 * MS)
         short += waits(world.end("a", 0, balancing.AttemptResult.ERROR))
     assert short and max(short) <= 40 * MS
 
@@ -36,7 +36,7 @@
     for seed in range(60):
         world = started(settings(replace(SAFE, deadline_ns=10 * S)), lines(12), seed)
         served(world, 40)
-        world.ask("a", left=10 * S)
+        world.send_request("a", left=10 * S)
         world.end("a", 0, balancing.AttemptResult.ERROR)
         world.pass_time(110 * MS)
         late += waits(world.end("a", 1, balancing.AttemptResult.ERROR))
@@ -49,7 +49,7 @@
 def test_three_retries_at_most() -> None:
     world = started(settings(max_attempts=9), lines(12))
     served(world, 100, gap=5 * MS)
-    world.ask("a", left=10 * S)
+    world.send_request("a", left=10 * S)
     for attempt in range(4):
         world.end("a", attempt, balancing.AttemptResult.ERROR)
         world.pass_time(S)
@@ -60,15 +60,15 @@
     world = started(settings(), lines(12))
     retried = 0
     for n in range(60):
-        world.ask(f"q{n}")
+        world.send_request(f"q{n}")
         if world.tracks[f"q{n}"].copies:
             retried += bool(waits(world.end(f"q{n}", 0, balancing.AttemptResult.ERROR)))
         world.pass_time(100 * MS)
     assert 1 <= retried <= 6
     quiet = started(settings(), lines(12))
-    quiet.ask("one")
+    quiet.send_request("one")
     assert waits(quiet.end("one", 0, balancing.AttemptResult.ERROR))
-    quiet.ask("two")
+    quiet.send_request("two")
     answer = quiet.end("two", 0, balancing.AttemptResult.ERROR)
     assert not waits(answer) and any(isinstance(a, balancing.RejectRequest) for a in answer)
 
@@ -81,7 +81,7 @@
         (keyed(balancing.DeduplicationScope.ALL), balancing.RejectRequest),
     ):
         world = started(settings(cls, max_attempts=1), lines(12))
-        world.ask("a")
+        world.send_request("a")
         answer = [
             a
             for a in world.end("a", 0, balancing.AttemptResult.ERROR)
@@ -111,7 +111,7 @@
     """A balancer that carries most of the traffic crowded its ten random members."""
     world = started(settings(fleet_size=20), lines(40))
     for n in range(14):
-        world.ask(f"a{n}", left=5 * S)
+        world.send_request(f"a{n}", left=5 * S)
         world.pass_time(100 * MS)
     assert len(world.balancer.state.subset.members) > 10
 
@@ -119,7 +119,7 @@
 def test_pick_prefers_fewer_own_requests_in_flight() -> None:
     world = started(settings(fleet_size=1), lines(10))
     for n in range(10):
-        world.ask(f"a{n}")
+        world.send_request(f"a{n}")
     spread = [len(p.in_flight) for p in world.balancer.state.subset.members]
     assert sum(spread) == 10 and max(spread) <= 2
 
@@ -127,7 +127,7 @@
 def test_no_usable_server_is_answered_at_once() -> None:
     for servers in ([], lines(3, state=balancing.EndpointState.DRAINING)):
         world = started(settings(), servers)
-        assert [type(a) for a in world.ask("a")] == [balancing.RejectRequest]
+        assert [type(a) for a in world.send_request("a")] == [balancing.RejectRequest]
 
 
 def test_list_failure_is_followed_by_a_new_subscription() -> None:
--- a/tests/balancing/test_exceptions.py
+++ b/tests/balancing/test_exceptions.py
@@ -15,7 +15,7 @@
     """``count`` requests that end unanswered at ``server`` while others are answered."""
     for _ in range(count * 12):
         name = f"s{len(world.tracks)}"
-        world.ask(name, left=400 * MS)
+        world.send_request(name, left=400 * MS)
         for at, copy in enumerate(world.tracks[name].copies):
             if copy.server != server:
                 world.pass_time(30 * MS)
@@ -40,22 +40,22 @@
 def test_a_server_that_answers_again_is_found_within_seconds() -> None:
     """After a silence servers were shut out for up to 16 s, while the others carried too much."""
     world = started(settings(max_attempts=1), lines(10))
-    peer = world.balancer.state.subset.members[0]
+    endpoint = world.balancer.state.subset.members[0]
     for _ in range(9):
-        world.now = max(world.now, peer.ejected_until_ns)
-        outlier_detection.eject(world.balancer.state, world.now, peer)
-        assert world.now < peer.ejected_until_ns <= world.now + 5 * S
+        world.now = max(world.now, endpoint.ejected_until_ns)
+        outlier_detection.eject(world.balancer.state, world.now, endpoint)
+        assert world.now < endpoint.ejected_until_ns <= world.now + 5 * S
 
 
 def test_servers_that_turn_all_away_go_though_half_of_the_fleet_is_out() -> None:
     """Slow servers had taken up the half, and two that had just stopped took in 450 requests."""
     for result in balancing.AttemptResult.NO_CONNECTION, balancing.AttemptResult.REJECTED:
         world = started(settings(max_attempts=1), lines(10))
-        for peer in world.balancer.state.subset.members[:5]:
-            peer.ejected_until_ns = world.now + 60 * S
+        for endpoint in world.balancer.state.subset.members[:5]:
+            endpoint.ejected_until_ns = world.now + 60 * S
         dead = world.balancer.state.subset.members[5].id
         for n in range(60):
-            world.ask(f"x{n}")
+            world.send_request(f"x{n}")
             world.now += 5 * MS
             for copy in world.tracks[f"x{n}"].copies:
                 world.end(f"x{n}", 0, result if copy.server == dead else balancing.AttemptResult.OK)
@@ -67,8 +67,8 @@
     world = started(settings(hedging_allowed=False, max_attempts=1), lines(10))
     served(world, 40)
     for n in range(30):
-        world.ask(f"late{n}", left=100 * MS)
-        world.ask(f"good{n}", left=S)
+        world.send_request(f"late{n}", left=100 * MS)
+        world.send_request(f"good{n}", left=S)
         world.pass_time(60 * MS)
         for copy in world.tracks[f"good{n}"].copies:
             world.balancer.state.endpoints[copy.server].last_response_ns = world.now
@@ -83,29 +83,29 @@
     world = started(settings(max_attempts=1), lines(10))
     for n in range(200):
         name = f"e{n}"
-        world.ask(name)
+        world.send_request(name)
         if world.tracks[name].copies:
             world.end(name, 0, balancing.AttemptResult.RESET)
         world.pass_time(5 * MS)
-    away = sum(p.ejected_until_ns > world.now for p in world.balancer.state.subset.members)
-    assert 0 < away <= MAX_EJECTED_SHARE * 10
+    ejected = sum(p.ejected_until_ns > world.now for p in world.balancer.state.subset.members)
+    assert 0 < ejected <= MAX_EJECTED_SHARE * 10
 
 
 def test_single_spoilt_answers_among_good_ones_eject_nobody() -> None:
     """One answer in twenty was spoilt, by any server alike: half of a healthy fleet was always left alone."""
     world = started(settings(max_attempts=1), lines(10))
-    away = 0
+    ejected = 0
     for n in range(300):
-        world.ask(f"x{n}")
+        world.send_request(f"x{n}")
         world.now += 20 * MS
         world.end(f"x{n}", 0, balancing.AttemptResult.RESET if n % 20 == 0 else balancing.AttemptResult.OK)
-        away += any(p.ejected_until_ns > world.now for p in world.balancer.state.subset.members)
-    assert away < 15
+        ejected += any(p.ejected_until_ns > world.now for p in world.balancer.state.subset.members)
+    assert ejected < 15
 
 
 def test_one_refused_connection_costs_a_server_about_a_second() -> None:
     world = started(settings(max_attempts=1), lines(10))
-    world.ask("a")
+    world.send_request("a")
     world.end("a", 0, balancing.AttemptResult.NO_CONNECTION)
     until = [p.ejected_until_ns for p in world.balancer.state.subset.members if p.ejected_until_ns]
     assert len(until) == 1 and until[0] <= world.now + 1.2 * S
@@ -126,7 +126,7 @@
     served(world, 150)
     sends = len(world.sends)
     for n in range(400):  # nothing is answered any more
-        world.ask(f"jam{n}", left=20 * S)
+        world.send_request(f"jam{n}", left=20 * S)
         world.pass_time(5 * MS)
     assert len(world.sends) - sends <= 4 * 54 / 6
     refused = [a for a in world.log if isinstance(a, balancing.RejectRequest)]
@@ -138,7 +138,7 @@
     world = started(settings(max_attempts=1, fleet_size=2), lines(10))
     served(world, 100)
     for n in range(60):
-        world.ask(f"x{n}", left=2 * S)
+        world.send_request(f"x{n}", left=2 * S)
         world.pass_time(20 * MS)
         if n % 4 and world.tracks[f"x{n}"].copies:
             world.end(f"x{n}", 0, balancing.AttemptResult.OK)
@@ -156,7 +156,7 @@
     """Requests that take 2 of 300 ms were refused for the few in flight that keep such servers busy."""
     world = started(settings(max_attempts=1, fleet_size=2), lines(10))
     for n in range(600):
-        world.ask(f"x{n}")
+        world.send_request(f"x{n}")
         world.now += 2 * MS
         world.end(f"x{n}", 0, balancing.AttemptResult.OK)
     assert world.balancer.state.concurrency.limit > 30, "the floor is 20"
@@ -166,8 +166,8 @@
     """Servers slow even one at a time need a rest, the same ones at every balancer."""
     world = started(settings(), lines(10))
     served(world, 40)
-    for peer in world.balancer.state.subset.members:
-        peer.concurrency_limit, peer.slowness, peer.samples, peer.last_response_ns = (
+    for endpoint in world.balancer.state.subset.members:
+        endpoint.concurrency_limit, endpoint.slowness, endpoint.samples, endpoint.last_response_ns = (
             1.0,
             2 * CONGESTED_RATIO,
             20,
@@ -184,7 +184,7 @@
     tried = [0, 0]
     for n in range(120):
         for cls in (0, 1):
-            world.ask(f"{cls}-{n}", cls)
+            world.send_request(f"{cls}-{n}", cls)
             copies = world.tracks[f"{cls}-{n}"].copies
             if copies and n > 40:
                 tried[cls] += 1
@@ -202,11 +202,11 @@
     world = started(settings(), lines(12))
     age_connections(world)
     assert not [a for a in world.log if isinstance(a, balancing.CloseIdleConnections)]
-    world.ask("a")
+    world.send_request("a")
     world.pass_time(1200 * MS)
     world.log.clear()
     for n in range(6):
-        world.ask(f"b{n}")
+        world.send_request(f"b{n}")
         world.pass_time(10 * MS)
     closed = [a.endpoint_id for a in world.log if isinstance(a, balancing.CloseIdleConnections)]
     assert (
@@ -221,7 +221,7 @@
         world = started(settings(load_report_fields=("queue",)), lines(10))
         sends = 0
         for n in range(400):
-            world.ask(f"a{n}")
+            world.send_request(f"a{n}")
             for copy in world.tracks[f"a{n}"].copies:
                 odd = copy.server == 1
                 world.now += took if odd else 40 * MS
@@ -248,7 +248,7 @@
     """The lean to the own zone was kept while the near servers were full."""
     world = started(settings(SAFE, cross_zone_cost=0.1, fleet_size=1), lines(12))
     for n in range(20):
-        world.ask(f"a{n}")
+        world.send_request(f"a{n}")
     zones = [world.lines[where].zone for _, where in world.sends]
     assert zones.count(0) >= 6 and len(zones) - zones.count(0) >= 6
 
@@ -261,7 +261,7 @@
     for turn in range(200):  # it gets busy, by and by
         names = [f"busy{turn}.{n}" for n in range(min(24, 2 + turn // 5))]
         for name in names:
-            world.ask(name)
+            world.send_request(name)
         world.pass_time(16 * MS)  # eight times the usual, and a thirtieth of the aim
         for name in names:
             for at in range(len(world.tracks[name].copies)):
--- a/tests/balancing/test_fleet.py
+++ b/tests/balancing/test_fleet.py
@@ -84,11 +84,11 @@
     in calm seconds forty of them refused a quarter of all for it, with two in flight at each server of two cores."""
     world = started(settings(SAFE, fleet_size=40, max_attempts=1), lines(60))
     for n in range(80):  # twenty a second, each answered after 100 ms: two in flight
-        world.ask(f"calm{n}")
+        world.send_request(f"calm{n}")
         world.pass_time(50 * MS)
         if n:
             world.end(f"calm{n - 1}", 0, balancing.AttemptResult.OK)
-    burst = sum(bool(sent(world.ask(f"burst{n}"))) for n in range(7))
+    burst = sum(bool(sent(world.send_request(f"burst{n}"))) for n in range(7))
     assert burst == 7
 
 
@@ -135,7 +135,7 @@
     asked = sum(n for what, n in world.tally.items() if what.startswith("asked"))
     refused = sum(n for what, n in world.tally.items() if what.startswith("refused"))
     assert refused < 0.15 * asked
-    assert sum(b.state.concurrency.fleet_limit > 5 for b in world.fleet_size) >= 4
+    assert sum(b.state.concurrency.fleet_limit > 5 for b in world.balancers) >= 4
 
 
 def test_in_overload_a_tenant_past_its_share_is_refused_first() -> None:
--- a/tests/balancing/test_rules_random.py
+++ b/tests/balancing/test_rules_random.py
@@ -44,7 +44,7 @@
         open_copies = [(n, at) for n, t in world.tracks.items() for at, c in enumerate(t.copies) if c.open]
         live = [n for n, t in world.tracks.items() if not t.over and not t.streaming]
         if what == "ask":
-            world.ask(f"r{number}", one, two * MS)
+            world.send_request(f"r{number}", one, two * MS)
         elif what == "end" and open_copies:
             name, at = open_copies[one % len(open_copies)]
             world.end(name, at, RESULTS[two])
@@ -118,7 +118,7 @@
     world = World(told(*CLASSES, hedging_allowed=copies, removal_is_binding=gone_binds, max_attempts=attempts), seed)
     world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, lines(count)))
     play(world, steps)
-    world.settle()
+    world.run_to_deadlines()
 
 
 @draws_from(DRAWS)
@@ -132,9 +132,9 @@
     world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, lines(9)))
     for n, (peer, text) in enumerate(messages):
         world.feed(balancing.GossipReceived(peer, text))
-        world.ask(f"m{n}", n % len(CLASSES))
+        world.send_request(f"m{n}", n % len(CLASSES))
         world.pass_time(40 * MS)
-    world.settle()
+    world.run_to_deadlines()
 
 
 @draws_from(DRAWS)
@@ -232,4 +232,4 @@
 
 def sent_to(world: World, name: str) -> bool:
     """Ask, and tell whether it was sent."""
-    return any(isinstance(a, balancing.SendAttempt) for a in world.ask(name))
+    return any(isinstance(a, balancing.SendAttempt) for a in world.send_request(name))
--- a/tests/balancing/world.py
+++ b/tests/balancing/world.py
@@ -72,9 +72,9 @@
 class World:
     """Feeds a balancer and holds every action against the four rules."""
 
-    def __init__(self, told: balancing.Settings, seed: int = 1) -> None:
-        self.told = told
-        self.balancer = Balancer(told, seed)
+    def __init__(self, configured: balancing.Settings, seed: int = 1) -> None:
+        self.configured = configured
+        self.balancer = Balancer(configured, seed)
         self.now = T0
         self.tracks: dict[str, Track] = {}
         self.lines: dict[int, balancing.Endpoint] = {}
@@ -86,11 +86,11 @@
     def feed(self, event: balancing.Event) -> list[balancing.Action]:
         """One event at the present time; returns the actions after checking them."""
         if isinstance(event, balancing.EndpointUpdate) and event.kind is not balancing.EndpointUpdateKind.FAILED:
-            self._take_list(event)
+            self._apply_update(event)
         elif isinstance(event, balancing.Request):
             cls = (
-                self.told.classes[event.class_index]
-                if event.class_index < len(self.told.classes)
+                self.configured.classes[event.class_index]
+                if event.class_index < len(self.configured.classes)
                 else balancing.RequestClass()
             )
             self.tracks[event.id] = Track(cls, self.now + event.time_left_ns)
@@ -104,7 +104,7 @@
         self.log += actions
         return actions
 
-    def _take_list(self, event: balancing.EndpointUpdate) -> None:
+    def _apply_update(self, event: balancing.EndpointUpdate) -> None:
         seen = {line.id for line in event.endpoints}
         for line in event.endpoints:
             self.lines[line.id] = replace(line)
@@ -129,7 +129,7 @@
             assert self.now <= track.deadline + 20 * MS, "a late final answer"
             track.over, track.finals = True, track.finals + 1
             if isinstance(action, balancing.RejectRequest):
-                assert 0 <= action.retry_after_ns <= self.told.max_retry_after_ns
+                assert 0 <= action.retry_after_ns <= self.configured.max_retry_after_ns
                 cls = track.cls
                 if any(c.ran for c in track.copies) and cls.idempotency is not balancing.Idempotency.IDEMPOTENT:
                     assert cls.idempotency is balancing.Idempotency.IDEMPOTENCY_KEY, "refused what may have run"
@@ -139,11 +139,11 @@
         track, line = self.tracks[action.request_id], self.lines[action.endpoint_id]
         assert not track.over and not track.streaming and self.now < track.deadline, "sent what is over"
         assert 0 < action.timeout_ns <= track.deadline - self.now
-        assert len(track.copies) < self.told.max_attempts
+        assert len(track.copies) < self.configured.max_attempts
         if any(c.open for c in track.copies):
-            assert self.told.hedging_allowed, "two attempts at once"
+            assert self.configured.hedging_allowed, "two attempts at once"
         assert line.id not in self.drained, "sent to a draining server"
-        assert line.state is balancing.EndpointState.READY or not self.told.removal_is_binding, (
+        assert line.state is balancing.EndpointState.READY or not self.configured.removal_is_binding, (
             "sent to a server that is gone"
         )
         ran = [c for c in track.copies if c.ran]
@@ -158,7 +158,7 @@
         track.copies.append(Copy(action.endpoint_id, self.now, line.zone, line.cell))
         self.sends.append((self.now, action.endpoint_id))
 
-    def ask(self, name: str, cls: int = 0, left: int = S, tenant: int = 0) -> list[balancing.Action]:
+    def send_request(self, name: str, cls: int = 0, left: int = S, tenant: int = 0) -> list[balancing.Action]:
         """A request arrives."""
         return self.feed(balancing.Request(name, cls, tenant, left))
 
@@ -177,11 +177,11 @@
             balancing.AttemptFinished(name, attempt, copy.server, result, track.over, self.now - copy.sent)
         )
 
-    def pass_time(self, span: int, step: int = 5 * MS) -> None:
+    def pass_time(self, duration_ns: int, interval_ns: int = 5 * MS) -> None:
         """Let time go by, with timers delivered and attempts timed out at their deadlines."""
-        until = self.now + span
+        until = self.now + duration_ns
         while self.now < until:
-            self.now += step
+            self.now += interval_ns
             due = [w for w in self.wakes if w[0] <= self.now]
             self.wakes = [w for w in self.wakes if w[0] > self.now]
             for _, token in due:
@@ -191,7 +191,7 @@
                     if copy.open and self.now >= track.deadline and not track.streaming:
                         self.end(name, at, balancing.AttemptResult.TIMEOUT)
 
-    def settle(self) -> None:
+    def run_to_deadlines(self) -> None:
         """Run past every deadline; then each request must be over."""
         self.pass_time(max([0, *(t.deadline for t in self.tracks.values())]) - self.now + 50 * MS)
         for name, track in self.tracks.items():
@@ -199,9 +199,9 @@
             assert track.finals <= 1
 
 
-def started(told: balancing.Settings, servers: list[balancing.Endpoint], seed: int = 1) -> World:
+def started(configured: balancing.Settings, servers: list[balancing.Endpoint], seed: int = 1) -> World:
     """A world whose balancer has been given its first list."""
-    world = World(told, seed)
+    world = World(configured, seed)
     world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, servers))
     return world
 
@@ -216,7 +216,7 @@
     served(world, 60)
     world.pass_time(S)
     for n in range(2):
-        world.ask(f"aged{n}")
+        world.send_request(f"aged{n}")
         world.pass_time(200 * MS)
 
 
@@ -225,7 +225,7 @@
     first = len(world.tracks)
     for n in range(first, first + count):
         name = f"warm{n}"
-        if sent(world.ask(name)):
+        if sent(world.send_request(name)):
             world.pass_time(took)
             if not world.tracks[name].over:
                 world.end(name, 0, balancing.AttemptResult.OK)
