--- a/lugtally/balancing/balancer.py
+++ b/lugtally/balancing/balancer.py
@@ -159,11 +159,11 @@
         if stale_connections.should_close_idle(state, unused_ns, is_retry=bool(request.endpoint_ids)):
             self.state.actions.append(actions.CloseIdleConnections(endpoint.id))
             unused_ns = 0
-        number = state.start_attempt(now, request, endpoint, unused_ns)
+        key = state.start_attempt(now, request, endpoint, unused_ns)
         if slow_start.is_warming_up(state, now, endpoint):
             endpoint.tokens -= 1
         state.actions.append(actions.SendAttempt(request.id, endpoint.id, max(1, request.deadline_ns - now)))
-        outlier_detection.watch_attempt(state, now, request, number)
+        outlier_detection.watch_attempt(state, now, request, key)
 
     def _learn(self, now: int, attempt: records.InFlightAttempt | None) -> None:
         """Learn from an attempt that is no longer in flight at its endpoint."""
--- a/lugtally/balancing/outlier_detection.py
+++ b/lugtally/balancing/outlier_detection.py
@@ -76,10 +76,10 @@
         endpoint.concurrency_limit, endpoint.slowness, endpoint.samples = 1.0, 1.2, 0
 
 
-def watch_attempt(state: BalancerState, now: int, request: RequestState, number: int) -> None:
+def watch_attempt(state: BalancerState, now: int, request: RequestState, key: tuple[str, int]) -> None:
     """Watch an attempt that goes out now."""
     overdue_ns = now + int(request.request_class.latency_objective_ns * OVERDUE_SHARE)
-    state.overdue.push(overdue_ns, (request.id, number))
+    state.overdue.push(overdue_ns, key)
     set_overdue_timer(state, now)
 
 
--- a/lugtally/balancing/records.py
+++ b/lugtally/balancing/records.py
@@ -316,8 +316,10 @@
         """Attempts in flight that endpoints seem to work on."""
         return len(self.attempts) - self.lost_responses
 
-    def start_attempt(self, now: int, request: RequestState, endpoint: EndpointStats, unused_ns: int) -> int:
-        """Record that an attempt goes out; return its number."""
+    def start_attempt(
+        self, now: int, request: RequestState, endpoint: EndpointStats, unused_ns: int
+    ) -> tuple[str, int]:
+        """Record that an attempt goes out; return its key in ``attempts``."""
         number = len(request.endpoint_ids)
         request.endpoint_ids.append(endpoint.id)
         request.in_flight.add(number)
@@ -327,7 +329,7 @@
         key = request.id, number
         self.attempts[key] = InFlightAttempt(endpoint, request, now, unused_ns)
         endpoint.in_flight[key] = now
-        return number
+        return key
 
     def mark_lost(self, attempt: InFlightAttempt) -> None:
         """Record that an attempt's response is taken for lost."""
