--- a/lugtally/balancing/records.py
+++ b/lugtally/balancing/records.py
@@ -43,16 +43,15 @@
         "refilled_ns",
     )
 
-    def __init__(self, entry: Endpoint, rank: float, now: int) -> None:
-        self.id = entry.id
+    def __init__(self, endpoint_id: int, rank: float) -> None:
+        """:meth:`reset` and :meth:`update` follow, before anything else."""
+        self.id = endpoint_id
         self.rank = rank
         """Position in the random order from which the subset is drawn."""
         self.in_flight: dict[tuple[str, int], int] = {}
         """Own attempts in flight and when each was sent, oldest first."""
         self.lost_responses = 0
         """How many of these are overdue while later ones are answered soon."""
-        self.update(entry)
-        self.reset(now)
 
     @property
     def active(self) -> int:
@@ -64,8 +63,11 @@
         self.zone, self.cell, self.state = entry.zone, entry.cell, entry.state
         self.started_ns = entry.started_ns
 
-    def reset(self, now: int) -> None:
-        """Forget what was learnt of the process before: a new one has started."""
+    def reset(self, now: int, concurrency_limit: float, tokens: float) -> None:
+        """Forget what was learnt of the process before: a new one has started.
+
+        ``concurrency_limit`` is the first limit on own requests in flight there, ``tokens`` what slow start allows.
+        """
         self.last_response_ns = now
         self.load_estimate = 0.0
         """Requests that seem to wait there, as of ``load_estimated_ns``."""
@@ -74,16 +76,15 @@
         """Requests that it holds, from all balancers, by its last report."""
         self.last_used_ns = 0
         """When a connection to it last carried a response."""
-        self.concurrency_limit = 2.0
+        self.concurrency_limit = concurrency_limit
         self.limit_lowered_ns = 0
         self.slowness = 1.0
         """Own response times as a multiple of the class's baseline."""
         self.samples = 0
         self.consecutive_failures = 0
         self.ejected_until_ns = 0
-        # Sends that slow start still allows.  A random fraction of one: in a fleet of hundreds each balancer
-        # sends so rarely that an endpoint would be warm before anyone had a whole one.
-        self.tokens = self.rank * 1e6 % 1
+        self.tokens = tokens
+        """Sends that slow start still allows."""
         self.refilled_ns = now
 
 
--- a/lugtally/balancing/subset.py
+++ b/lugtally/balancing/subset.py
@@ -6,6 +6,7 @@
 
 MAX_POLL_BACKOFF_NS = 8 * NS_PER_S
 MIN_MEMBERS = 10
+INITIAL_CONCURRENCY_LIMIT = 2.0  # own requests in flight at an endpoint, to begin with
 
 
 def draw_poll_backoff_ns(state: BalancerState) -> int:
@@ -21,13 +22,13 @@
     state.poll_failures = 0
     endpoints, is_binding = state.endpoints, state.settings.removal_is_binding
     for entry in update.endpoints:
-        endpoint = endpoints.get(entry.id)
-        if endpoint is None:
-            endpoints[entry.id] = EndpointStats(entry, state.rng.random(), now)
-            continue
-        if entry.started_ns > endpoint.started_ns:
-            endpoint.reset(now)
+        known = endpoints.get(entry.id)
+        endpoint = known or EndpointStats(entry.id, state.rng.random())
+        if known is None or entry.started_ns > known.started_ns:  # another process
+            # In a large fleet each balancer sends so rarely that it must not wait for a whole token.
+            endpoint.reset(now, INITIAL_CONCURRENCY_LIMIT, tokens=endpoint.rank * 1e6 % 1)
         endpoint.update(entry)
+        endpoints[entry.id] = endpoint
     if update.kind is not EndpointUpdateKind.DELTA:
         named = {entry.id for entry in update.endpoints}
         for endpoint in endpoints.values():
