--- a/lugtally/balancing/records.py
+++ b/lugtally/balancing/records.py
@@ -66,7 +66,8 @@
     def reset(self, now: int, concurrency_limit: float, tokens: float) -> None:
         """Forget what was learnt of the process before: a new one has started.
 
-        ``concurrency_limit`` is the first limit on own requests in flight there, ``tokens`` what slow start allows.
+        ``concurrency_limit`` is the first limit on own requests in flight there; ``tokens`` is the first
+        content of its slow-start bucket.
         """
         self.last_response_ns = now
         self.load_estimate = 0.0
