--- /dev/null
+++ b/lugtally/discovery/start_times.py
@@ -0,0 +1,46 @@
+"""Start times of endpoints, from Unix time to the clock of the event loop."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from lugtally.config.endpoint_list import EndpointRecord
+from lugtally.dispatch.endpoint_registry import REMOVED
+from lugtally.eventloop import EventLoop
+from lugtally.units import NS_PER_MS
+
+
+class _StartTime(NamedTuple):
+    """One start: as the list last named it, and on the clock of the event loop."""
+
+    started_ms: int
+    started_ns: int
+
+
+class StartTimeConverter:
+    """Converts each start of an endpoint once.
+
+    Converting the same start again after a step of the wall clock would look like another start, and make a warm
+    endpoint cold.
+    """
+
+    def __init__(self, loop: EventLoop) -> None:
+        self._loop = loop
+        self._converted: dict[int, _StartTime] = {}
+
+    def convert(self, record: EndpointRecord) -> int:
+        """Return when the endpoint started, in nanoseconds of the event loop's clock; 0 stays "long ago"."""
+        if record.started_ms <= 0:
+            return 0
+        known = self._converted.get(record.endpoint_id)
+        if known is not None and known.started_ms == record.started_ms:
+            return known.started_ns
+        clock_offset_ns = self._loop.wall_clock() - self._loop.now()
+        started_ns = max(1, record.started_ms * NS_PER_MS - clock_offset_ns)
+        if record.state != REMOVED:
+            self._converted[record.endpoint_id] = _StartTime(record.started_ms, started_ns)
+        return started_ns
+
+    def forget(self, endpoint_id: int) -> None:
+        """Drop what is known of an endpoint."""
+        self._converted.pop(endpoint_id, None)
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -278,7 +278,7 @@
     }
     run(loop, lambda: pool.start(parse_endpoint_list(raw, "known")), downstream)
     monkeypatch.setattr(EventLoop, "wall_clock", staticmethod(lambda: 5))
-    pool._take(parse_endpoint_list(raw, "known"), balancing.EndpointUpdateKind.FULL)
+    pool._apply_update(parse_endpoint_list(raw, "known"), balancing.EndpointUpdateKind.FULL)
     lists = [e.endpoints for e in scripted.told if isinstance(e, balancing.EndpointUpdate)]
     assert lists[0] == lists[1] and pool.ready_count == 1
     assert [(s.id, s.zone, s.state) for s in lists[0]] == [
@@ -301,9 +301,9 @@
             for at, state in ((n, "ready"), (n - 1, "gone"))
         ]
         kind = balancing.EndpointUpdateKind.FULL if n % 9 == 0 else balancing.EndpointUpdateKind.DELTA
-        pool._take(parse_endpoint_list({"version": n, "servers": rows}, "list"), kind)
+        pool._apply_update(parse_endpoint_list({"version": n, "servers": rows}, "list"), kind)
         module.handle(n, scripted.told[-1])
-    assert [len(table) for table in (pool._known, pool._started, upstream._addresses)] == [1, 1, 1]
+    assert [len(table) for table in (pool._endpoints, pool._start_times._converted, upstream._addresses)] == [1, 1, 1]
     assert len(module.peers) == 1
 
 
--- a/tests/races/test_discovery.py
+++ b/tests/races/test_discovery.py
@@ -14,7 +14,7 @@
 from lugtally import balancing
 from lugtally.balancing.balancer import Balancer
 from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
-from lugtally.discovery import watcher
+from lugtally.discovery import timing
 from lugtally.eventloop import Event, WakeReason
 from lugtally.units import NS_PER_MS
 from tests.races.parties import Link, Sidecar
@@ -31,16 +31,20 @@
 
 def test_the_time_to_a_fresh_list_is_one_sum_with_margin() -> None:
     """11.5 s to notice a silence, then a pause of up to 8 s, gave drains 12 s and more after they were told."""
-    margin = watcher.TOLD_NS // 12
-    assert watcher.SILENCE_TO_LIST_NS <= watcher.TOLD_NS - margin
-    assert watcher.RETURN_TO_LIST_NS <= watcher.TOLD_NS - margin
+    margin = timing.UPDATE_DELIVERY_LIMIT_NS // 12
+    assert timing.SILENT_WATCH_TO_UPDATE_NS <= timing.UPDATE_DELIVERY_LIMIT_NS - margin
+    assert timing.DISCOVERY_RETURN_TO_UPDATE_NS <= timing.UPDATE_DELIVERY_LIMIT_NS - margin
 
 
 @pytest.fixture
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
     """The same links in a fraction of their time: a silence is silence however long one waits for it."""
-    for name, value in (("HOLD_MS", 30), ("ANSWER_NS", 30 * NS_PER_MS), ("CONNECT_NS", 200 * NS_PER_MS)):
-        monkeypatch.setattr(watcher, name, value)
+    for name, value in (
+        ("WATCH_HOLD_MS", 30),
+        ("RESPONSE_TIMEOUT_NS", 30 * NS_PER_MS),
+        ("CONNECT_TIMEOUT_NS", 200 * NS_PER_MS),
+    ):
+        monkeypatch.setattr(timing, name, value)
 
 
 @pytest.mark.usefixtures("soon")
@@ -116,7 +120,7 @@
 
 
 def test_the_modules_pauses_stay_within_their_part_of_the_sum() -> None:
-    told = balancing.Settings(subscribe_to_endpoints=True, max_poll_interval_ns=watcher.MAX_BACKOFF_NS)
+    told = balancing.Settings(subscribe_to_endpoints=True, max_poll_interval_ns=timing.MAX_BACKOFF_NS)
     pauses = []
     for seed in range(40):
         module = Balancer(told, seed)
@@ -127,9 +131,9 @@
                 if isinstance(a, balancing.SetTimer)
             ]
             pauses.append(wakes[0].delay_ns)
-    assert max(pauses) <= watcher.MAX_BACKOFF_NS
+    assert max(pauses) <= timing.MAX_BACKOFF_NS
     # Hundreds that lost discovery at once must not come back in step.
-    assert max(pauses) - min(pauses) > watcher.MAX_BACKOFF_NS / 2
+    assert max(pauses) - min(pauses) > timing.MAX_BACKOFF_NS / 2
 
 
 @pytest.mark.usefixtures("soon")
@@ -260,7 +264,7 @@
         begun(sidecar)
         link = sidecar.discovery.link()
         link.head()
-        monkeypatch.setattr(sidecar.watch, "_take", take.fail_once)
+        monkeypatch.setattr(sidecar.watch, "_apply_update", take.fail_once)
         link.list(2, False, sidecar.row("s-b", "draining"))
         sidecar.until(lambda: sidecar.module.lists()[-1][0] == "failed")
         sidecar.watch.watch()
@@ -277,7 +281,7 @@
     """Fails the first time that a list is taken."""
 
     def __init__(self, sidecar: Sidecar) -> None:
-        self.take = sidecar.watch._take
+        self.take = sidecar.watch._apply_update
         self.failed = False
 
     def fail_once(self, pool: object, kind: str) -> None:
