--- a/lugtally/daemon/maintenance.py
+++ b/lugtally/daemon/maintenance.py
@@ -8,7 +8,7 @@
 from lugtally.downstream.server import DownstreamServer
 from lugtally.eventloop import EventLoop
 from lugtally.units import NS_PER_MS
-from lugtally.upstream.pool import UpstreamPool
+from lugtally.upstream import UpstreamPool
 
 MAINTENANCE_INTERVAL_NS = 1000 * NS_PER_MS
 READINESS_CHECK_INTERVAL_NS = 10 * NS_PER_MS
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -29,7 +29,7 @@
 from lugtally.overload.admission import AdmissionController, OverloadLimits
 from lugtally.overload.resource_monitor import ResourceLimits, ResourceMonitor
 from lugtally.units import NS_PER_S
-from lugtally.upstream.pool import (
+from lugtally.upstream import (
     ConnectionLimits,
     UpstreamPool,
     max_response_body_bytes,
--- a/lugtally/discovery/watcher.py
+++ b/lugtally/discovery/watcher.py
@@ -15,7 +15,7 @@
 from lugtally.dispatch.endpoint_registry import READY, REMOVED, ListedEndpoint
 from lugtally.eventloop import Event, EventLoop, Task
 from lugtally.http1 import ProtocolError
-from lugtally.upstream.pool import UpstreamPool
+from lugtally.upstream import UpstreamPool
 
 __all__ = ["MAX_BACKOFF_NS", "EndpointWatcher"]
 
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -19,7 +19,7 @@
 from lugtally.downstream.validation import ValidatedRequest
 from lugtally.eventloop import PEER_CLOSED, EventLoop, Task
 from lugtally.http1 import ForwardedRequest, Message, serialize_streamed_head
-from lugtally.upstream.pool import ResponseSink, UpstreamPool
+from lugtally.upstream import ResponseSink, UpstreamPool
 
 
 @dataclass(slots=True, frozen=True)
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -25,7 +25,7 @@
 from lugtally.eventloop import READABLE, Event, EventLoop, Task, WakeReason
 from lugtally.http1 import Message, ProtocolError, serialize_response
 from lugtally.units import NS_PER_MS
-from lugtally.upstream.pool import UpstreamPool
+from lugtally.upstream import UpstreamPool
 
 __all__ = ["DownstreamConnection", "DownstreamServer"]
 
--- /dev/null
+++ b/lugtally/upstream/connection.py
@@ -0,0 +1,119 @@
+"""One connection to an endpoint: its socket, its parser, and the waits on it."""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+
+from loguru import logger
+
+from lugtally.address import Address
+from lugtally.dispatch.attempt_outcome import AttemptOutcome
+from lugtally.eventloop import READABLE, WRITABLE, EventLoop, WakeReason
+from lugtally.http1 import Message, MessageParser
+from lugtally.upstream.errors import AttemptAborted
+
+READ_CHUNK_BYTES = 64 * 1024
+
+
+def open_socket(address: Address) -> socket.socket:
+    """Create a non-blocking socket for an address.
+
+    Raises:
+        AttemptAborted: No descriptor is free.
+    """
+    host, _ = address
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    except OSError as error:
+        logger.warning("no socket for a destination: {reason}", event="upstream.no_descriptor", reason=error.strerror)
+        raise AttemptAborted(AttemptOutcome.NO_DESCRIPTOR) from error
+
+
+class UpstreamConnection:
+    """One connection to an endpoint; it carries one request at a time.
+
+    Attributes:
+        idle_since_ns: When its last response was complete; 0 where it has not been used.
+    """
+
+    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns")
+
+    def __init__(self, sock: socket.socket, address: Address, max_body_bytes: int) -> None:
+        self.sock = sock
+        self.address = address
+        self.fd = sock.fileno()
+        self.parser = MessageParser(responses=True, max_body_bytes=max_body_bytes, streams=True)
+        self.idle_since_ns = 0
+
+    def connect(self, loop: EventLoop, timeout_ns: int, deadline_ns: int) -> None:
+        """Connect, within the timeout and by the deadline of the attempt.
+
+        Raises:
+            AttemptAborted: The connection was refused, did not come up in time, or the attempt was cancelled.
+        """
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        error_number = self.sock.connect_ex(self.address)
+        if error_number == errno.EINPROGRESS:
+            limit_ns = loop.now() + timeout_ns
+            if limit_ns < deadline_ns:
+                self.wait_writable(loop, limit_ns, AttemptOutcome.CONNECT_TIMEOUT)
+            else:
+                self.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT)
+            error_number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error_number:
+            host, port = self.address
+            logger.debug(
+                "connecting to {host}:{port}: {reason}",
+                event="upstream.connect_failed",
+                host=host,
+                port=port,
+                reason=os.strerror(error_number),
+            )
+            raise AttemptAborted(AttemptOutcome.CONNECTION_REFUSED)
+
+    def wait_writable(self, loop: EventLoop, deadline_ns: int, timeout_outcome: AttemptOutcome) -> None:
+        """Wait until bytes of the request can be written.
+
+        Raises:
+            AttemptAborted: With ``timeout_outcome`` at the deadline, or the attempt was cancelled before it was sent.
+        """
+        reason = loop.wait(self.fd, WRITABLE, deadline_ns)
+        if reason is not WakeReason.READY:
+            timed_out = reason is WakeReason.TIMEOUT
+            raise AttemptAborted(timeout_outcome if timed_out else AttemptOutcome.CANCELLED_BEFORE_SENT)
+
+    def wait_readable(self, loop: EventLoop, deadline_ns: int) -> None:
+        """Wait until bytes of the response can be read.
+
+        Raises:
+            AttemptAborted: The deadline came, or the attempt was cancelled.
+        """
+        reason = loop.wait(self.fd, READABLE, deadline_ns)
+        if reason is not WakeReason.READY:
+            timed_out = reason is WakeReason.TIMEOUT
+            raise AttemptAborted(AttemptOutcome.TIMEOUT if timed_out else AttemptOutcome.CANCELLED)
+
+    def receive(self) -> bytes:
+        """Return what has come, at most a chunk; nothing at the end of the connection.
+
+        Raises:
+            OSError: The connection failed; a :class:`BlockingIOError` where nothing has come.
+        """
+        return self.sock.recv(READ_CHUNK_BYTES)
+
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and holds no byte that belongs to no response."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # it has ended, or holds such bytes
+
+    def is_reusable_after(self, response: Message) -> bool:
+        """Return whether another request may follow: this response, and nothing more, has been read."""
+        return response.keep_alive and not response.streamed and self.parser.is_idle
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -26,7 +26,7 @@
 from lugtally.eventloop import Event, EventLoop, WakeReason
 from lugtally.http1 import ForwardedRequest, Message
 from lugtally.units import NS_PER_MS, NS_PER_S
-from lugtally.upstream.pool import SETTLE_NS, ConnectionLimits, UpstreamPool, safe_idle_timeout_ns
+from lugtally.upstream import SETTLE_NS, ConnectionLimits, UpstreamPool, safe_idle_timeout_ns
 from tests.integration.player import ROOT, Player, listener
 
 
--- a/tests/races/parties.py
+++ b/tests/races/parties.py
@@ -19,7 +19,7 @@
 from lugtally.downstream.server import DownstreamServer
 from lugtally.eventloop import READABLE, EventLoop, WakeReason
 from lugtally.units import NS_PER_MS, NS_PER_S
-from lugtally.upstream.pool import ConnectionLimits, UpstreamPool
+from lugtally.upstream import ConnectionLimits, UpstreamPool
 from tests.integration.player import listener
 
 PATIENCE_NS = 10_000 * NS_PER_MS
--- a/tests/races/test_attempts.py
+++ b/tests/races/test_attempts.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
@@ -12,10 +13,10 @@
 from lugtally.address import Address
 from lugtally.balancing.balancer import Balancer
 from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
-from lugtally.eventloop import READABLE
+from lugtally.eventloop import READABLE, EventLoop
 from lugtally.units import NS_PER_MS, NS_PER_S
-from lugtally.upstream import pool
-from lugtally.upstream.pool import UpstreamPool
+from lugtally.upstream import attempt, pool
+from lugtally.upstream.connection import UpstreamConnection
 from tests.races.parties import CLASSES, Link, Sidecar, request
 
 A, B = endpoint_id_of("s-a"), endpoint_id_of("s-b")
@@ -78,16 +79,16 @@
     def script() -> None:
         client = sidecar.client(ready(sidecar))
         sidecar.server.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        begun = UpstreamPool._write
+        write_request = attempt.write_request
         shrunk: list[int] = []
 
-        def small(self: UpstreamPool, link: object, *more: object) -> None:
-            link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # type: ignore[attr-defined]
+        def small(loop: EventLoop, connection: UpstreamConnection, *more: Any) -> None:
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             shrunk.append(1)
-            begun(self, link, *more)  # type: ignore[arg-type]
+            write_request(loop, connection, *more)
 
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(UpstreamPool, "_write", small)
+            patch.setattr(attempt, "write_request", small)
             client.send(request("write", method="POST", more="Idempotency-Key: k\r\nContent-Length: 65536\r\n"))
             client.send(bytes(65536))
             link = sidecar.server.link()
--- a/tests/races/test_closing.py
+++ b/tests/races/test_closing.py
@@ -19,7 +19,7 @@
 from lugtally.downstream import connection, graceful_shutdown, server
 from lugtally.eventloop import Event, WakeReason
 from lugtally.units import NS_PER_MS
-from lugtally.upstream.pool import UpstreamPool, split_descriptors
+from lugtally.upstream import attempt, split_descriptors
 from tests.integration.player import ROOT, Player
 from tests.races.parties import Link, Sidecar, request
 
@@ -283,7 +283,7 @@
 ) -> None:
     """The other side ends it between the look at it and the write: the request may have run, so it fails, once."""
     sidecar = Sidecar()
-    begun = UpstreamPool._write
+    write_request = attempt.write_request
 
     def script() -> None:
         client = sidecar.client(ready(sidecar))
@@ -293,13 +293,13 @@
         link.answer()
         assert client.read().startswith(b"HTTP/1.1 200")
 
-        def write(self: UpstreamPool, *more: Any) -> None:
+        def write(*more: Any) -> None:
             if how == "half a line":
                 link.send(b"HTTP/1.1 20")
             link.sock.close()
-            begun(self, *more)
+            write_request(*more)
 
-        monkeypatch.setattr(UpstreamPool, "_write", write)
+        monkeypatch.setattr(attempt, "write_request", write)
         client.send(request("once", "r1", method="POST", more="Content-Length: 0\r\n"))
         assert client.read().startswith(b"HTTP/1.1 502")
         assert sidecar.server.idle(), "it was sent again"
