--- a/lugtally/testbed/emulator/discovery.py
+++ b/lugtally/testbed/emulator/discovery.py
@@ -13,7 +13,7 @@
 
 from lugtally.testbed.emulator import loopback
 from lugtally.testbed.emulator.endpoint_registry import Catalog, Row
-from lugtally.testbed.verification.event_log import Call, Change, Told
+from lugtally.testbed.verification.records import DiscoveryCall, EndpointChanged, EndpointNotified
 
 PATH = "/catalog/members"
 MOST_HOLD_MS = 60_000
@@ -62,7 +62,7 @@
     def put(self, row: Row) -> None:
         """A change comes into the list."""
         if self.catalog.put(row):
-            self.write(Change(self.clock(), row.id, row.state, row.started_ms / 1000 or None))
+            self.write(EndpointChanged(self.clock(), row.id, row.state, row.started_ms / 1000 or None))
             self._news.set()
             self._news = asyncio.Event()
 
@@ -98,7 +98,7 @@
         try:
             await asyncio.wait_for(self._turns.acquire(), self._wait_most_s)
         except TimeoutError:
-            self.write(Call(caller.sidecar, begun, self.clock(), False))
+            self.write(DiscoveryCall(caller.sidecar, begun, self.clock(), False))
             caller.send(503, b"{}")
             return
         try:
@@ -108,7 +108,7 @@
         finally:
             self._turns.release()
         if self.down or not caller.open:
-            self.write(Call(caller.sidecar, begun, self.clock(), False))
+            self.write(DiscoveryCall(caller.sidecar, begun, self.clock(), False))
             caller.reset()
             return
         body = msgspec.json.encode(
@@ -133,14 +133,14 @@
         caller.send(200, body)
         now = self.clock()
         for row in rows:
-            self.write(Told(now, caller.sidecar, row.id, row.state, row.started_ms / 1000 or None))
-        self.write(Call(caller.sidecar, begun, now, True, len(rows)))
+            self.write(EndpointNotified(now, caller.sidecar, row.id, row.state, row.started_ms / 1000 or None))
+        self.write(DiscoveryCall(caller.sidecar, begun, now, True, len(rows)))
 
     def met(self, caller: Caller) -> bool:
         """A connection has come; false where the service is down."""
         if self.down:
             # It did ask: a sidecar that tries does not count as told of what it could not hear.
-            self.write(Call(caller.sidecar, self.clock(), self.clock(), False))
+            self.write(DiscoveryCall(caller.sidecar, self.clock(), self.clock(), False))
             return False
         self._callers.add(caller)
         return True
@@ -175,7 +175,7 @@
         self.service.left(self)
         if self._task is not None and not self._task.done():
             self._task.cancel()
-            self.service.write(Call(self.sidecar, self._begun, self.service.clock(), False))
+            self.service.write(DiscoveryCall(self.sidecar, self._begun, self.service.clock(), False))
 
     def data_received(self, data: bytes) -> None:
         """Bytes of a call."""
--- a/lugtally/testbed/emulator/fleet.py
+++ b/lugtally/testbed/emulator/fleet.py
@@ -23,8 +23,8 @@
 from lugtally.testbed.emulator.timer_lag import Lateness
 from lugtally.testbed.scenario import schedule
 from lugtally.testbed.scenario.scenario import Scenario
-from lugtally.testbed.scenario.schedule import Event, Plan
-from lugtally.testbed.verification.event_log import Book
+from lugtally.testbed.scenario.schedule import Event, Schedule
+from lugtally.testbed.verification.event_log import EventLogWriter
 
 LOOK_S = 0.25
 SERIAL = slice(0, 8)  # of a request's id: its place among the arrivals, in hexadecimal
@@ -56,10 +56,10 @@
     """All stand-ins of a run, and what happens to them."""
 
     def __init__(self, told: Specification) -> None:
-        self.schedule: Plan = schedule.make(told.scenario, told.seed)
+        self.schedule: Schedule = schedule.make(told.scenario, told.seed)
         self.told = told
         scenario = told.scenario
-        self.book = Book(Path(told.book))
+        self.book = EventLogWriter(Path(told.book))
         self.lateness = Lateness("stand-ins")
         mark = mark_of(told.seed)
         arrivals = self.schedule.arrivals
--- a/lugtally/testbed/emulator/server.py
+++ b/lugtally/testbed/emulator/server.py
@@ -23,7 +23,14 @@
 from lugtally.testbed.emulator.timer_lag import Lateness
 from lugtally.testbed.scenario.random_streams import unit
 from lugtally.testbed.scenario.schedule import Machine
-from lugtally.testbed.verification.event_log import Attempt, Fall, Load, Probe, Stranger
+from lugtally.testbed.verification.records import (
+    ColdServerOverloaded,
+    HealthCheck,
+    LoadSample,
+    ServerAttempt,
+    ServerOutcome,
+    UnknownRequest,
+)
 
 LEAST_DELAY_S = 0.0004  # the loop's timers tick in milliseconds: what is shorter is not delayed at all
 PADDING = b"." * 160
@@ -117,7 +124,7 @@
         for door in list(self._doors):
             door.reset()
         for ask in list(self._jobs.values()):
-            self._settle(ask, "gone")
+            self._settle(ask, ServerOutcome.DISCONNECTED)
         self._jobs.clear()
         self._plan_timer(inf)
 
@@ -219,7 +226,7 @@
         if door.ask is not None and door.ask.job is not None:
             self.model.cancel(self.model.now, door.ask.job)
             self._jobs.pop(door.ask.job, None)
-            self._settle(door.ask, "gone")
+            self._settle(door.ask, ServerOutcome.DISCONNECTED)
         door.ask = None
         self._plan()
 
@@ -231,29 +238,31 @@
             if self.model.silent:
                 return
             self.model.probe(shared.probe_s)
-            shared.write(Probe(now, self.machine.id, door.sidecar))
+            shared.write(HealthCheck(now, self.machine.id, door.sidecar))
             door.answer(200, self._report() if ask.path == "/_load" else b"ok")
             self._plan()
             return
         attempt = ask.attempt
-        attempt.last = now
-        work = shared.known(attempt.id)
+        attempt.last_byte_at = now
+        work = shared.known(attempt.request_id)
         if work is None or not ask.sound:
-            shared.write(Stranger(now, self.machine.id, door.sidecar, f"{ask.method} {ask.path} {attempt.id!r}"))
-            door.answer(400 if attempt.id else 404, b"")
+            shared.write(
+                UnknownRequest(now, self.machine.id, door.sidecar, f"{ask.method} {ask.path} {attempt.request_id!r}")
+            )
+            door.answer(400 if attempt.request_id else 404, b"")
             return
-        turn = self._noise[attempt.id] = self._noise.get(attempt.id, -1) + 1
+        turn = self._noise[attempt.request_id] = self._noise.get(attempt.request_id, -1) + 1
         # Of this server, request and attempt alone, whatever came in between.
-        draw = unit(shared.seed, "noise", self.machine.id, attempt.id, turn)
+        draw = unit(shared.seed, "noise", self.machine.id, attempt.request_id, turn)
         attempt.work = work * (1 + shared.noise * (2 * draw - 1) * 1.7)
         # Half of the resets strike before any work, the other half in the place of the answer.
-        reset = unit(shared.seed, "reset", self.machine.id, attempt.id, turn)
+        reset = unit(shared.seed, "reset", self.machine.id, attempt.request_id, turn)
         if reset < faults.reset / 2:
-            self._settle(ask, "reset")
+            self._settle(ask, ServerOutcome.RESET)
             door.reset()
             return
         ask.spoil = reset > 1 - faults.reset / 2
-        job = Job(attempt.id, attempt.work, now + ask.left, door.sidecar)
+        job = Job(attempt.request_id, attempt.work, now + ask.left, door.sidecar)
         taken = self.model.offer(now, job) if door.counted else Taken.FULL
         if self.model.fallen and self.model.fell_at == now:
             self._fell(now)
@@ -287,54 +296,54 @@
     def _done(self, ask: Ask, job: Job) -> None:
         shared, faults, attempt = self.shared, self.faults, ask.attempt
         now = shared.clock()
-        attempt.started, attempt.worked = job.started, job.work
-        attempt.effect = self._effect(ask)
-        attempt.repeat = not attempt.effect
-        draw = unit(shared.seed, "end", self.machine.id, attempt.id, attempt.last)
+        attempt.started_at, attempt.work_done = job.started, job.work
+        attempt.had_effect = self._effect(ask)
+        attempt.deduplicated = not attempt.had_effect
+        draw = unit(shared.seed, "end", self.machine.id, attempt.request_id, attempt.last_byte_at)
         if ask.spoil:
-            self._settle(ask, "reset")
+            self._settle(ask, ServerOutcome.RESET)
             ask.door.reset()
         elif draw < shared.error_rate + faults.errors:
-            self._settle(ask, "errored")
+            self._settle(ask, ServerOutcome.ERRORED)
             ask.door.answer(500, b"error")
         elif draw > 1 - faults.spoilt:
-            self._settle(ask, "spoilt")
+            self._settle(ask, ServerOutcome.MALFORMED)
             ask.door.spoil(SPOILT[int(draw * 1e9) % len(SPOILT)])
         else:
-            attempt.ended = now
-            self._settle(ask, "served")
-            ask.door.answer(200, answer_body(shared.seed, attempt.id, self.machine.id), slow=faults.slow_s)
+            attempt.ended_at = now
+            self._settle(ask, ServerOutcome.SERVED)
+            ask.door.answer(200, answer_body(shared.seed, attempt.request_id, self.machine.id), slow=faults.slow_s)
 
     def _effect(self, ask: Ask) -> bool:
         """Whether this execution counts: a keyed repeat within its time is dropped."""
         ttl = self.shared.key_ttl.get(ask.cls)
-        if ttl is None or not ask.attempt.key:
+        if ttl is None or not ask.attempt.idempotency_key:
             return True
         scope = "" if ask.cls in self.shared.key_wide else self.machine.zone
-        seen = self.shared.keyed.get((scope, ask.attempt.key))
-        if seen is not None and ask.attempt.last - seen[0] <= ttl:
+        seen = self.shared.keyed.get((scope, ask.attempt.idempotency_key))
+        if seen is not None and ask.attempt.last_byte_at - seen[0] <= ttl:
             return False
-        self.shared.keyed[scope, ask.attempt.key] = (ask.attempt.last, ask.attempt.id)
+        self.shared.keyed[scope, ask.attempt.idempotency_key] = (ask.attempt.last_byte_at, ask.attempt.request_id)
         return True
 
     def _turn_away(self, ask: Ask) -> None:
-        self._settle(ask, "turned-away")
+        self._settle(ask, ServerOutcome.REJECTED)
         ask.door.answer(503, b"", unprocessed=True)
 
-    def _settle(self, ask: Ask, outcome: str) -> None:
+    def _settle(self, ask: Ask, outcome: ServerOutcome) -> None:
         """The one entry of an attempt in the books."""
         if ask.settled:
             return
         ask.settled = True
         attempt = ask.attempt
-        attempt.outcome, attempt.ended = outcome, self.shared.clock()
+        attempt.outcome, attempt.ended_at = outcome, self.shared.clock()
         if ask.job is not None:
-            attempt.started, attempt.worked = ask.job.started, ask.job.work - ask.job.left
+            attempt.started_at, attempt.work_done = ask.job.started, ask.job.work - ask.job.left
         self.shared.write(attempt)
 
     def _fell(self, now: float) -> None:
         self.shared.write(
-            Fall(
+            ColdServerOverloaded(
                 now,
                 self.machine.id,
                 self.model.born,
@@ -343,7 +352,7 @@
         )
         for ask in list(self._jobs.values()):
             ask.job = None
-            self._settle(ask, "gone")
+            self._settle(ask, ServerOutcome.DISCONNECTED)
         self._jobs.clear()
 
     def _report(self) -> bytes:
@@ -352,7 +361,7 @@
     def look(self) -> None:
         """A line on what it holds now."""
         self.shared.write(
-            Load(self.shared.clock(), self.machine.id, self.model.held, self.model.connections, self.made)
+            LoadSample(self.shared.clock(), self.machine.id, self.model.held, self.model.connections, self.made)
         )
 
     # ------------------------------------------------------------ time
@@ -380,7 +389,7 @@
     """One request on its way through a server."""
 
     door: Door
-    attempt: Attempt
+    attempt: ServerAttempt
     method: str
     path: str
     cls: str
@@ -442,7 +451,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             shared = self.host.shared
-            shared.write(Stranger(shared.clock(), self.host.machine.id, self.sidecar, f"unreadable: {error}"))
+            shared.write(UnknownRequest(shared.clock(), self.host.machine.id, self.sidecar, f"unreadable: {error}"))
             self.reset()
 
     # ------------------------------------------------------------ httptools' side
@@ -463,7 +472,7 @@
         """The last byte has come."""
         shared, headers = self.host.shared, self._headers
         if self.ask is not None:
-            shared.write(Stranger(shared.clock(), self.host.machine.id, self.sidecar, "two requests at once"))
+            shared.write(UnknownRequest(shared.clock(), self.host.machine.id, self.sidecar, "two requests at once"))
             self.reset()
             return
         path = self._url.decode("latin-1").partition("?")[0]
@@ -471,19 +480,19 @@
             left = float(headers.get("x-time-left", "inf"))
         except ValueError:
             left = inf
-        attempt = Attempt(
+        attempt = ServerAttempt(
             headers.get("x-correlation-id", ""),
             self.host.machine.id,
             self.host.machine.zone,
             self.sidecar,
             self._first,
             shared.clock(),
-            key=headers.get("idempotency-key", ""),
-            fresh=not self._used,
+            idempotency_key=headers.get("idempotency-key", ""),
+            on_new_connection=not self._used,
         )
         method = self._parser.get_method().decode()
         cls = path.lstrip("/").partition("/")[0]
-        sound = shared.methods.get(cls) == method and (cls not in shared.key_ttl or bool(attempt.key))
+        sound = shared.methods.get(cls) == method and (cls not in shared.key_ttl or bool(attempt.idempotency_key))
         ask = Ask(self, attempt, method, path, cls, left, sound)
         if path not in ("/ping", "/_load"):
             self.ask = ask
--- a/lugtally/testbed/emulator/timer_lag.py
+++ b/lugtally/testbed/emulator/timer_lag.py
@@ -6,7 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from lugtally.testbed.verification.event_log import Late
+from lugtally.testbed.verification.records import TimerLagReport
 
 MOST_US = 60_000_000
 
@@ -22,10 +22,10 @@
         """Something due was done that long after its time."""
         self._histogram.record_value(min(MOST_US, max(1, int(seconds * 1e6))))
 
-    def record(self) -> Late:
+    def record(self) -> TimerLagReport:
         """What the judge needs: a run whose kit ran late is void."""
         used = resource.getrusage(resource.RUSAGE_SELF)
-        return Late(
+        return TimerLagReport(
             self.party,
             self._histogram.get_total_count(),
             self._histogram.get_value_at_percentile(99) / 1000,
--- a/lugtally/testbed/experiments/runner.py
+++ b/lugtally/testbed/experiments/runner.py
@@ -33,9 +33,11 @@
 from lugtally.testbed.scenario import schedule
 from lugtally.testbed.scenario.random_streams import stream
 from lugtally.testbed.scenario.scenario import TAKES_EFFECT, Scenario
-from lugtally.testbed.scenario.schedule import Event, Plan
-from lugtally.testbed.verification import event_log, verifier
-from lugtally.testbed.verification.event_log import Book, Life
+from lugtally.testbed.scenario.schedule import Event, Schedule
+from lugtally.testbed.verification import verifier
+from lugtally.testbed.verification.event_log import EventLog, EventLogWriter, read_records
+from lugtally.testbed.verification.records import ProcessEvent, ProcessEventKind
+from lugtally.testbed.verification.violations import DRAIN_GRACE_S, RESPONSE_SLACK_S
 
 READY_S = 20.0  # for each process to come up
 AHEAD_S = 0.4  # between the word ``go`` and the first arrival
@@ -112,11 +114,11 @@
             "connect_timeout_ns": 150_000_000,
         },
         "contract": {
-            "answer_slack_ns": int(verifier.ANSWER_SLACK_S * 1e9),
+            "answer_slack_ns": int(RESPONSE_SLACK_S * 1e9),
             "ask_within_ns": int(scenario.discovery.ask_within_s * 1e9),
             "cold_from": fleet.cold_from,
             "warm_within_ns": int(fleet.cold_s * 1e9),
-            "drain_grace_ns": int(verifier.DRAIN_GRACE_S * 1e9),
+            "drain_grace_ns": int(DRAIN_GRACE_S * 1e9),
             "fall_multiple": fleet.fall_multiple,
             "tip_after_ns": int(fleet.fall_after_s * 1e9),
         },
@@ -154,7 +156,7 @@
         operator: Path | None = None,
     ) -> None:
         self.scenario, self.seed, self.policy, self.watch = scenario, seed, policy, watch
-        self.schedule: Plan = schedule.make(scenario, seed)
+        self.schedule: Schedule = schedule.make(scenario, seed)
         self.operator = operator
         self._keep = folder is not None
         self.folder = folder or Path(tempfile.mkdtemp(prefix="lugtally-rehearsal-"))
@@ -164,7 +166,7 @@
         self.start = 0.0
         self.sidecars = [Sidecar(at) for at in range(scenario.fleet.sidecars)]
         self._children: list[subprocess.Popen[bytes]] = []
-        self._book = Book(self.folder / "runner.jsonl")
+        self._book = EventLogWriter(self.folder / "runner.jsonl")
         self._sampled = 0.0
         self._spinners: dict[int, list[subprocess.Popen[bytes]]] = {}
 
@@ -197,17 +199,15 @@
                 self._end()
                 self._book.close()
                 block.close()
-        books = verifier.sort(
-            event_log.read(self.folder / name for name in ("world.jsonl", "load.jsonl", "runner.jsonl"))
-        )
-        findings = verifier.judge(books, self.schedule, self.start)
+        log = EventLog(read_records(self.folder / name for name in ("world.jsonl", "load.jsonl", "runner.jsonl")))
+        findings = verifier.verify(log, self.schedule, self.start)
         if cut_short:
-            findings.void.insert(0, f"{cut_short} after {max(0.0, self.clock() - self.start):.1f} s")
+            findings.void_reasons.insert(0, f"{cut_short} after {max(0.0, self.clock() - self.start):.1f} s")
         report = build(
             self.schedule,
             self.policy,
             findings,
-            books,
+            log,
             self.start,
             [(s.usage.cpu_s, s.usage.rss_mb) for s in self.sidecars],
         )
@@ -374,7 +374,7 @@
             os.sched_setaffinity(child.pid, {self._core(sidecar)})
 
     def _write(self, sidecar: Sidecar, what: str, status: int = 0) -> None:
-        self._book.write(Life(self.clock(), sidecar.number, what, status))
+        self._book.write(ProcessEvent(self.clock(), sidecar.number, ProcessEventKind(what), status))
         self._book.flush()
 
     def _strike(self, event: Event) -> None:
--- a/lugtally/testbed/loadgen/generator.py
+++ b/lugtally/testbed/loadgen/generator.py
@@ -26,8 +26,9 @@
 from lugtally.testbed.emulator.timer_lag import Lateness
 from lugtally.testbed.scenario import schedule
 from lugtally.testbed.scenario.random_streams import unit
-from lugtally.testbed.scenario.schedule import Arrival, Plan
-from lugtally.testbed.verification.event_log import Book, Try
+from lugtally.testbed.scenario.schedule import Arrival, Schedule
+from lugtally.testbed.verification.event_log import EventLogWriter
+from lugtally.testbed.verification.records import ClientAttempt, ClientOutcome
 
 WATCHED_S = 0.4  # beyond a client's patience, to see whether an answer comes late or never
 BODY = b"v" * 200  # of a POST
@@ -251,7 +252,7 @@
         end = tool.start + self.arrival.at + cls.deadline_ms / 1000
         left = min(cls.deadline_ms / 1000 * tool.told.scenario.clients.try_share, end - intended)
         number, self.number = self.number, self.number + 1
-        one = Try(
+        one = ClientAttempt(
             self.id(number),
             self.first,
             number,
@@ -264,25 +265,25 @@
         tool.pending += 1
         _Sending(self, one, cls.name, METHODS[cls.effect], cls.effect == "keyed").go()
 
-    def ended(self, one: Try, gave_up: bool) -> None:
+    def ended(self, one: ClientAttempt, gave_up: bool) -> None:
         """A try came to its end, or the client stopped waiting for it: ask again where that is allowed."""
         if self.over:
             return
         tool, cls = self.tool, self.tool.classes[self.arrival.cls]
         clients = tool.told.scenario.clients
         end = tool.start + self.arrival.at + cls.deadline_ms / 1000
-        if one.ending == "served" and not gave_up:
+        if one.outcome == ClientOutcome.SERVED and not gave_up:
             self.over = True
             return
-        harmless = one.ending in ("refused", "unreached") and not gave_up
+        harmless = one.outcome in (ClientOutcome.REJECTED, ClientOutcome.UNREACHABLE) and not gave_up
         wide = cls.effect == "safe" or (
             cls.effect == "keyed"
             and cls.key_scope == "all"
             and tool.clock() - tool.start - self.arrival.at < cls.key_ttl_ms / 1000
         )
         wait = clients.wait_ms / 1000
-        if one.advice >= 0 and unit(tool.told.seed, "honour", self.first) < clients.honour:
-            wait = max(wait, one.advice)
+        if one.retry_after_s >= 0 and unit(tool.told.seed, "honour", self.first) < clients.honour:
+            wait = max(wait, one.retry_after_s)
         again = tool.clock() + wait
         if not (harmless or wide) or self.number > clients.retries or again >= end - 0.005:
             return
@@ -301,16 +302,16 @@
 
     __slots__ = ("client", "one", "data", "link", "timer", "told", "done")
 
-    def __init__(self, client: Client, one: Try, name: str, method: str, keyed: bool) -> None:
+    def __init__(self, client: Client, one: ClientAttempt, name: str, method: str, keyed: bool) -> None:
         self.client = client
         self.one = one
         body = b"" if method == "GET" else BODY
         lines = [
             f"{method} /{name}?n={client.serial} HTTP/1.1",
             "Host: service.internal",
-            f"X-Correlation-Id: {one.id}",
+            f"X-Correlation-Id: {one.request_id}",
             f"X-Service-Class: {name}",
-            f"X-Time-Left: {one.until - one.intended:.3f}",
+            f"X-Time-Left: {one.deadline_at - one.intended_at:.3f}",
         ]
         if one.number:
             lines.append("X-Repeat: 1")
@@ -328,7 +329,7 @@
         """Over an idle connection, or a new one."""
         tool = self.client.tool
         tool.applications[self.one.sidecar].take(self.use)
-        wait = max(0.0, self.one.until - tool.clock())
+        wait = max(0.0, self.one.deadline_at - tool.clock())
         self.timer = asyncio.get_running_loop().call_later(wait, self.patience_over)
 
     def use(self, link: Link | None) -> None:
@@ -338,31 +339,31 @@
             if link is not None:
                 tool.applications[self.one.sidecar].give_back(link)
             if not self.done:
-                self.finish("unreached")
+                self.finish(ClientOutcome.UNREACHABLE)
             return
         if link is None:
-            self.finish("unreached")
+            self.finish(ClientOutcome.UNREACHABLE)
             return
         self.link = link
-        self.one.sent = tool.clock()
+        self.one.sent_at = tool.clock()
         link.send(self.data, self.answered, self.broke, self.extra, self.genuine)
 
     def extra(self) -> None:
         """Bytes came behind the answer."""
-        self.one.extra = True
+        self.one.duplicate_response = True
         if self.done:
             self.client.tool.book.write(
-                Try(
-                    self.one.id,
-                    self.one.first,
+                ClientAttempt(
+                    self.one.request_id,
+                    self.one.first_id,
                     self.one.number,
                     self.one.sidecar,
-                    self.one.cls,
-                    self.one.intended,
-                    self.one.sent,
-                    self.one.until,
+                    self.one.class_index,
+                    self.one.intended_at,
+                    self.one.sent_at,
+                    self.one.deadline_at,
                     self.client.tool.clock(),
-                    "extra",
+                    ClientOutcome.DUPLICATE,
                     0,
                     True,
                 )
@@ -371,24 +372,24 @@
     def answered(self, status: int, body: bytes, advice: float) -> None:
         """A whole answer has come."""
         tool, one = self.client.tool, self.one
-        one.status, one.advice = status, advice
+        one.status, one.retry_after_s = status, advice
         link, self.link = self.link, None
         assert link is not None
-        ending = "failed"
+        ending = ClientOutcome.FAILED
         if status == 200:
-            ending = "served" if self.genuine(body) else "foreign"
+            ending = ClientOutcome.SERVED if self.genuine(body) else ClientOutcome.FOREIGN
         elif status in (429, 503):
-            ending = "refused"
+            ending = ClientOutcome.REJECTED
         self.finish(ending)
         tool.applications[one.sidecar].give_back(link)
 
     def genuine(self, body: bytes) -> bool:
         """Whether a server made this body for this request."""
         head = body.partition(b"\n")[0].decode("latin-1")
-        if f'"id":"{self.one.id}"' not in head:
+        if f'"id":"{self.one.request_id}"' not in head:
             return False
         server = head.partition('"server":"')[2].partition('"')[0]
-        return f'"made":"{made_by(self.client.tool.told.seed, self.one.id, server)}"' in head
+        return f'"made":"{made_by(self.client.tool.told.seed, self.one.request_id, server)}"' in head
 
     def broke(self, begun: bool) -> None:
         """The connection ended without a whole answer."""
@@ -399,17 +400,17 @@
             self.one.resent = True
             self.client.tool.applications[self.one.sidecar].fresh(self.use)
             return
-        self.finish("dropped")
+        self.finish(ClientOutcome.DROPPED)
 
     def patience_over(self) -> None:
         """The client stops waiting.  Most connections are watched a little longer, for the judge."""
         self.told = True
         tool = self.client.tool
-        if unit(tool.told.seed, "impatient", self.one.id) < tool.told.scenario.clients.impatient:
+        if unit(tool.told.seed, "impatient", self.one.request_id) < tool.told.scenario.clients.impatient:
             link, self.link = self.link, None
             if link is not None:
                 link.close()
-            self.finish("left")
+            self.finish(ClientOutcome.CLIENT_LEFT)
             self.client.ended(self.one, True)
             return
         self.timer = asyncio.get_running_loop().call_later(WATCHED_S, self.watch_over)
@@ -420,11 +421,11 @@
         link, self.link = self.link, None
         if link is not None:
             link.close()
-            self.finish("none")
+            self.finish(ClientOutcome.PENDING)
         else:
-            self.finish("unreached")
+            self.finish(ClientOutcome.UNREACHABLE)
 
-    def finish(self, ending: str) -> None:
+    def finish(self, ending: ClientOutcome) -> None:
         """The one entry of this try in the books."""
         if self.done:
             return
@@ -432,7 +433,7 @@
         if self.timer is not None:
             self.timer.cancel()
         tool, one = self.client.tool, self.one
-        one.ending, one.ended = ending, tool.clock()
+        one.outcome, one.ended_at = ending, tool.clock()
         tool.book.write(one)
         tool.pending -= 1
         if not self.told:
@@ -444,10 +445,10 @@
 
     def __init__(self, told: Specification) -> None:
         self.told = told
-        self.schedule: Plan = schedule.make(told.scenario, told.seed)
+        self.schedule: Schedule = schedule.make(told.scenario, told.seed)
         self.classes = told.scenario.classes
         self.mark = mark_of(told.seed)
-        self.book = Book(Path(told.book))
+        self.book = EventLogWriter(Path(told.book))
         self.lateness = Lateness("load")
         self.applications = [Application(self, at) for at in range(told.scenario.fleet.sidecars)]
         self.start = 0.0
--- a/lugtally/testbed/reporting/compare.py
+++ b/lugtally/testbed/reporting/compare.py
@@ -21,13 +21,16 @@
 MEASURES: dict[str, tuple[Callable[[Report], float], bool]] = {  # and whether more is better
     "service": (lambda r: r.findings.service, True),
     "net": (lambda r: r.findings.net, True),
-    "whole": (lambda r: r.findings.whole, True),
+    "whole": (lambda r: r.findings.overall, True),
     "worst 10 s": (lambda r: r.findings.worst_10s, True),
     "worst class": (lambda r: r.findings.worst_class, True),
-    "attempts a try": (lambda r: r.findings.attempts / max(1, r.findings.tries), False),
+    "attempts a try": (lambda r: r.findings.server_attempts / max(1, r.findings.client_attempts), False),
     "waste": (lambda r: r.findings.prices["waste"], False),
-    "broken rules": (lambda r: float(sum(r.breaches_by_name.values())), False),
-    "sidecar CPU ms a try": (lambda r: 1000 * sum(s.cpu_s for s in r.sidecars) / max(1, r.findings.tries), False),
+    "broken rules": (lambda r: float(sum(r.violations_by_name.values())), False),
+    "sidecar CPU ms a try": (
+        lambda r: 1000 * sum(s.cpu_s for s in r.sidecars) / max(1, r.findings.client_attempts),
+        False,
+    ),
 }
 
 
--- a/lugtally/testbed/reporting/render.py
+++ b/lugtally/testbed/reporting/render.py
@@ -35,24 +35,26 @@
     )
     for reason in report.reasons:
         console.print(f"  {reason}", highlight=False, markup=False)
-    for breach in found.breaches[:SHOWN]:
+    for violation in found.violations[:SHOWN]:
         console.print(
-            f"  {breach.at:8.3f} s  {breach.name}  {breach.what}: {breach.text}", highlight=False, markup=False
+            f"  {violation.at:8.3f} s  {violation.name}  {violation.subject}: {violation.description}",
+            highlight=False,
+            markup=False,
         )
-    more = sum(report.breaches_by_name.values()) - SHOWN
+    more = sum(report.violations_by_name.values()) - SHOWN
     if more > 0:
         console.print(f"  and {more} more", highlight=False)
     console.print(
-        f"whole run {found.whole:.3f}, worst 10 s {found.worst_10s:.3f}, worst class "
-        f"{found.worst_class:.3f}; {report.rate_per_s:.0f} first tries/s, {found.tries} tries, "
-        f"{found.attempts} attempts, {found.retries} of them retries",
+        f"whole run {found.overall:.3f}, worst 10 s {found.worst_10s:.3f}, worst class "
+        f"{found.worst_class:.3f}; {report.rate_per_s:.0f} first tries/s, {found.client_attempts} tries, "
+        f"{found.server_attempts} attempts, {found.retries} of them retries",
         highlight=False,
     )
     console.print(_classes(report))
     console.print("  ".join(f"{name} {value:.3f}" for name, value in found.prices.items()), highlight=False)
     for late in report.late:
         console.print(
-            f"{late.party}: {late.p99_ms:.1f} ms late at the 99th percentile, {late.worst_ms:.1f} at worst; "
+            f"{late.process}: {late.p99_ms:.1f} ms late at the 99th percentile, {late.worst_ms:.1f} at worst; "
             f"{late.cpu_s:.1f} s of a core",
             highlight=False,
         )
@@ -71,7 +73,7 @@
         ms = latency.get(row.name, {})
         table.add_row(
             row.name,
-            *map(str, (row.asked, row.served, row.late, row.refused, row.failed)),
+            *map(str, (row.requests, row.served, row.late, row.rejected, row.failed)),
             f"{row.service:.3f}",
             *(f"{ms.get(p, 0):.0f}" for p in ("50", "99", "100")),
         )
--- a/lugtally/testbed/reporting/report.py
+++ b/lugtally/testbed/reporting/report.py
@@ -13,12 +13,15 @@
 
 from lugtally import __version__
 from lugtally.testbed.scenario.scenario import Expect
-from lugtally.testbed.scenario.schedule import Plan
-from lugtally.testbed.verification.event_log import Late
-from lugtally.testbed.verification.verifier import Books, Breach, ClassService, Findings
+from lugtally.testbed.scenario.schedule import Schedule
+from lugtally.testbed.verification.event_log import EventLog
+from lugtally.testbed.verification.records import ClientOutcome, TimerLagReport
+from lugtally.testbed.verification.service import ClassService
+from lugtally.testbed.verification.verifier import Findings
+from lugtally.testbed.verification.violations import Violation
 
 SCHEMA = 1
-MOST_BREACHES = 200  # listed; all are counted
+MAX_LISTED_VIOLATIONS = 200  # listed; all are counted
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 PASSED, FAILED, BROKEN, VOID = "passed", "failed", "broken", "void"
 INTERRUPTED = "interrupted"
@@ -53,7 +56,7 @@
     rss_mb: float
 
 
-class Report(Struct):
+class Report(Struct, rename={"violations_by_name": "breaches_by_name"}):
     """One run."""
 
     schema: int
@@ -68,24 +71,24 @@
     servers: int
     verdict: str
     reasons: list[str]
-    breaches_by_name: dict[str, int]
+    violations_by_name: dict[str, int]
     findings: Findings
     latencies: list[Latency]
     in_flight: dict[str, list[tuple[float, int]]]  # by server: seconds, requests held
     attempts_per_try: dict[str, int]
     troubles: list[Noted]
-    late: list[Late]
+    late: list[TimerLagReport]
     sidecars: list[Sidecar]
 
 
 def verdict(findings: Findings, expect: Expect) -> tuple[str, list[str]]:
     """The one word on a run, and why.  A run whose kit ran late is void, whatever it shows."""
-    if findings.void:
-        return VOID, list(findings.void)
-    if findings.breaches:
-        counted = Counter(b.name for b in findings.breaches)
+    if findings.void_reasons:
+        return VOID, list(findings.void_reasons)
+    if findings.violations:
+        counted = Counter(b.name.value for b in findings.violations)
         return BROKEN, [
-            f"rule {min(b.rule for b in findings.breaches if b.name == name)} broken: {name} {count} x"
+            f"rule {min(b.rule for b in findings.violations if b.name == name)} broken: {name} {count} x"
             for name, count in counted.most_common()
         ]
     floors = [
@@ -98,54 +101,53 @@
 
 
 def build(
-    plan: Plan, policy: str, findings: Findings, books: Books, start: float, used: list[tuple[float, float]]
+    schedule: Schedule, policy: str, findings: Findings, log: EventLog, start: float, used: list[tuple[float, float]]
 ) -> Report:
     """Put a report together."""
-    scenario = plan.scenario
+    scenario = schedule.scenario
     word, reasons = verdict(findings, scenario.expect)
-    names = Counter(b.name for b in findings.breaches)
-    kept = Findings(**{name: getattr(findings, name) for name in findings.__struct_fields__})
-    kept.breaches = findings.breaches[:MOST_BREACHES]
+    names = Counter(b.name.value for b in findings.violations)
+    listed = msgspec.structs.replace(findings, violations=findings.violations[:MAX_LISTED_VIOLATIONS])
     in_flight: dict[str, list[tuple[float, int]]] = defaultdict(list)
-    for load in books.loads:
+    for load in log.load_samples:
         if start <= load.at:
-            in_flight[load.server].append((round(load.at - start, 2), load.held))
-    by_try = Counter(attempt.id for attempt in books.attempts)
-    tries = [t for t in books.tries if t.ending != "extra"]
-    spread = Counter(min(by_try.get(t.id, 0), 9) for t in tries)
+            in_flight[load.server].append((round(load.at - start, 2), load.in_flight))
+    by_try = Counter(attempt.request_id for attempt in log.server_attempts)
+    tries = [t for t in log.client_attempts if t.outcome != ClientOutcome.DUPLICATE]
+    spread = Counter(min(by_try.get(t.request_id, 0), 9) for t in tries)
     return Report(
         SCHEMA,
         scenario.name,
-        plan.seed,
+        schedule.seed,
         policy,
         __version__,
         f"{platform.system()} {platform.machine()}",
         os.cpu_count() or 1,
         scenario.length_s,
-        plan.rate,
+        schedule.rate,
         scenario.fleet.servers,
         word,
         reasons,
         dict(names),
-        kept,
-        _latencies(plan, books),
+        listed,
+        _latencies(schedule, log),
         dict(in_flight),
         {str(n): spread[n] for n in sorted(spread)},
-        _noted(plan),
-        books.late,
+        _noted(schedule),
+        log.timer_lags,
         [Sidecar(round(cpu, 3), round(rss, 2)) for cpu, rss in used],
     )
 
 
-def _latencies(plan: Plan, books: Books) -> list[Latency]:
+def _latencies(schedule: Schedule, log: EventLog) -> list[Latency]:
     begun: dict[str, float] = {}
     ended: dict[str, tuple[float, int]] = {}
-    for one in books.tries:
-        begun[one.first] = min(begun.get(one.first, one.intended), one.intended)
-        if one.ending == "served" and one.ended < ended.get(one.first, (float("inf"), 0))[0]:
-            ended[one.first] = (one.ended, one.cls)
+    for one in log.client_attempts:
+        begun[one.first_id] = min(begun.get(one.first_id, one.intended_at), one.intended_at)
+        if one.outcome == ClientOutcome.SERVED and one.ended_at < ended.get(one.first_id, (float("inf"), 0))[0]:
+            ended[one.first_id] = (one.ended_at, one.class_index)
     found = []
-    for at, cls in enumerate(plan.scenario.classes):
+    for at, cls in enumerate(schedule.scenario.classes):
         histogram = HdrHistogram(1, 120_000_000, 3)
         for first, (when, number) in ended.items():
             if number == at:
@@ -160,14 +162,14 @@
     return found
 
 
-def _noted(plan: Plan) -> list[Noted]:
+def _noted(schedule: Schedule) -> list[Noted]:
     found = []
-    for event in plan.events:
+    for event in schedule.events:
         if event.begins:
             end = next(
                 (
                     e.at
-                    for e in plan.events
+                    for e in schedule.events
                     if not e.begins
                     and e.trouble is event.trouble
                     and e.at >= event.at
@@ -175,14 +177,14 @@
                 ),
                 None,
             )
-            machines = plan.machines
+            machines = schedule.machines
             found.append(
                 Noted(
                     event.trouble.kind,
                     event.at,
                     end,
                     [machines[at].id for at in event.servers]
-                    if len(event.servers) < plan.scenario.fleet.servers
+                    if len(event.servers) < schedule.scenario.fleet.servers
                     else [],
                 )
             )
@@ -230,4 +232,4 @@
     return found
 
 
-__all__ = ["Breach", "ClassService", "EXIT", "Report", "ReportError", "build", "load", "save", "verdict"]
+__all__ = ["ClassService", "EXIT", "Report", "ReportError", "build", "load", "save", "verdict", "Violation"]
--- a/lugtally/testbed/scenario/schedule.py
+++ b/lugtally/testbed/scenario/schedule.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Plan:
+class Schedule:
     """All that is drawn before a run starts."""
 
     scenario: Scenario
@@ -60,7 +60,7 @@
     silent_notice: float
 
 
-def make(scenario: Scenario, seed: int) -> Plan:
+def make(scenario: Scenario, seed: int) -> Schedule:
     """Draw the run of that seed."""
     mean_work = tuple(between(stream(seed, "class", cls.name), cls.work_ms) / 1000 for cls in scenario.classes)
     machines = _machines(scenario, seed)
@@ -77,7 +77,7 @@
         rate = scenario.load.utilisation * capacity / a_request
     arrivals = _arrivals(scenario, seed, rate, mean_work)
     zones = scenario.fleet.zones
-    return Plan(
+    return Schedule(
         scenario,
         seed,
         arrivals,
--- /dev/null
+++ b/lugtally/testbed/verification/crashes.py
@@ -0,0 +1,33 @@
+"""Rule 1, for processes: a sidecar ends only when it is told to, and with status 0 after SIGTERM."""
+
+from __future__ import annotations
+
+from lugtally.testbed.verification.event_log import EventLog
+from lugtally.testbed.verification.records import ProcessEvent, ProcessEventKind
+from lugtally.testbed.verification.responses import STOP_SIGNALS
+from lugtally.testbed.verification.violations import Rule, Violation, ViolationName
+
+
+def check_crashes(log: EventLog, start: float) -> list[Violation]:
+    """Report each end of a sidecar's process that no signal explains."""
+    violations: list[Violation] = []
+    signals: dict[int, ProcessEventKind] = {}
+    for event in sorted(log.process_events, key=lambda event: event.at):
+        if event.kind in STOP_SIGNALS:
+            signals[event.sidecar] = event.kind
+        elif event.kind == ProcessEventKind.ENDED:
+            signal = signals.pop(event.sidecar, None)
+            if signal is None or (signal == ProcessEventKind.TERM and event.exit_status != 0):
+                violations.append(_crashed(event, signal, start))
+    return violations
+
+
+def _crashed(event: ProcessEvent, signal: ProcessEventKind | None, start: float) -> Violation:
+    circumstance = "unasked" if signal is None else "after SIGTERM"
+    return Violation(
+        ViolationName.SIDECAR_CRASHED,
+        Rule.RESPONSES,
+        event.at - start,
+        f"sidecar {event.sidecar}",
+        f"ended with status {event.exit_status} {circumstance}",
+    )
--- a/lugtally/testbed/verification/event_log.py
+++ b/lugtally/testbed/verification/event_log.py
@@ -1,151 +1,44 @@
-"""The books of a run: what each party outside the sidecar saw, one record a line, in JSON.
+"""Event logs of a run: files with one record a line, in JSON, and all records of a run by kind.
 
-All times are seconds since the start of the run.  A book that breaks off is read up to its last whole line.
+A file that breaks off is read up to its last complete line.
 """
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable
+from functools import cached_property
 from pathlib import Path
-from typing import IO
+from typing import IO, TypeVar
 
 import msgspec
-from msgspec import Struct
 
-
-class Attempt(Struct, tag="attempt", omit_defaults=True):
-    """A request that came whole to a pledge server, and what became of it there."""
-
-    id: str
-    server: str
-    zone: str
-    sidecar: int
-    first: float  # its first byte
-    last: float  # its last byte
-    work: float = 0.0  # core-seconds
-    key: str = ""
-    started: float = -1.0  # it took a slot
-    ended: float = -1.0  # its answer was written, or it was given up
-    outcome: str = "unanswered"  # served, errored, turned-away, spoilt, reset, gone, unanswered, faulty
-    worked: float = 0.0  # core-seconds spent on it
-    effect: bool = False  # it had an effect of its own (a dropped repeat has none)
-    repeat: bool = False  # dropped as a repeat of its key
-    fresh: bool = False  # the first on its connection
-
-
-class Told(Struct, tag="told", omit_defaults=True):
-    """A line of the list was written to a sidecar."""
-
-    at: float
-    sidecar: int
-    server: str
-    state: str
-    started: float | None = None  # of a restart, none where it has always run
-
-
-class Change(Struct, tag="change", omit_defaults=True):
-    """A change came into the list."""
-
-    at: float
-    server: str
-    state: str
-    started: float | None = None
-
-
-class Call(Struct, tag="call", omit_defaults=True):
-    """A sidecar's call to the server list."""
-
-    sidecar: int
-    begun: float
-    ended: float
-    good: bool
-    lines: int = 0
-
-
-class Fall(Struct, tag="fall"):
-    """A cold server was pushed over; work of the last window by sidecar."""
-
-    at: float
-    server: str
-    started: float
-    by: dict[str, float]
-
-
-class Stranger(Struct, tag="stranger"):
-    """A request reached a server that no client sent in this form."""
-
-    at: float
-    server: str
-    sidecar: int
-    what: str
-
-
-class Probe(Struct, tag="probe"):
-    """A probe."""
-
-    at: float
-    server: str
-    sidecar: int
-
-
-class Load(Struct, tag="load"):
-    """A look at a server: requests held, connections open, connections made so far."""
-
-    at: float
-    server: str
-    held: int
-    connections: int
-    made: int
-
-
-class Try(Struct, tag="try", omit_defaults=True):
-    """One try of a client, from outside the sidecar."""
-
-    id: str
-    first: str  # the id of the first try
-    number: int  # 0: the first try
-    sidecar: int
-    cls: int
-    intended: float  # when it was to be sent; for the first try, drawn ahead
-    sent: float  # when its last byte was written
-    until: float  # the end of the client's patience with this try
-    ended: float = -1.0
-    ending: str = "none"  # served, refused, failed, dropped, unreached, foreign, left, none
-    status: int = 0
-    extra: bool = False  # bytes came behind the answer
-    resent: bool = False  # sent once more, as the connection was closed across it
-    advice: float = -1.0  # Retry-After, seconds
-
-
-class Life(Struct, tag="life", omit_defaults=True):
-    """What happened to a sidecar: ready, kill, term, hup, ended."""
-
-    at: float
-    sidecar: int
-    what: str
-    status: int = 0
-
-
-class Late(Struct, tag="late"):
-    """How late a party of the kit ran, in milliseconds, and its processor time."""
-
-    party: str
-    count: int
-    p99_ms: float
-    worst_ms: float
-    cpu_s: float
-
-
-Record = Attempt | Told | Change | Call | Fall | Stranger | Probe | Load | Try | Life | Late
+from lugtally.testbed.verification.records import (
+    ClientAttempt,
+    ColdServerOverloaded,
+    DiscoveryCall,
+    EndpointChanged,
+    EndpointNotified,
+    HealthCheck,
+    LoadSample,
+    ProcessEvent,
+    Record,
+    ServerAttempt,
+    TimerLagReport,
+    UnknownRequest,
+)
+
+BUFFER_BYTES = 1 << 16
 _DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
+_RecordType = TypeVar("_RecordType")
 _ENCODER = msgspec.json.Encoder()
 
 
-class Book:
-    """Writes records to a file, a batch at a time."""
+class EventLogWriter:
+    """Writer of records to a file, a batch at a time."""
 
     def __init__(self, path: Path) -> None:
-        self._file: IO[bytes] = path.open("wb", buffering=1 << 16)
+        self._file: IO[bytes] = path.open("wb", buffering=BUFFER_BYTES)
 
     def write(self, record: Record) -> None:
         """Add a record."""
@@ -156,15 +49,45 @@
         self._file.flush()
 
     def close(self) -> None:
-        """The book is whole."""
+        """Write what is left and close the file."""
         self._file.close()
 
 
-def read(paths: Iterable[Path]) -> list[Record]:
-    """All whole records of these books, each in its own order."""
-    found: list[Record] = []
+def read_records(paths: Iterable[Path]) -> list[Record]:
+    """Read all complete records of these files, each file in its own order; a missing file holds none."""
+    records: list[Record] = []
     for path in paths:
         if path.exists():
-            *whole, _ = path.read_bytes().split(b"\n")
-            found += [_DECODER.decode(line) for line in whole]
-    return found
+            *complete, _ = path.read_bytes().split(b"\n")
+            records += [_DECODER.decode(line) for line in complete]
+    return records
+
+
+class EventLog:
+    """All records of a run by kind; client attempts and server attempts are in order of time."""
+
+    def __init__(self, records: Iterable[Record]) -> None:
+        recorded = list(records)
+        self.client_attempts = sorted(_of_kind(recorded, ClientAttempt), key=lambda attempt: attempt.intended_at)
+        self.server_attempts = sorted(_of_kind(recorded, ServerAttempt), key=lambda attempt: attempt.last_byte_at)
+        self.notifications = _of_kind(recorded, EndpointNotified)
+        self.endpoint_changes = _of_kind(recorded, EndpointChanged)
+        self.discovery_calls = _of_kind(recorded, DiscoveryCall)
+        self.cold_overloads = _of_kind(recorded, ColdServerOverloaded)
+        self.unknown_requests = _of_kind(recorded, UnknownRequest)
+        self.health_checks = _of_kind(recorded, HealthCheck)
+        self.load_samples = _of_kind(recorded, LoadSample)
+        self.process_events = _of_kind(recorded, ProcessEvent)
+        self.timer_lags = _of_kind(recorded, TimerLagReport)
+
+    @cached_property
+    def server_attempts_by_request(self) -> dict[str, list[ServerAttempt]]:
+        """The attempts that reached servers, by request id, in order of time."""
+        by_request: dict[str, list[ServerAttempt]] = defaultdict(list)
+        for attempt in self.server_attempts:
+            by_request[attempt.request_id].append(attempt)
+        return dict(by_request)
+
+
+def _of_kind(records: list[Record], kind: type[_RecordType]) -> list[_RecordType]:
+    return [record for record in records if isinstance(record, kind)]
--- /dev/null
+++ b/lugtally/testbed/verification/records.py
@@ -0,0 +1,227 @@
+"""Records of a run: what each process outside the sidecar saw.
+
+All times are seconds since the base of the run.  The tags and the keys in the files are stored data: a field whose
+name differs from its key is listed in the ``rename`` table of its record.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from msgspec import Struct
+
+
+class ServerOutcome(StrEnum):
+    """What became of a request at an emulated server."""
+
+    SERVED = "served"
+    ERRORED = "errored"
+    REJECTED = "turned-away"  # answered with the mark that it was not processed
+    MALFORMED = "spoilt"
+    RESET = "reset"
+    DISCONNECTED = "gone"
+    UNANSWERED = "unanswered"
+    INVALID = "faulty"
+
+
+class ClientOutcome(StrEnum):
+    """How an attempt ended for the client that made it."""
+
+    SERVED = "served"
+    REJECTED = "refused"
+    FAILED = "failed"
+    DROPPED = "dropped"  # the connection ended without a complete response
+    UNREACHABLE = "unreached"
+    FOREIGN = "foreign"  # a body that was not made for this request
+    CLIENT_LEFT = "left"
+    PENDING = "none"
+    DUPLICATE = "extra"  # of a record that only says that bytes followed the response
+
+
+class ProcessEventKind(StrEnum):
+    """What happened to a sidecar's process."""
+
+    READY = "ready"
+    KILL = "kill"
+    TERM = "term"
+    HUP = "hup"
+    ENDED = "ended"
+
+
+class ServerAttempt(
+    Struct,
+    tag="attempt",
+    omit_defaults=True,
+    rename={
+        "request_id": "id",
+        "first_byte_at": "first",
+        "last_byte_at": "last",
+        "idempotency_key": "key",
+        "started_at": "started",
+        "ended_at": "ended",
+        "work_done": "worked",
+        "had_effect": "effect",
+        "deduplicated": "repeat",
+        "on_new_connection": "fresh",
+    },
+):
+    """A request that an emulated server received completely, and what became of it there."""
+
+    request_id: str
+    server: str
+    zone: str
+    sidecar: int
+    first_byte_at: float
+    last_byte_at: float
+    work: float = 0.0  # core-seconds
+    idempotency_key: str = ""
+    started_at: float = -1.0  # when it took a slot
+    ended_at: float = -1.0  # when its response was written, or it was given up
+    outcome: ServerOutcome = ServerOutcome.UNANSWERED
+    work_done: float = 0.0  # core-seconds
+    had_effect: bool = False  # an effect of its own: a deduplicated repeat has none
+    deduplicated: bool = False
+    on_new_connection: bool = False  # the first request on its connection
+
+
+class EndpointNotified(Struct, tag="told", omit_defaults=True, rename={"started_at": "started"}):
+    """An entry of the endpoint list was written to a sidecar."""
+
+    at: float
+    sidecar: int
+    server: str
+    state: str
+    started_at: float | None = None  # of a restart; none where the server has always run
+
+
+class EndpointChanged(Struct, tag="change", omit_defaults=True, rename={"started_at": "started"}):
+    """A change entered the endpoint list."""
+
+    at: float
+    server: str
+    state: str
+    started_at: float | None = None
+
+
+class DiscoveryCall(
+    Struct,
+    tag="call",
+    omit_defaults=True,
+    rename={"began_at": "begun", "ended_at": "ended", "succeeded": "good", "entries": "lines"},
+):
+    """A sidecar's call to the emulated discovery service."""
+
+    sidecar: int
+    began_at: float
+    ended_at: float
+    succeeded: bool
+    entries: int = 0
+
+
+class ColdServerOverloaded(Struct, tag="fall", rename={"started_at": "started", "work_by_sidecar": "by"}):
+    """A server that was warming up collapsed under load; core-seconds sent by each sidecar in the last window."""
+
+    at: float
+    server: str
+    started_at: float
+    work_by_sidecar: dict[str, float]
+
+
+class UnknownRequest(Struct, tag="stranger", rename={"description": "what"}):
+    """A request reached a server that no client sent in this form."""
+
+    at: float
+    server: str
+    sidecar: int
+    description: str
+
+
+class HealthCheck(Struct, tag="probe"):
+    """A health check reached a server."""
+
+    at: float
+    server: str
+    sidecar: int
+
+
+class LoadSample(
+    Struct,
+    tag="load",
+    rename={"in_flight": "held", "open_connections": "connections", "connections_made": "made"},
+):
+    """A sample of a server: requests in work or waiting, connections open, connections made so far."""
+
+    at: float
+    server: str
+    in_flight: int
+    open_connections: int
+    connections_made: int
+
+
+class ClientAttempt(
+    Struct,
+    tag="try",
+    omit_defaults=True,
+    rename={
+        "request_id": "id",
+        "first_id": "first",
+        "class_index": "cls",
+        "intended_at": "intended",
+        "sent_at": "sent",
+        "deadline_at": "until",
+        "ended_at": "ended",
+        "outcome": "ending",
+        "duplicate_response": "extra",
+        "retry_after_s": "advice",
+    },
+):
+    """One attempt of a client, as seen from outside the sidecar."""
+
+    request_id: str
+    first_id: str  # the id of the client's first attempt
+    number: int  # 0: the first attempt
+    sidecar: int
+    class_index: int
+    intended_at: float  # when it was to be sent; drawn ahead for the first attempt
+    sent_at: float  # when its last byte was written
+    deadline_at: float  # when the client stops waiting for this attempt
+    ended_at: float = -1.0
+    outcome: ClientOutcome = ClientOutcome.PENDING
+    status: int = 0
+    duplicate_response: bool = False  # bytes followed the response
+    resent: bool = False  # sent once more, as the connection was closed while it was being sent
+    retry_after_s: float = -1.0
+
+
+class ProcessEvent(Struct, tag="life", omit_defaults=True, rename={"kind": "what", "exit_status": "status"}):
+    """Something happened to a sidecar's process."""
+
+    at: float
+    sidecar: int
+    kind: ProcessEventKind
+    exit_status: int = 0
+
+
+class TimerLagReport(Struct, tag="late", rename={"process": "party"}):
+    """How late the timers of a process of the testbed ran, in milliseconds, and its processor time."""
+
+    process: str
+    count: int
+    p99_ms: float
+    worst_ms: float
+    cpu_s: float
+
+
+Record = (
+    ServerAttempt
+    | EndpointNotified
+    | EndpointChanged
+    | DiscoveryCall
+    | ColdServerOverloaded
+    | UnknownRequest
+    | HealthCheck
+    | LoadSample
+    | ClientAttempt
+    | ProcessEvent
+    | TimerLagReport
+)
--- /dev/null
+++ b/lugtally/testbed/verification/service.py
@@ -0,0 +1,158 @@
+"""Service of a run: what part of the clients' requests was served in time, weighted by priority."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from math import inf
+from typing import NamedTuple
+
+from msgspec import Struct
+
+from lugtally.testbed.scenario.scenario import Class
+from lugtally.testbed.scenario.schedule import Schedule
+from lugtally.testbed.verification.event_log import EventLog
+from lugtally.testbed.verification.records import ClientAttempt, ClientOutcome
+
+WINDOW_S = 10.0
+WINDOW_STEPS_PER_S = 2
+SETTLING_S = 1.0  # the first second does not count
+# Weights of the operators' brief.
+OVERALL_WEIGHT, WORST_WINDOW_WEIGHT, WORST_CLASS_WEIGHT = 0.65, 0.15, 0.2
+
+
+class ClassService(Struct, rename={"requests": "asked", "rejected": "refused"}):
+    """Service of one class of requests."""
+
+    name: str
+    requests: int
+    served: int  # within the latency objective
+    late: int  # after the latency objective, within the deadline
+    rejected: int  # the last outcome was a rejection
+    failed: int
+    service: float
+
+
+class RequestScore(NamedTuple):
+    """What a request was worth, and what part of that its response earned."""
+
+    at: float  # seconds from the start of the run
+    class_index: int
+    weight: float
+    earned: float
+
+
+@dataclass(slots=True)
+class ServiceScore:
+    """The service score and its parts."""
+
+    overall: float
+    worst_window: float
+    worst_class: float
+    classes: list[ClassService]
+    per_second: dict[str, list[float]]  # by class: share of the weight earned in each second
+    requests: int  # of clients, with all their attempts
+    client_attempts: int
+    late_failures: float  # share of the weight that failed after the latency objective
+
+    @property
+    def service(self) -> float:
+        """The parts, weighted as in the operators' brief."""
+        return (
+            OVERALL_WEIGHT * self.overall
+            + WORST_WINDOW_WEIGHT * self.worst_window
+            + WORST_CLASS_WEIGHT * self.worst_class
+        )
+
+
+def score_service(log: EventLog, schedule: Schedule, start: float) -> ServiceScore:
+    """Score all requests of a run."""
+    classes = schedule.scenario.classes
+    rows = [ClassService(request_class.name, 0, 0, 0, 0, 0, 0.0) for request_class in classes]
+    requests = _attempts_by_request(log)
+    scores: list[RequestScore] = []
+    late_failed = 0.0
+    for attempts in requests.values():
+        index = attempts[0].class_index
+        began = min(attempt.intended_at for attempt in attempts)
+        earned, failed_late = _score_request(attempts, classes[index], rows[index], began)
+        if failed_late:
+            late_failed += classes[index].worth
+        scores.append(RequestScore(began - start, index, classes[index].worth, classes[index].worth * earned))
+    counted = [score for score in scores if score.at >= SETTLING_S] or scores
+    for index, row in enumerate(rows):
+        row.service = _earned_share([score for score in counted if score.class_index == index])
+    overall = _earned_share(counted)
+    return ServiceScore(
+        overall,
+        _worst_window(counted, schedule.scenario.length_s, overall),
+        min((row.service for row in rows if row.requests), default=1.0),
+        rows,
+        _per_second(scores, schedule),
+        len(requests),
+        sum(len(attempts) for attempts in requests.values()),
+        late_failed / (sum(score.weight for score in scores) or 1),
+    )
+
+
+def _attempts_by_request(log: EventLog) -> dict[str, list[ClientAttempt]]:
+    by_request: dict[str, list[ClientAttempt]] = defaultdict(list)
+    for attempt in log.client_attempts:
+        if attempt.outcome != ClientOutcome.DUPLICATE:
+            by_request[attempt.first_id].append(attempt)
+    return by_request
+
+
+def _score_request(
+    attempts: list[ClientAttempt], request_class: Class, row: ClassService, began: float
+) -> tuple[float, bool]:
+    """Count a request; return the part of its weight that was earned, and whether it failed late."""
+    row.requests += 1
+    objective = request_class.aim_ms / 1000
+    served_at = min(
+        (
+            attempt.ended_at
+            for attempt in attempts
+            if attempt.outcome == ClientOutcome.SERVED and attempt.ended_at <= attempt.deadline_at
+        ),
+        default=inf,
+    )
+    if served_at - began <= objective:
+        row.served += 1
+        return 1.0, False
+    if served_at - began <= request_class.deadline_ms / 1000:
+        row.late += 1
+        return request_class.late_worth, False
+    last = max(attempts, key=lambda attempt: attempt.ended_at)
+    if last.outcome in (ClientOutcome.REJECTED, ClientOutcome.UNREACHABLE):
+        row.rejected += 1
+    else:
+        row.failed += 1
+    return 0.0, last.ended_at - began > objective
+
+
+def _earned_share(scores: list[RequestScore]) -> float:
+    total = sum(score.weight for score in scores)
+    return sum(score.earned for score in scores) / total if total else 1.0
+
+
+def _worst_window(scores: list[RequestScore], length_s: float, overall: float) -> float:
+    """The lowest share over windows that begin each half second."""
+    begins = [0.0]
+    if length_s > WINDOW_S + SETTLING_S:
+        first = int(SETTLING_S * WINDOW_STEPS_PER_S)
+        last = max(first + 1, int((length_s - WINDOW_S) * WINDOW_STEPS_PER_S) + 1)
+        begins = [turn / WINDOW_STEPS_PER_S for turn in range(first, last)]
+    windows = [[score for score in scores if begin <= score.at < begin + WINDOW_S] for begin in begins]
+    return min((_earned_share(window) for window in windows if window), default=overall)
+
+
+def _per_second(scores: list[RequestScore], schedule: Schedule) -> dict[str, list[float]]:
+    seconds = range(int(schedule.scenario.length_s + 0.999))
+    return {
+        request_class.name: [
+            _earned_share([score for score in scores if score.class_index == index and second <= score.at < second + 1])
+            for second in seconds
+        ]
+        for index, request_class in enumerate(schedule.scenario.classes)
+    }
--- /dev/null
+++ b/lugtally/testbed/verification/validity.py
@@ -0,0 +1,24 @@
+"""Validity of a run: where the testbed's own timers ran late, its figures are the machine's, not the sidecar's."""
+
+from __future__ import annotations
+
+from lugtally.testbed.verification.event_log import EventLog
+
+MAX_P99_LAG_MS = 15.0
+MAX_LAG_MS = 250.0
+REQUIRED_PROCESSES = ("load", "stand-ins")
+
+
+def void_reasons(log: EventLog) -> list[str]:
+    """Why the run says nothing; empty where it does."""
+    reasons: list[str] = []
+    for lag in log.timer_lags:
+        if lag.p99_ms > MAX_P99_LAG_MS:
+            reasons.append(
+                f"{lag.process} ran late: {lag.p99_ms:.1f} ms at the 99th percentile, {MAX_P99_LAG_MS:g} allowed"
+            )
+        if lag.worst_ms > MAX_LAG_MS:
+            reasons.append(f"{lag.process} ran late: {lag.worst_ms:.0f} ms at worst, {MAX_LAG_MS:g} allowed")
+    complete = {lag.process for lag in log.timer_lags}
+    reasons += [f"the book of the {name} is not whole" for name in REQUIRED_PROCESSES if name not in complete]
+    return reasons
--- /dev/null
+++ b/lugtally/testbed/verification/violations.py
@@ -0,0 +1,50 @@
+"""Violations of the protocol's rules, and the limits that the rules allow."""
+
+from __future__ import annotations
+
+from enum import IntEnum, StrEnum
+
+from msgspec import Struct
+
+# Every limit of the protocol is that much longer on sockets.
+SOCKET_ALLOWANCE_S = 0.05
+# Beyond the client's deadline; the sidecar's settings state it as answer_slack_ns.
+RESPONSE_SLACK_S = 0.1
+DRAIN_GRACE_S = 1.5
+
+
+class Rule(IntEnum):
+    """A rule of the platform's protocol, by its number there."""
+
+    RESPONSES = 1
+    EFFECTS = 2
+    DRAINS = 3
+    SLOW_START = 4
+
+
+class ViolationName(StrEnum):
+    """What was violated, as reports name it."""
+
+    DROPPED = "dropped"
+    LATE = "late"
+    DUPLICATE_RESPONSE = "answered-twice"
+    FOREIGN_RESPONSE = "foreign-answer"
+    NON_IDEMPOTENT_REPEATED = "receipt-sent-again"
+    REPEATED_AFTER_WINDOW = "pledge-repeated-late"
+    REPEATED_OUT_OF_SCOPE = "pledge-repeated-elsewhere"
+    REJECTED_AFTER_RUN = "refused-after-it-may-have-run"
+    TWO_EFFECTS = "two-effects"
+    SENT_TO_DRAINED = "sent-to-drained"
+    COLD_SERVER_OVERLOADED = "cold-server-pushed-over"
+    REQUEST_ALTERED = "request-altered"
+    SIDECAR_CRASHED = "sidecar-crashed"
+
+
+class Violation(Struct, rename={"subject": "what", "description": "text"}):
+    """A violation of a rule."""
+
+    name: ViolationName
+    rule: Rule
+    at: float  # seconds from the start of the run
+    subject: str  # the request, the server or the sidecar
+    description: str  # what happened and what was allowed
--- a/tests/overload/test_sockets.py
+++ b/tests/overload/test_sockets.py
@@ -12,6 +12,7 @@
 from lugtally.testbed.reporting.report import BROKEN, Report
 from lugtally.testbed.scenario import scenario
 from lugtally.testbed.verification import event_log
+from lugtally.testbed.verification.records import ClientAttempt, Record, ServerAttempt
 from tests.integration.player import Player
 
 FLOOD = """
@@ -61,32 +62,32 @@
 
 
 @pytest.fixture(scope="module")
-def flooded(tmp_path_factory: pytest.TempPathFactory) -> tuple[Report, list[event_log.Record]]:
+def flooded(tmp_path_factory: pytest.TempPathFactory) -> tuple[Report, list[Record]]:
     folder = tmp_path_factory.mktemp("flood")
     (folder / "operator.toml").write_text(GUARD)
     run = runner.Run(scenario.decode(FLOOD, "flood.toml"), 2, folder=folder / "run", operator=folder / "operator.toml")
     report = run.play()
-    return report, event_log.read([folder / "run" / name for name in ("load.jsonl", "world.jsonl")])
+    return report, event_log.read_records([folder / "run" / name for name in ("load.jsonl", "world.jsonl")])
 
 
-def test_a_flood_on_a_starved_core_breaks_no_rule_on_effects(flooded: tuple[Report, list[event_log.Record]]) -> None:
+def test_a_flood_on_a_starved_core_breaks_no_rule_on_effects(flooded: tuple[Report, list[Record]]) -> None:
     """Whether answers came late is the machine's matter here; that nothing ran twice is ours."""
     report, records = flooded
-    wrong = {b.name for b in report.findings.breaches if b.rule != 1}
-    assert not wrong and "sidecar-crashed" not in report.breaches_by_name, report.reasons
-    receipts = [r for r in records if isinstance(r, event_log.Attempt) and r.effect]
-    assert len(receipts) > 500 and len({r.id for r in receipts}) == len(receipts)
+    wrong = {b.name for b in report.findings.violations if b.rule != 1}
+    assert not wrong and "sidecar-crashed" not in report.violations_by_name, report.reasons
+    receipts = [r for r in records if isinstance(r, ServerAttempt) and r.had_effect]
+    assert len(receipts) > 500 and len({r.request_id for r in receipts}) == len(receipts)
 
 
-def test_each_shed_request_got_one_answer_and_was_never_sent(flooded: tuple[Report, list[event_log.Record]]) -> None:
+def test_each_shed_request_got_one_answer_and_was_never_sent(flooded: tuple[Report, list[Record]]) -> None:
     report, records = flooded
-    tries = [r for r in records if isinstance(r, event_log.Try)]
-    assert not [t for t in tries if t.extra or t.ending == "foreign"]
-    assert report.verdict != BROKEN or set(report.breaches_by_name) <= {"late", "dropped"}
-    sent = {r.id for r in records if isinstance(r, event_log.Attempt) and r.outcome != "turned-away"}
-    refused = [t for t in tries if t.ending == "refused"]
+    tries = [r for r in records if isinstance(r, ClientAttempt)]
+    assert not [t for t in tries if t.duplicate_response or t.outcome == "foreign"]
+    assert report.verdict != BROKEN or set(report.violations_by_name) <= {"late", "dropped"}
+    sent = {r.request_id for r in records if isinstance(r, ServerAttempt) and r.outcome != "turned-away"}
+    refused = [t for t in tries if t.outcome == "refused"]
     receipts = [cls.name for cls in scenario.decode(FLOOD, "flood.toml").classes].index("receipt-issue")
-    assert not [t for t in refused if t.id in sent and t.cls == receipts]
+    assert not [t for t in refused if t.request_id in sent and t.class_index == receipts]
 
 
 def test_a_tight_loop_of_health_calls_is_paced_and_answered(tmp_path: Path) -> None:
--- a/tests/testbed/test_judge.py
+++ b/tests/testbed/test_judge.py
@@ -10,7 +10,10 @@
 from lugtally.testbed.experiments import runner
 from lugtally.testbed.reporting.report import PASSED, VOID, Report
 from lugtally.testbed.scenario import scenario, schedule
-from lugtally.testbed.verification import event_log, verifier
+from lugtally.testbed.verification import records, verifier
+from lugtally.testbed.verification.event_log import EventLog
+from lugtally.testbed.verification.records import ClientOutcome, ProcessEventKind, ServerOutcome
+from lugtally.testbed.verification.violations import ViolationName
 from tests.testbed.offender import FAULTS
 
 DAY = """
@@ -43,16 +46,16 @@
 takes_s = 0.7
 """
 CAUGHT = {
-    "drop": verifier.DROPPED,
-    "late": verifier.LATE,
-    "twice": verifier.TWICE,
-    "receipt-twice": verifier.REPEATED,
-    "pledge-late": verifier.EXPIRED_REPEAT,
-    "pledge-elsewhere": verifier.OTHER_GROUP,
-    "refuse-ran": verifier.REFUSED_RAN,
-    "drained": verifier.DRAINED,
-    "push-over": verifier.PUSHED_OVER,
-    "forge": verifier.FOREIGN,
+    "drop": ViolationName.DROPPED,
+    "late": ViolationName.LATE,
+    "twice": ViolationName.DUPLICATE_RESPONSE,
+    "receipt-twice": ViolationName.NON_IDEMPOTENT_REPEATED,
+    "pledge-late": ViolationName.REPEATED_AFTER_WINDOW,
+    "pledge-elsewhere": ViolationName.REPEATED_OUT_OF_SCOPE,
+    "refuse-ran": ViolationName.REJECTED_AFTER_RUN,
+    "drained": ViolationName.SENT_TO_DRAINED,
+    "push-over": ViolationName.COLD_SERVER_OVERLOADED,
+    "forge": ViolationName.FOREIGN_RESPONSE,
 }
 
 
@@ -77,13 +80,15 @@
 @pytest.mark.parametrize("fault", CAUGHT)
 def test_an_offender_is_caught_under_its_own_name(verdicts: dict[str, Report], fault: str) -> None:
     report = verdicts[fault]
-    assert CAUGHT[fault] in report.breaches_by_name, (report.verdict, report.reasons)
+    assert CAUGHT[fault] in report.violations_by_name, (report.verdict, report.reasons)
     if fault == "pledge-late":
-        assert verifier.TWO_EFFECTS in report.breaches_by_name, "the repeat came after the time in which it is dropped"
-    others = set(report.breaches_by_name) - {CAUGHT[fault], verifier.TWO_EFFECTS}
-    assert not others, f"accused of more than it did: {report.breaches_by_name}"
-    one = next(b for b in report.findings.breaches if b.name == CAUGHT[fault])
-    assert one.what and one.text and -0.5 < one.at < 12
+        assert ViolationName.TWO_EFFECTS in report.violations_by_name, (
+            "the repeat came after the time in which it is dropped"
+        )
+    others = set(report.violations_by_name) - {CAUGHT[fault], ViolationName.TWO_EFFECTS}
+    assert not others, f"accused of more than it did: {report.violations_by_name}"
+    one = next(b for b in report.findings.violations if b.name == CAUGHT[fault])
+    assert one.subject and one.description and -0.5 < one.at < 12
 
 
 @pytest.mark.parametrize("sidecar", ["true", "honest"])
@@ -98,67 +103,77 @@
 READ, PLEDGE, RECEIPT = range(3)
 
 
-def tried(id: str, cls: int, ending: str = "served", ended: float = 1.1, until: float = 2.0) -> event_log.Try:
-    return event_log.Try(id, id, 0, 0, cls, 1.0, 1.0, until, ended, ending, 200 if ending == "served" else 503)
+def tried(id: str, cls: int, ending: str = "served", ended: float = 1.1, until: float = 2.0) -> records.ClientAttempt:
+    return records.ClientAttempt(
+        id, id, 0, 0, cls, 1.0, 1.0, until, ended, ClientOutcome(ending), 200 if ending == "served" else 503
+    )
 
 
-def sent(id: str, last: float, outcome: str = "served", zone: str = "east", effect: bool = False) -> event_log.Attempt:
-    return event_log.Attempt(id, f"s-{zone}", zone, 0, last, last, outcome=outcome, effect=effect)
+def sent(
+    id: str, last: float, outcome: str = "served", zone: str = "east", effect: bool = False
+) -> records.ServerAttempt:
+    return records.ServerAttempt(
+        id, f"s-{zone}", zone, 0, last, last, outcome=ServerOutcome(outcome), had_effect=effect
+    )
 
 
-def names(*records: event_log.Record) -> list[str]:
-    return [b.name for b in verifier.judge(verifier.sort(records), PLAN, 0.0).breaches]
+def names(*recorded: records.Record) -> list[str]:
+    return [b.name for b in verifier.verify(EventLog(recorded), PLAN, 0.0).violations]
 
 
 def test_what_never_ran_may_be_sent_again_and_refused() -> None:
     assert names(tried("a", RECEIPT), sent("a", 1.0, "turned-away"), sent("a", 1.05)) == []
     assert names(tried("a", RECEIPT, "refused"), sent("a", 1.0, "turned-away")) == []
-    assert names(tried("a", RECEIPT, "refused"), sent("a", 1.0, "gone")) == [verifier.REFUSED_RAN]
+    assert names(tried("a", RECEIPT, "refused"), sent("a", 1.0, "gone")) == [ViolationName.REJECTED_AFTER_RUN]
     assert names(tried("a", READ, "refused"), sent("a", 1.0, "gone")) == []
 
 
 def test_a_pledge_may_be_repeated_within_its_time_and_zone_only() -> None:
     assert names(tried("a", PLEDGE), sent("a", 1.0, "reset"), sent("a", 1.64)) == []
-    assert names(tried("a", PLEDGE), sent("a", 1.0, "reset"), sent("a", 1.66)) == [verifier.EXPIRED_REPEAT]
-    assert names(tried("a", PLEDGE), sent("a", 1.0, "reset"), sent("a", 1.1, zone="west")) == [verifier.OTHER_GROUP]
+    assert names(tried("a", PLEDGE), sent("a", 1.0, "reset"), sent("a", 1.66)) == [ViolationName.REPEATED_AFTER_WINDOW]
+    assert names(tried("a", PLEDGE), sent("a", 1.0, "reset"), sent("a", 1.1, zone="west")) == [
+        ViolationName.REPEATED_OUT_OF_SCOPE
+    ]
     assert names(tried("a", PLEDGE), sent("a", 1.0, "turned-away"), sent("a", 1.9, zone="west")) == []
     # Counted from the first that may have run, however many came after it.
     assert names(tried("a", PLEDGE), sent("a", 1.0, "gone"), sent("a", 1.5, "gone"), sent("a", 1.8)) == [
-        verifier.EXPIRED_REPEAT
+        ViolationName.REPEATED_AFTER_WINDOW
     ]
 
 
 def test_an_answer_is_due_with_its_slack_and_a_killed_sidecar_owes_none() -> None:
     served = sent("a", 1.0)
     assert names(tried("a", READ, ended=2.149), served) == []
-    assert names(tried("a", READ, ended=2.151), served) == [verifier.LATE]
-    assert names(tried("a", READ, "none", 2.4), served) == [verifier.DROPPED]
-    kill = event_log.Life(1.05, 0, "kill")
+    assert names(tried("a", READ, ended=2.151), served) == [ViolationName.LATE]
+    assert names(tried("a", READ, "none", 2.4), served) == [ViolationName.DROPPED]
+    kill = records.ProcessEvent(1.05, 0, ProcessEventKind.KILL)
     assert names(tried("a", READ, "dropped", 1.1), served, kill) == []
-    assert names(tried("a", READ), served, event_log.Life(0.5, 0, "ended", 1)) == [verifier.CRASHED]
-    term = event_log.Life(0.9, 0, "term")
+    assert names(tried("a", READ), served, records.ProcessEvent(0.5, 0, ProcessEventKind.ENDED, 1)) == [
+        ViolationName.SIDECAR_CRASHED
+    ]
+    term = records.ProcessEvent(0.9, 0, ProcessEventKind.TERM)
     assert names(tried("a", READ, "dropped", 1.1), term) == [], "it crossed the end, and nothing was sent on"
-    assert names(tried("a", READ, "dropped", 1.1), served, term) == [verifier.DROPPED]
-    assert names(tried("a", READ)) == [verifier.FOREIGN], "served, but no server has it in its book"
+    assert names(tried("a", READ, "dropped", 1.1), served, term) == [ViolationName.DROPPED]
+    assert names(tried("a", READ)) == [ViolationName.FOREIGN_RESPONSE], "served, but no server has it in its book"
 
 
 def test_a_drain_binds_from_the_word_on_or_where_nobody_asked() -> None:
-    change = event_log.Change(1.0, "s-east", "draining")
-    told = event_log.Told(2.0, 0, "s-east", "draining")
-    watched = event_log.Call(0, 0.0, 30.0, True)
+    change = records.EndpointChanged(1.0, "s-east", "draining")
+    told = records.EndpointNotified(2.0, 0, "s-east", "draining")
+    watched = records.DiscoveryCall(0, 0.0, 30.0, True)
     assert names(change, told, watched, tried("a", READ, until=9), sent("a", 3.54)) == []
-    assert names(change, told, watched, tried("a", READ, until=9), sent("a", 3.56)) == [verifier.DRAINED]
-    back = event_log.Told(3.0, 0, "s-east", "ready", 2.9)
+    assert names(change, told, watched, tried("a", READ, until=9), sent("a", 3.56)) == [ViolationName.SENT_TO_DRAINED]
+    back = records.EndpointNotified(3.0, 0, "s-east", "ready", 2.9)
     assert names(change, told, back, watched, tried("a", READ, until=9), sent("a", 4.0)) == []
     # It stopped asking at 0.5: from 1.55 on it counts as told of what was in the list a second before.
-    stopped = event_log.Call(0, 0.0, 0.5, True)
-    early = event_log.Change(0.4, "s-east", "draining")
+    stopped = records.DiscoveryCall(0, 0.0, 0.5, True)
+    early = records.EndpointChanged(0.4, "s-east", "draining")
     assert names(early, stopped, tried("a", READ, until=9), sent("a", 3.0)) == []
-    assert names(early, stopped, tried("a", READ, until=9), sent("a", 3.2)) == [verifier.DRAINED]
+    assert names(early, stopped, tried("a", READ, until=9), sent("a", 3.2)) == [ViolationName.SENT_TO_DRAINED]
 
 
 def test_a_fall_is_the_sidecars_fault_only_where_they_knew() -> None:
-    fall = event_log.Fall(5.0, "s-east", 3.0, {"0": 2.0, "1": 1.0})
-    knew = event_log.Told(4.0, 0, "s-east", "ready", 3.0)
-    assert names(fall) == [] and names(fall, knew) == [verifier.PUSHED_OVER]
-    assert names(event_log.Fall(5.0, "s-east", 3.0, {"0": 1.9, "1": 1.1}), knew) == []
+    fall = records.ColdServerOverloaded(5.0, "s-east", 3.0, {"0": 2.0, "1": 1.0})
+    knew = records.EndpointNotified(4.0, 0, "s-east", "ready", 3.0)
+    assert names(fall) == [] and names(fall, knew) == [ViolationName.COLD_SERVER_OVERLOADED]
+    assert names(records.ColdServerOverloaded(5.0, "s-east", 3.0, {"0": 1.9, "1": 1.1}), knew) == []
--- a/tests/testbed/test_load.py
+++ b/tests/testbed/test_load.py
@@ -17,7 +17,7 @@
 from lugtally.testbed.loadgen.generator import Link
 from lugtally.testbed.reporting import report
 from lugtally.testbed.scenario import scenario, schedule
-from lugtally.testbed.verification import event_log, verifier
+from lugtally.testbed.verification import event_log, records, verifier
 from tests.testbed.offender import _answer, _read
 
 STALL_AT, STALL_S = 1.5, 1.0
@@ -88,12 +88,12 @@
         child.kill()
         child.wait()
         block.close()
-    books = verifier.sort(event_log.read([tmp_path / "load.jsonl"]))
+    log = event_log.EventLog(event_log.read_records([tmp_path / "load.jsonl"]))
     drawn = schedule.make(told, 5)
-    assert len(books.tries) == len(drawn.arrivals), "every arrival was sent, whatever the answers did"
-    (latency,) = report._latencies(drawn, books)
+    assert len(log.client_attempts) == len(drawn.arrivals), "every arrival was sent, whatever the answers did"
+    (latency,) = report._latencies(drawn, log)
     # A fifth of the run stalls: those sent then wait evenly between nothing and a second.
-    slow = [t.ended - t.intended for t in books.tries if t.ended - t.intended > STALL_S / 2]
+    slow = [t.ended_at - t.intended_at for t in log.client_attempts if t.ended_at - t.intended_at > STALL_S / 2]
     due = sum(STALL_AT <= a.at < STALL_AT + STALL_S / 2 for a in drawn.arrivals)
     assert len(slow) == pytest.approx(due, abs=4)
     assert latency.percentiles["100"] == pytest.approx(1000 * STALL_S, abs=60)
@@ -103,26 +103,26 @@
 @pytest.mark.parametrize(
     ("late", "word"),
     [
-        (event_log.Late("load", 9, 1.0, 20.0, 1.0), "passed"),
-        (event_log.Late("load", 9, 15.1, 20.0, 1.0), "void"),
-        (event_log.Late("load", 9, 1.0, 251.0, 1.0), "void"),
+        (records.TimerLagReport("load", 9, 1.0, 20.0, 1.0), "passed"),
+        (records.TimerLagReport("load", 9, 15.1, 20.0, 1.0), "void"),
+        (records.TimerLagReport("load", 9, 1.0, 251.0, 1.0), "void"),
     ],
 )
-def test_a_late_kit_makes_a_run_void(late: event_log.Late, word: str) -> None:
+def test_a_late_kit_makes_a_run_void(late: records.TimerLagReport, word: str) -> None:
     drawn = schedule.make(scenario.load("quiet"), 1)
-    books = verifier.sort([late, event_log.Late("stand-ins", 9, 1.0, 2.0, 1.0)])
-    assert report.verdict(verifier.judge(books, drawn, 0.0), scenario.Expect())[0] == word
+    log = event_log.EventLog([late, records.TimerLagReport("stand-ins", 9, 1.0, 2.0, 1.0)])
+    assert report.verdict(verifier.verify(log, drawn, 0.0), scenario.Expect())[0] == word
 
 
 def test_a_book_that_breaks_off_makes_a_run_void_and_is_read_up_to_there(tmp_path: Path) -> None:
-    book = event_log.Book(tmp_path / "a.jsonl")
+    book = event_log.EventLogWriter(tmp_path / "a.jsonl")
     for n in range(3):
-        book.write(event_log.Probe(float(n), "s-000", 0))
+        book.write(records.HealthCheck(float(n), "s-000", 0))
     book.close()
     whole = (tmp_path / "a.jsonl").read_bytes()
     (tmp_path / "a.jsonl").write_bytes(whole[:-5])
-    assert len(event_log.read([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
-    found = verifier.judge(verifier.sort([]), schedule.make(scenario.load("quiet"), 1), 0.0)
+    assert len(event_log.read_records([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
+    found = verifier.verify(event_log.EventLog([]), schedule.make(scenario.load("quiet"), 1), 0.0)
     assert report.verdict(found, scenario.Expect())[0] == "void"
 
 
--- a/tests/testbed/test_runs.py
+++ b/tests/testbed/test_runs.py
@@ -18,7 +18,7 @@
 from lugtally.testbed.reporting import compare, report
 from lugtally.testbed.reporting.report import PASSED, VOID, Report
 from lugtally.testbed.scenario import scenario
-from lugtally.testbed.verification import event_log
+from lugtally.testbed.verification import event_log, records
 from tests.integration.player import ROOT
 
 DRAIN = """
@@ -57,16 +57,18 @@
     told = scenario.decode(DRAIN, "drain.toml")
     result = played(told, 3, tmp_path)
     assert result.verdict == PASSED, result.reasons
-    records = event_log.read([tmp_path / "world.jsonl", tmp_path / "load.jsonl"])
-    changes = [r for r in records if isinstance(r, event_log.Change) and r.state == "draining"]
+    recorded = event_log.read_records([tmp_path / "world.jsonl", tmp_path / "load.jsonl"])
+    changes = [r for r in recorded if isinstance(r, records.EndpointChanged) and r.state == "draining"]
     server, when = changes[0].server, changes[0].at
-    sent = [r.last for r in records if isinstance(r, event_log.Attempt) and r.server == server]
+    sent = [r.last_byte_at for r in recorded if isinstance(r, records.ServerAttempt) and r.server == server]
     assert sent and max(sent) < when + 1.55, "the drain was not noticed"
     assert any(
-        r.outcome in ("gone", "unanswered") for r in records if isinstance(r, event_log.Attempt) and r.server == server
+        r.outcome in ("gone", "unanswered")
+        for r in recorded
+        if isinstance(r, records.ServerAttempt) and r.server == server
     ), "nobody met the silent server"
-    tries = [r for r in records if isinstance(r, event_log.Try)]
-    assert len(tries) > 200 and all(t.ending in ("served", "refused", "failed", "left") for t in tries)
+    tries = [r for r in recorded if isinstance(r, records.ClientAttempt)]
+    assert len(tries) > 200 and all(t.outcome in ("served", "refused", "failed", "left") for t in tries)
 
 
 def test_the_short_day_passes_and_its_reports_can_be_read(tmp_path: Path) -> None:
@@ -122,7 +124,9 @@
     assert child.returncode == 130 and out.startswith(b"VOID")
     assert not psutil.wait_procs(family, 2)[1], "a process was left"
     (result,) = report.load(tmp_path / "a.json")
-    assert result.verdict == VOID and result.reasons[0].startswith(report.INTERRUPTED) and result.findings.attempts
+    assert (
+        result.verdict == VOID and result.reasons[0].startswith(report.INTERRUPTED) and result.findings.server_attempts
+    )
 
 
 def _moved(one: Report, seed: int, by: float) -> Report:
