--- a/lugtally/testbed/emulator/fleet.py
+++ b/lugtally/testbed/emulator/fleet.py
@@ -12,74 +12,49 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import msgspec
 import uvloop
-from msgspec import Struct
 
 from lugtally.testbed.emulator import loopback
 from lugtally.testbed.emulator.discovery import ServerList
 from lugtally.testbed.emulator.endpoint_registry import Catalog, Row
 from lugtally.testbed.emulator.server import Host, Shared
-from lugtally.testbed.emulator.timer_lag import Lateness
+from lugtally.testbed.emulator.timer_lag import TimerLag
 from lugtally.testbed.scenario import schedule
-from lugtally.testbed.scenario.scenario import Scenario
+from lugtally.testbed.scenario.scenario import METHODS
 from lugtally.testbed.scenario.schedule import Event, Schedule
+from lugtally.testbed.scenario.specification import ProcessSpecification, read_specification, run_digits, serial_of
 from lugtally.testbed.verification.event_log import EventLogWriter
 
 LOOK_S = 0.25
-SERIAL = slice(0, 8)  # of a request's id: its place among the arrivals, in hexadecimal
-MARK = slice(10, 16)  # and what tells this run's ids from all others
-METHODS = {"safe": "GET", "keyed": "POST", "unsafe": "POST"}
-
-
-class Specification(Struct):
-    """What a process of the kit is told."""
-
-    scenario: Scenario
-    seed: int
-    block: int
-    base: float  # on the monotonic clock
-    book: str  # where its records go
-
-
-def read_specification(path: str) -> Specification:
-    """Decode the file."""
-    return msgspec.json.decode(Path(path).read_bytes(), type=Specification)
-
-
-def mark_of(seed: int) -> str:
-    """What ids of this seed end in."""
-    return f"{(seed * 0x9E3779B1) & 0xFFFFFF:06x}"
 
 
 class World:
     """All stand-ins of a run, and what happens to them."""
 
-    def __init__(self, told: Specification) -> None:
+    def __init__(self, told: ProcessSpecification) -> None:
         self.schedule: Schedule = schedule.make(told.scenario, told.seed)
         self.told = told
         scenario = told.scenario
-        self.book = EventLogWriter(Path(told.book))
-        self.lateness = Lateness("stand-ins")
-        mark = mark_of(told.seed)
+        self.event_log = EventLogWriter(Path(told.event_log_path))
+        self.timer_lag = TimerLag("stand-ins")
+        run = run_digits(told.seed)
         arrivals = self.schedule.arrivals
 
         def known(id: str) -> float | None:
-            if len(id) != 16 or id[MARK] != mark:
-                return None
+            serial = serial_of(id, run)
             try:
-                return arrivals[int(id[SERIAL], 16)].work
-            except (ValueError, IndexError):
+                return None if serial is None else arrivals[serial].work
+            except IndexError:
                 return None
 
         keyed = [cls for cls in scenario.classes if cls.effect == "keyed"]
         network = scenario.network
         self.shared = Shared(
             told.seed,
-            told.block,
+            told.loopback_block,
             self.clock,
-            self.book.write,
-            self.lateness,
+            self.event_log.write,
+            self.timer_lag,
             known,
             {cls.name: METHODS[cls.effect] for cls in scenario.classes},
             self.schedule.sidecar_zones,
@@ -108,9 +83,9 @@
         """Where a sidecar finds a server."""
         for place, host in self.hosts.items():
             if host.machine.id == id:
-                return f"{loopback.server(self.told.block, place, sidecar)}:{loopback.PORT}"
+                return f"{loopback.server(self.told.loopback_block, place, sidecar)}:{loopback.PORT}"
         # One that was replaced: its row is about its end, the address no longer matters.
-        return f"{loopback.server(self.told.block, 0, sidecar)}:{loopback.PORT}"
+        return f"{loopback.server(self.told.loopback_block, 0, sidecar)}:{loopback.PORT}"
 
     def row(self, host: Host, state: str) -> Row:
         """A server's line of the list."""
@@ -131,11 +106,11 @@
             host.start(cold=False)
         discovery = scenario.discovery
         self.list = ServerList(
-            self.told.block,
+            self.told.loopback_block,
             scenario.fleet.sidecars,
             Catalog([self.row(host, "ready") for host in first]),
             self.clock,
-            self.book.write,
+            self.event_log.write,
             self.address,
             at_once=discovery.calls_at_once,
             call_s=discovery.call_ms / 1000,
@@ -156,8 +131,8 @@
         for host in self.hosts.values():
             if host.running:
                 host.stop()
-        self.book.write(self.lateness.record())
-        self.book.close()
+        self.event_log.write(self.timer_lag.report())
+        self.event_log.close()
 
     async def _look(self) -> None:
         while True:
@@ -170,7 +145,7 @@
                         # It stays down; the list learns so as of any process that has ended.
                         host.stop()
                         self._list_later(host, "gone")
-            self.book.flush()
+            self.event_log.flush()
 
     # ------------------------------------------------------------ the script
 
--- a/lugtally/testbed/emulator/server.py
+++ b/lugtally/testbed/emulator/server.py
@@ -16,11 +16,11 @@
 
 import httptools
 import msgspec
-import xxhash
 
 from lugtally.testbed.emulator import loopback
+from lugtally.testbed.emulator.response_body import build_body
 from lugtally.testbed.emulator.server_model import Job, Server, Taken
-from lugtally.testbed.emulator.timer_lag import Lateness
+from lugtally.testbed.emulator.timer_lag import TimerLag
 from lugtally.testbed.scenario.random_streams import unit
 from lugtally.testbed.scenario.schedule import Machine
 from lugtally.testbed.verification.records import (
@@ -33,7 +33,6 @@
 )
 
 LEAST_DELAY_S = 0.0004  # the loop's timers tick in milliseconds: what is shorter is not delayed at all
-PADDING = b"." * 160
 SPOILT = (
     b"\x00\xffnoise without a head\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
@@ -44,17 +43,6 @@
 PARTS = 6  # of an answer that comes slowly
 
 
-def made_by(seed: int, id: str, server: str) -> str:
-    """The mark that only this server puts under an answer to this request."""
-    return xxhash.xxh3_64_hexdigest(f"{seed}/{id}/{server}".encode())
-
-
-def answer_body(seed: int, id: str, server: str) -> bytes:
-    """The body of a 200: who asked, who made it, and the mark."""
-    head = msgspec.json.encode({"id": id, "server": server, "made": made_by(seed, id, server)})
-    return head + b"\n" + PADDING
-
-
 @dataclass(slots=True)
 class Faults:
     """What is wrong with a server or the way to it, beside what the model knows."""
@@ -74,7 +62,7 @@
     block: int
     clock: Callable[[], float]
     write: Callable[[Any], None]
-    lateness: Lateness
+    timer_lag: TimerLag
     known: Callable[[str], float | None]  # the work of a request by its id; none for a stranger's
     methods: dict[str, str]  # class name -> how it must be asked for
     sidecar_zones: tuple[str, ...]
@@ -312,7 +300,7 @@
         else:
             attempt.ended_at = now
             self._settle(ask, ServerOutcome.SERVED)
-            ask.door.answer(200, answer_body(shared.seed, attempt.request_id, self.machine.id), slow=faults.slow_s)
+            ask.door.answer(200, build_body(shared.seed, attempt.request_id, self.machine.id), slow=faults.slow_s)
 
     def _effect(self, ask: Ask) -> bool:
         """Whether this execution counts: a keyed repeat within its time is dropped."""
@@ -379,7 +367,7 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self.shared.lateness.add(self.shared.clock() - self._due)
+        self.shared.timer_lag.add(self.shared.clock() - self._due)
         self.advance()
         self._plan()
 
--- a/lugtally/testbed/emulator/timer_lag.py
+++ b/lugtally/testbed/emulator/timer_lag.py
@@ -1,4 +1,4 @@
-"""How late a party of the kit itself runs: without it, a busy machine would be taken for a bad sidecar."""
+"""How late the timers of a process of the testbed run: else a busy machine would be taken for a bad sidecar."""
 
 from __future__ import annotations
 
@@ -8,25 +8,26 @@
 
 from lugtally.testbed.verification.records import TimerLagReport
 
-MOST_US = 60_000_000
+MAX_LAG_US = 60_000_000
+SIGNIFICANT_FIGURES = 2
 
 
-class Lateness:
-    """A histogram of lateness: 1 microsecond to a minute, two significant figures (HdrHistogram, G. Tene)."""
+class TimerLag:
+    """A histogram of lags from 1 microsecond to a minute (HdrHistogram, G. Tene)."""
 
-    def __init__(self, party: str) -> None:
-        self.party = party
-        self._histogram = HdrHistogram(1, MOST_US, 2)
+    def __init__(self, process: str) -> None:
+        self._process = process
+        self._histogram = HdrHistogram(1, MAX_LAG_US, SIGNIFICANT_FIGURES)
 
     def add(self, seconds: float) -> None:
-        """Something due was done that long after its time."""
-        self._histogram.record_value(min(MOST_US, max(1, int(seconds * 1e6))))
+        """Record that something was done that long after it was due."""
+        self._histogram.record_value(min(MAX_LAG_US, max(1, int(seconds * 1e6))))
 
-    def record(self) -> TimerLagReport:
-        """What the judge needs: a run whose kit ran late is void."""
+    def report(self) -> TimerLagReport:
+        """Summarize the lags and this process's use of the processor."""
         used = resource.getrusage(resource.RUSAGE_SELF)
         return TimerLagReport(
-            self.party,
+            self._process,
             self._histogram.get_total_count(),
             self._histogram.get_value_at_percentile(99) / 1000,
             self._histogram.get_max_value() / 1000,
--- a/lugtally/testbed/experiments/runner.py
+++ b/lugtally/testbed/experiments/runner.py
@@ -27,13 +27,13 @@
 import psutil
 
 from lugtally.testbed.emulator import loopback
-from lugtally.testbed.emulator.fleet import Specification
 from lugtally.testbed.experiments import baselines
 from lugtally.testbed.reporting.report import INTERRUPTED, Report, build
 from lugtally.testbed.scenario import schedule
 from lugtally.testbed.scenario.random_streams import stream
 from lugtally.testbed.scenario.scenario import TAKES_EFFECT, Scenario
 from lugtally.testbed.scenario.schedule import Event, Schedule
+from lugtally.testbed.scenario.specification import ProcessSpecification
 from lugtally.testbed.verification import verifier
 from lugtally.testbed.verification.event_log import EventLog, EventLogWriter, read_records
 from lugtally.testbed.verification.records import ProcessEvent, ProcessEventKind
@@ -288,7 +288,7 @@
         return child
 
     def _part(self, name: str) -> subprocess.Popen[bytes]:
-        told = Specification(self.scenario, self.seed, self.block, self.base, str(self.folder / f"{name}.jsonl"))
+        told = ProcessSpecification(self.scenario, self.seed, self.block, self.base, str(self.folder / f"{name}.jsonl"))
         path = self.folder / f"{name}.spec.json"
         path.write_bytes(msgspec.json.encode(told))
         return self._spawn(
--- /dev/null
+++ b/lugtally/testbed/loadgen/client.py
@@ -0,0 +1,113 @@
+"""One request of a client, with the retries that the application makes of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lugtally.testbed.loadgen.attempt import OutgoingAttempt
+from lugtally.testbed.loadgen.load_run import LoadRun
+from lugtally.testbed.scenario.random_streams import unit
+from lugtally.testbed.scenario.scenario import METHODS
+from lugtally.testbed.scenario.schedule import Arrival
+from lugtally.testbed.scenario.specification import request_id
+from lugtally.testbed.verification.records import ClientAttempt, ClientOutcome
+
+POST_BODY = b"v" * 200
+MIN_TIME_LEFT_S = 0.005  # for a retry
+
+
+class Client:
+    """A request and its attempts.  Times are seconds since the base."""
+
+    __slots__ = ("_run", "_arrival", "_class", "_serial", "_first_id", "_attempts", "_is_served")
+
+    def __init__(self, run: LoadRun, serial: int, arrival: Arrival) -> None:
+        self._run = run
+        self._arrival = arrival
+        self._class = run.classes[arrival.cls]
+        self._serial = serial
+        self._first_id = request_id(serial, 0, run.run_digits)
+        self._attempts = 0
+        self._is_served = False
+
+    def start_attempt(self, intended_at: float) -> None:
+        """Send the next attempt."""
+        attempt_share = self._run.client_behaviour.try_share
+        patience = min(self._class.deadline_ms / 1000 * attempt_share, self._deadline_at() - intended_at)
+        record = ClientAttempt(
+            request_id(self._serial, self._attempts, self._run.run_digits),
+            self._first_id,
+            self._attempts,
+            self._arrival.sidecar,
+            self._arrival.cls,
+            intended_at,
+            intended_at,
+            intended_at + patience,
+        )
+        self._attempts += 1
+        OutgoingAttempt(self._run, record, self._serialize(record), self._on_attempt_end).start()
+
+    def _deadline_at(self) -> float:
+        return self._run.start + self._arrival.at + self._class.deadline_ms / 1000
+
+    def _serialize(self, record: ClientAttempt) -> bytes:
+        """The attempt as HTTP/1.1."""
+        method = METHODS[self._class.effect]
+        body = b"" if method == "GET" else POST_BODY
+        lines = [
+            f"{method} /{self._class.name}?n={self._serial} HTTP/1.1",
+            "Host: service.internal",
+            f"X-Correlation-Id: {record.request_id}",
+            f"X-Service-Class: {self._class.name}",
+            f"X-Time-Left: {record.deadline_at - record.intended_at:.3f}",
+        ]
+        if record.number:
+            lines.append("X-Repeat: 1")
+        if self._class.effect == "keyed":
+            lines.append(f"Idempotency-Key: {self._first_id}{self._run.run_digits}")
+        if method != "GET":
+            lines.append(f"Content-Length: {len(body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    def _on_attempt_end(self, record: ClientAttempt, gave_up: bool) -> None:
+        """Retry where that is allowed, as an attempt ends or the client stops waiting for it."""
+        if self._is_served:
+            return
+        if record.outcome == ClientOutcome.SERVED and not gave_up:
+            self._is_served = True
+            return
+        wait = self._backoff(record)
+        retry_at = self._run.clock() + wait
+        if not self._may_retry(record, gave_up) or retry_at >= self._deadline_at() - MIN_TIME_LEFT_S:
+            return
+        self._run.pending += 1
+        asyncio.get_running_loop().call_later(wait, self._retry, retry_at)
+
+    def _may_retry(self, record: ClientAttempt, gave_up: bool) -> bool:
+        if self._attempts > self._run.client_behaviour.retries:
+            return False
+        rejected = record.outcome in (ClientOutcome.REJECTED, ClientOutcome.UNREACHABLE) and not gave_up
+        return rejected or self._is_repeatable_anywhere()
+
+    def _is_repeatable_anywhere(self) -> bool:
+        """Whether a repeat is harmless whatever became of the attempts before, and wherever it goes."""
+        if self._class.effect == "safe":
+            return True
+        elapsed = self._run.clock() - self._run.start - self._arrival.at
+        return (
+            self._class.effect == "keyed" and self._class.key_scope == "all" and elapsed < self._class.key_ttl_ms / 1000
+        )
+
+    def _backoff(self, record: ClientAttempt) -> float:
+        """Seconds to wait; some clients follow Retry-After."""
+        behaviour = self._run.client_behaviour
+        wait = behaviour.wait_ms / 1000
+        if record.retry_after_s >= 0 and unit(self._run.seed, "honour", self._first_id) < behaviour.honour:
+            wait = max(wait, record.retry_after_s)
+        return wait
+
+    def _retry(self, intended_at: float) -> None:
+        self._run.pending -= 1
+        if not self._is_served:
+            self._run.timer_lag.add(self._run.clock() - intended_at)
+            self.start_attempt(intended_at)
--- /dev/null
+++ b/lugtally/testbed/loadgen/load_run.py
@@ -0,0 +1,41 @@
+"""What all clients of a run share."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+from lugtally.testbed.emulator import loopback
+from lugtally.testbed.emulator.timer_lag import TimerLag
+from lugtally.testbed.loadgen.connection_pool import ConnectionPool
+from lugtally.testbed.scenario.specification import ProcessSpecification, run_digits
+from lugtally.testbed.verification.event_log import EventLogWriter
+
+
+class LoadRun:
+    """Clock, connection pools, event log and random seed of a run."""
+
+    def __init__(self, specification: ProcessSpecification) -> None:
+        scenario = specification.scenario
+        self.seed = specification.seed
+        self.classes = scenario.classes
+        self.client_behaviour = scenario.clients
+        self.run_digits = run_digits(specification.seed)
+        self.event_log = EventLogWriter(Path(specification.event_log_path))
+        self.timer_lag = TimerLag("load")
+        self.pools = [
+            ConnectionPool(loopback.front(specification.loopback_block, sidecar), scenario.clients.connections)
+            for sidecar in range(scenario.fleet.sidecars)
+        ]
+        self.start = 0.0  # seconds since the base at which the first second of the scenario begins
+        self.pending = 0  # attempts in flight or watched, and retries to come
+        self._base = specification.base
+
+    def clock(self) -> float:
+        """Seconds since the base."""
+        return time.monotonic() - self._base
+
+    def close(self) -> None:
+        """Record how late the timers ran, and close the event log."""
+        self.event_log.write(self.timer_lag.report())
+        self.event_log.close()
--- a/lugtally/testbed/scenario/scenario.py
+++ b/lugtally/testbed/scenario/scenario.py
@@ -45,6 +45,7 @@
     "sidecar-starved",
 ]
 TAKES_EFFECT = {"safe": "idempotent", "keyed": "deduplicated", "unsafe": "at_most_once"}
+METHODS = {"safe": "GET", "keyed": "POST", "unsafe": "POST"}  # of the requests of a class, by its effect
 
 
 class ScenarioError(Exception):
--- a/tests/testbed/test_load.py
+++ b/tests/testbed/test_load.py
@@ -12,11 +12,11 @@
 import pytest
 
 from lugtally.testbed.emulator import loopback
-from lugtally.testbed.emulator.fleet import Specification
-from lugtally.testbed.emulator.server import answer_body
-from lugtally.testbed.loadgen.generator import Link
+from lugtally.testbed.emulator.response_body import build_body
+from lugtally.testbed.loadgen.connection import ClientConnection, ResponseHandlers
 from lugtally.testbed.reporting import report
 from lugtally.testbed.scenario import scenario, schedule
+from lugtally.testbed.scenario.specification import ProcessSpecification
 from lugtally.testbed.verification import event_log, records, verifier
 from tests.testbed.offender import _answer, _read
 
@@ -59,7 +59,7 @@
             now = time.monotonic() - base - start
             if STALL_AT <= now < STALL_AT + STALL_S:
                 await asyncio.sleep(STALL_AT + STALL_S - now)
-            writer.write(_answer(200, answer_body(seed, headers["x-correlation-id"], "s-000")))
+            writer.write(_answer(200, build_body(seed, headers["x-correlation-id"], "s-000")))
 
     server = await asyncio.start_server(serve, loopback.front(block, 0), loopback.PORT)
     assert child.stdin is not None and child.stdout is not None
@@ -74,7 +74,7 @@
 def test_a_stall_of_a_second_shows_in_full(tmp_path: Path) -> None:
     told, block = scenario.decode(DAY, "stall.toml"), loopback.Block()
     base = time.monotonic()
-    spec = Specification(told, 5, block.number, base, str(tmp_path / "load.jsonl"))
+    spec = ProcessSpecification(told, 5, block.number, base, str(tmp_path / "load.jsonl"))
     (tmp_path / "spec.json").write_bytes(msgspec.json.encode(spec))
     child = subprocess.Popen(
         [sys.executable, "-B", "-m", "lugtally.testbed.loadgen.generator", str(tmp_path / "spec.json")],
@@ -145,23 +145,25 @@
     """One request on a link, and all that the link says of it."""
 
     def __init__(self, name: str) -> None:
-        self.body = answer_body(5, name, "s-000")
+        self.body = build_body(5, name, "s-000")
         self.bytes = _answer(200, self.body)
         self.events: list[tuple[str, bytes]] = []
 
-    def send(self, link: Link) -> None:
+    def send(self, link: ClientConnection) -> None:
         link.send(
             b"GET / HTTP/1.1\r\n\r\n",
-            lambda status, body, advice: self.events.append(("answer", body)),
-            lambda begun: self.events.append(("broke", b"begun" if begun else b"")),
-            lambda: self.events.append(("extra", b"")),
-            lambda body: body == self.body,
+            ResponseHandlers(
+                lambda status, body, retry_after_s: self.events.append(("answer", body)),
+                lambda begun: self.events.append(("broke", b"begun" if begun else b"")),
+                lambda: self.events.append(("extra", b"")),
+                lambda body: body == self.body,
+            ),
         )
 
 
 @pytest.mark.parametrize("pieces", [1, 2, 150], ids=["at once", "in two", "byte by byte"])
 def test_a_second_answer_that_crosses_the_next_request_is_the_first_ones(pieces: int) -> None:
-    link, transport, first, second = Link(lambda _: None), _Transport(), _Heard("a"), _Heard("b")
+    link, transport, first, second = ClientConnection(lambda _: None), _Transport(), _Heard("a"), _Heard("b")
     link.connection_made(transport)
     first.send(link)
     link.data_received(first.bytes)
@@ -172,11 +174,11 @@
         link.data_received(data[at : at + size])
     assert first.events == [("answer", first.body), ("extra", b"")]
     assert second.events == [("answer", second.body)], "the first one's copy is no answer to it"
-    assert not link.keep, "a connection on which too much came is not used again"
+    assert not link.is_reusable, "a connection on which too much came is not used again"
 
 
 def test_a_foreign_body_is_told_to_the_request_that_is_out() -> None:
-    link, first, second, forged = Link(lambda _: None), _Heard("a"), _Heard("b"), _Heard("c")
+    link, first, second, forged = ClientConnection(lambda _: None), _Heard("a"), _Heard("b"), _Heard("c")
     link.connection_made(_Transport())
     first.send(link)
     link.data_received(first.bytes)
@@ -187,7 +189,7 @@
 
 
 def test_a_connection_that_ends_behind_a_second_answer_left_the_next_request_without_a_byte() -> None:
-    link, first, second = Link(lambda _: None), _Heard("a"), _Heard("b")
+    link, first, second = ClientConnection(lambda _: None), _Heard("a"), _Heard("b")
     link.connection_made(_Transport())
     first.send(link)
     link.data_received(first.bytes)
