--- a/benchmarks/saturate.py
+++ b/benchmarks/saturate.py
@@ -28,7 +28,7 @@
 
 from lugtally.testbed.emulator import loopback
 from lugtally.testbed.experiments import runner
-from lugtally.testbed.scenario import scenario
+from lugtally.testbed.scenario import scenario_file
 
 SERVERS = 10
 AIM_MS, DEADLINE_MS = 2000, 8000
@@ -90,8 +90,8 @@
     async def run() -> None:
         loop = asyncio.get_running_loop()
         for place in range(SERVERS):
-            await loop.create_server(Server, loopback.server(block, place, 0), loopback.PORT, backlog=512)
-        await loop.create_server(Quiet, loopback.discovery(block, 0), loopback.PORT)
+            await loop.create_server(Server, loopback.server_host(block, place, 0), loopback.PORT, backlog=512)
+        await loop.create_server(Quiet, loopback.discovery_host(block, 0), loopback.PORT)
         ready.set()
         await asyncio.sleep(3600)
 
@@ -208,14 +208,14 @@
 
 def measure(connections: int, seconds: float, pause: float, memory_mb: int) -> dict[str, float]:
     """One run of one sidecar on core 0."""
-    block = loopback.Block()
+    block = loopback.LoopbackBlock()
     folder = Path(tempfile.mkdtemp(prefix="lugtally-saturate-"))
     every = sorted(os.sched_getaffinity(0))
     ready = multiprocessing.Event()
     servers = multiprocessing.Process(target=serve, args=(block.number, ready, {every[1 % len(every)]}), daemon=True)
     servers.start()
     ready.wait(10)
-    run = runner.Run(scenario.decode(DAY, "saturate"), 1, folder=folder)
+    run = runner.Run(scenario_file.decode(DAY, "saturate"), 1, folder=folder)
     run.block = block.number
     sidecar = run.sidecars[0]
     told = {**run.configuration(sidecar), "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}}
@@ -232,7 +232,7 @@
         clients = multiprocessing.Process(
             target=load,
             daemon=True,
-            args=(loopback.front(block.number, 0), connections, seconds, pause, {every[2 % len(every)]}, there),
+            args=(loopback.sidecar_host(block.number, 0), connections, seconds, pause, {every[2 % len(every)]}, there),
         )
         clients.start()
         process = psutil.Process(child.pid)
--- a/lugtally/cli/rehearse.py
+++ b/lugtally/cli/rehearse.py
@@ -102,10 +102,10 @@
 def list_() -> int:
     """The shipped scenarios."""
     need_kit()
-    from lugtally.testbed.scenario import scenario
+    from lugtally.testbed.scenario import scenario_file
 
-    for name in scenario.library():
-        told = scenario.load(name)
+    for name in scenario_file.shipped():
+        told = scenario_file.load(name)
         print(f"{name:20} {told.length_s:4.0f} s  {told.about}")
     return 0
 
@@ -115,12 +115,13 @@
 def show(name: str) -> int:
     """Print the text of a shipped scenario: a start for one of your own."""
     need_kit()
-    from lugtally.testbed.scenario import scenario
+    from lugtally.testbed.scenario import scenario_file
+    from lugtally.testbed.scenario.scenario import ScenarioError
 
     try:
-        scenario.load(name)
-        print(scenario.library().get(name) or Path(name).read_text(encoding="utf-8"), end="")
-    except scenario.ScenarioError as error:
+        scenario_file.load(name)
+        print(scenario_file.shipped().get(name) or Path(name).read_text(encoding="utf-8"), end="")
+    except ScenarioError as error:
         return complain(error)
     return 0
 
@@ -131,20 +132,21 @@
 def check(file: str, seed: int) -> int:
     """Check a scenario and say what a seed draws from it."""
     need_kit()
-    from lugtally.testbed.scenario import scenario, schedule
+    from lugtally.testbed.scenario import scenario_file, schedule
+    from lugtally.testbed.scenario.scenario import ScenarioError
 
     try:
-        drawn = schedule.make(scenario.load(file), seed)
-    except scenario.ScenarioError as error:
+        drawn = schedule.make_schedule(scenario_file.load(file), seed)
+    except ScenarioError as error:
         return complain(error)
     told = drawn.scenario
     print(
         f"{told.name}: {told.length_s:g} s, {told.fleet.servers} servers, {told.fleet.sidecars} sidecars, "
-        f"{drawn.rate:.0f} first tries/s, {len(drawn.arrivals)} in all, the list {drawn.notice:.1f} s late"
+        f"{drawn.rate:.0f} first tries/s, {len(drawn.arrivals)} in all, the list {drawn.propagation_s:.1f} s late"
     )
     for event in drawn.events:
-        where = ", ".join(drawn.machines[at].id for at in event.servers[:6])
-        print(f"{event.at:7.2f} s  {'begin' if event.begins else 'end  '} {event.trouble.kind:14} {where}")
+        where = ", ".join(drawn.machines[at].name for at in event.places[:6])
+        print(f"{event.at:7.2f} s  {'begin' if event.begins else 'end  '} {event.fault.kind:14} {where}")
     return 0
 
 
@@ -172,11 +174,12 @@
     from lugtally.testbed.experiments import runner
     from lugtally.testbed.reporting import render
     from lugtally.testbed.reporting import report as reports
-    from lugtally.testbed.scenario import scenario
+    from lugtally.testbed.scenario import scenario_file
+    from lugtally.testbed.scenario.scenario import ScenarioError
 
     try:
-        told = [scenario.load(name) for name in names]
-    except scenario.ScenarioError as error:
+        told = [scenario_file.load(name) for name in names]
+    except ScenarioError as error:
         return complain(error)
     signal.signal(signal.SIGTERM, _terminate)
     console = render.wide()
@@ -227,9 +230,9 @@
     """The full rehearsal: every shipped scenario, side by side within the cores there are."""
     need_kit()
     from lugtally.testbed.experiments import experiment
-    from lugtally.testbed.scenario import scenario
+    from lugtally.testbed.scenario import scenario_file
 
-    told = experiment.Experiment("all", tuple(scenario.library()), seeds, (policy,))
+    told = experiment.Experiment("all", tuple(scenario_file.shipped()), seeds, (policy,))
     return play(told, out, at_once)
 
 
--- a/lugtally/testbed/emulator/discovery.py
+++ b/lugtally/testbed/emulator/discovery.py
@@ -1,211 +1,174 @@
-"""The stand-in for discovery: the list, whole or as a watch, late, from one service of bounded capacity."""
+"""The emulated discovery service: the endpoint list, whole or as a watch, from one service of bounded capacity."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
-import httptools
 import msgspec
 
 from lugtally.testbed.emulator import loopback
-from lugtally.testbed.emulator.endpoint_registry import Catalog, Row
-from lugtally.testbed.verification.records import DiscoveryCall, EndpointChanged, EndpointNotified
+from lugtally.testbed.emulator.discovery_connection import DiscoveryConnection
+from lugtally.testbed.emulator.endpoint_registry import EndpointChanges, EndpointEntry, EndpointRegistry
+from lugtally.testbed.scenario.scenario import Discovery
+from lugtally.testbed.verification.records import DiscoveryCall, EndpointChanged, EndpointNotified, Record
 
 PATH = "/catalog/members"
-MOST_HOLD_MS = 60_000
+MAX_HOLD_MS = 60_000
+ENTRIES_PER_CALL_COST = 100  # entries that cost as much as a call
 
 
-class ServerList:
-    """One service for all sidecars.  ``down`` resets every call, ``slow`` adds seconds to each."""
+class _Poll(NamedTuple):
+    """What a call asks for."""
+
+    version: int | None  # none: the whole list
+    hold_s: float  # how long to wait for a change
+
+
+class DiscoveryService:
+    """One service for all sidecars."""
 
     def __init__(
         self,
-        block: int,
-        sidecars: int,
-        catalog: Catalog,
+        hosts: list[str],
+        registry: EndpointRegistry,
         clock: Callable[[], float],
-        write: Callable[[Any], None],
-        address: Callable[[str, int], str],
-        *,
-        at_once: int,
-        call_s: float,
-        wait_most_s: float,
+        record: Callable[[Record], None],
+        address_of: Callable[[str, int], str],
+        settings: Discovery,
     ) -> None:
-        self.catalog = catalog
-        self.down = False
-        self.slow = 0.0
-        self._block, self._sidecars = block, sidecars
-        self.clock, self.write, self.address = clock, write, address
-        self._turns = asyncio.Semaphore(at_once)
-        self._call_s, self._wait_most_s = call_s, wait_most_s
-        self._news = asyncio.Event()
-        self._callers: set[Caller] = set()
-        self._servers: list[asyncio.Server] = []
+        """``hosts`` are the addresses to listen at, by sidecar; ``address_of`` takes a server and a sidecar."""
+        self.clock = clock
+        self.extra_call_s = 0.0  # by which a fault slows each call
+        self._hosts = hosts
+        self._registry = registry
+        self._record = record
+        self._address_of = address_of
+        self._call_s = settings.call_ms / 1000
+        self._max_wait_s = settings.max_wait_s
+        self._slots = asyncio.Semaphore(settings.calls_at_once)
+        self._changed = asyncio.Event()
+        self._is_down = False
+        self._connections: set[DiscoveryConnection] = set()
+        self._listeners: list[asyncio.Server] = []
 
     async def start(self) -> None:
         """Listen for every sidecar."""
         loop = asyncio.get_running_loop()
-        for sidecar in range(self._sidecars):
-            self._servers.append(
-                await loop.create_server(
-                    lambda sidecar=sidecar: Caller(self, sidecar),  # type: ignore[misc]
-                    loopback.discovery(self._block, sidecar),
-                    loopback.PORT,
-                    family=socket.AF_INET,
-                )
+        for sidecar, host in enumerate(self._hosts):
+            listener = await loop.create_server(
+                lambda sidecar=sidecar: DiscoveryConnection(self, sidecar),  # type: ignore[misc]
+                host,
+                loopback.PORT,
+                family=socket.AF_INET,
             )
+            self._listeners.append(listener)
 
-    def put(self, row: Row) -> None:
-        """A change comes into the list."""
-        if self.catalog.put(row):
-            self.write(EndpointChanged(self.clock(), row.id, row.state, row.started_ms / 1000 or None))
-            self._news.set()
-            self._news = asyncio.Event()
+    def update(self, entry: EndpointEntry) -> None:
+        """Put a change into the list and end the watches that wait for one."""
+        if self._registry.update(entry):
+            self._record(EndpointChanged(self.clock(), entry.server, entry.state, _started_at(entry)))
+            self._changed.set()
+            self._changed = asyncio.Event()
 
-    def fail(self, down: bool) -> None:
+    def set_down(self, is_down: bool) -> None:
         """Go down, which ends every watch, or come up again."""
-        self.down = down
-        if down:
-            for caller in list(self._callers):
-                caller.reset()
-
-    async def answer(self, caller: Caller, target: str) -> None:
-        """Work on one call in its turn."""
-        begun = self.clock()
+        self._is_down = is_down
+        if is_down:
+            for connection in list(self._connections):
+                connection.reset()
+
+    def connection_opened(self, connection: DiscoveryConnection) -> bool:
+        """Count a connection; false where the service is down."""
+        if self._is_down:
+            # The sidecar did poll: one that tries does not count as notified of what it could not hear.
+            self.record_failed_call(connection.sidecar, self.clock())
+            return False
+        self._connections.add(connection)
+        return True
+
+    def connection_closed(self, connection: DiscoveryConnection) -> None:
+        """Forget a connection."""
+        self._connections.discard(connection)
+
+    def record_failed_call(self, sidecar: int, began_at: float) -> None:
+        """Record a call that got no list."""
+        self._record(DiscoveryCall(sidecar, began_at, self.clock(), False))
+
+    async def handle_call(self, connection: DiscoveryConnection, target: str) -> None:
+        """Work on a call in its turn and respond to it."""
+        began_at = self.clock()
         path, _, query = target.partition("?")
-        asked = parse_qs(query)
         if path != PATH:
-            caller.send(404, b"{}")
+            connection.respond(404, b"{}")
             return
         try:
-            version = int(asked["from"][0]) if "from" in asked else None
-            hold = min(MOST_HOLD_MS, int(asked.get("hold_ms", ["0"])[0])) / 1000
+            poll = _parse_poll(query)
         except ValueError:
-            caller.send(400, b"{}")
+            connection.respond(400, b"{}")
             return
-        if version is not None and version >= self.catalog.version and hold > 0:
-            until = begun + hold
-            while version >= self.catalog.version and (left := until - self.clock()) > 0:
-                news = self._news
-                try:
-                    await asyncio.wait_for(news.wait(), left)
-                except TimeoutError:
-                    break
+        await self._wait_for_change(poll, began_at + poll.hold_s)
         try:
-            await asyncio.wait_for(self._turns.acquire(), self._wait_most_s)
+            await asyncio.wait_for(self._slots.acquire(), self._max_wait_s)
         except TimeoutError:
-            self.write(DiscoveryCall(caller.sidecar, begun, self.clock(), False))
-            caller.send(503, b"{}")
+            self.record_failed_call(connection.sidecar, began_at)
+            connection.respond(503, b"{}")
             return
         try:
-            full, rows = self.catalog.since(version)
-            at = self.catalog.version
-            await asyncio.sleep(self._call_s * (1 + len(rows) / 100) + self.slow)
+            version, changes = self._registry.version, self._registry.changes_since(poll.version)
+            await asyncio.sleep(self._call_s * (1 + len(changes.entries) / ENTRIES_PER_CALL_COST) + self.extra_call_s)
         finally:
-            self._turns.release()
-        if self.down or not caller.open:
-            self.write(DiscoveryCall(caller.sidecar, begun, self.clock(), False))
-            caller.reset()
+            self._slots.release()
+        if self._is_down or not connection.is_open:
+            self.record_failed_call(connection.sidecar, began_at)
+            connection.reset()
             return
-        body = msgspec.json.encode(
+        connection.respond(200, self._serialize(version, changes, connection.sidecar))
+        self._record_notifications(changes, connection.sidecar, began_at)
+
+    async def _wait_for_change(self, poll: _Poll, until: float) -> None:
+        """Wait while the caller is up to date, and no longer than it said."""
+        if poll.version is None or poll.hold_s <= 0:
+            return
+        while poll.version >= self._registry.version and (left := until - self.clock()) > 0:
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                return
+
+    def _serialize(self, version: int, changes: EndpointChanges, sidecar: int) -> bytes:
+        entries = [
             {
-                "version": at,
-                "full": full,
-                "servers": [
-                    {
-                        "id": row.id,
-                        "addr": self.address(row.id, caller.sidecar),
-                        "zone": row.zone,
-                        "kind": "std",
-                        "cell": row.cell,
-                        "state": row.state,
-                        "weight": 1.0,
-                        "started_ms": row.started_ms,
-                    }
-                    for row in rows
-                ],
+                "id": entry.server,
+                "addr": self._address_of(entry.server, sidecar),
+                "zone": entry.zone,
+                "kind": "std",
+                "cell": entry.cell,
+                "state": entry.state,
+                "weight": 1.0,
+                "started_ms": entry.started_ms,
             }
-        )
-        caller.send(200, body)
+            for entry in changes.entries
+        ]
+        return msgspec.json.encode({"version": version, "full": changes.is_full, "servers": entries})
+
+    def _record_notifications(self, changes: EndpointChanges, sidecar: int, began_at: float) -> None:
         now = self.clock()
-        for row in rows:
-            self.write(EndpointNotified(now, caller.sidecar, row.id, row.state, row.started_ms / 1000 or None))
-        self.write(DiscoveryCall(caller.sidecar, begun, now, True, len(rows)))
-
-    def met(self, caller: Caller) -> bool:
-        """A connection has come; false where the service is down."""
-        if self.down:
-            # It did ask: a sidecar that tries does not count as told of what it could not hear.
-            self.write(DiscoveryCall(caller.sidecar, self.clock(), self.clock(), False))
-            return False
-        self._callers.add(caller)
-        return True
+        for entry in changes.entries:
+            self._record(EndpointNotified(now, sidecar, entry.server, entry.state, _started_at(entry)))
+        self._record(DiscoveryCall(sidecar, began_at, now, True, len(changes.entries)))
+
+
+def _parse_poll(query: str) -> _Poll:
+    """Decode the query of a call.  Raises ValueError."""
+    fields = parse_qs(query)
+    version = int(fields["from"][0]) if "from" in fields else None
+    return _Poll(version, min(MAX_HOLD_MS, int(fields.get("hold_ms", ["0"])[0])) / 1000)
 
-    def left(self, caller: Caller) -> None:
-        """A connection has ended."""
-        self._callers.discard(caller)
-
-
-class Caller(asyncio.Protocol):
-    """One connection of a sidecar to the list."""
-
-    def __init__(self, service: ServerList, sidecar: int) -> None:
-        self.service = service
-        self.sidecar = sidecar
-        self.open = False
-        self._transport: Any = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._url = b""
-        self._task: asyncio.Task[None] | None = None
-        self._begun = 0.0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """It is up."""
-        self._transport, self.open = transport, True
-        if not self.service.met(self):
-            self.reset()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """It has ended, and with it a call that waits."""
-        self.open = False
-        self.service.left(self)
-        if self._task is not None and not self._task.done():
-            self._task.cancel()
-            self.service.write(DiscoveryCall(self.sidecar, self._begun, self.service.clock(), False))
-
-    def data_received(self, data: bytes) -> None:
-        """Bytes of a call."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.reset()
-
-    def on_message_begin(self) -> None:
-        """A call begins."""
-        self._url = b""
-
-    def on_url(self, url: bytes) -> None:
-        """Part of the target."""
-        self._url += url
-
-    def on_message_complete(self) -> None:
-        """A call is whole."""
-        self._begun = self.service.clock()
-        self._task = asyncio.get_running_loop().create_task(self.service.answer(self, self._url.decode("latin-1")))
-
-    def send(self, status: int, body: bytes) -> None:
-        """Answer the call."""
-        if self.open:
-            self._transport.write(
-                f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-                + body
-            )
 
-    def reset(self) -> None:
-        """End the connection."""
-        if self._transport is not None:
-            self._transport.abort()
+def _started_at(entry: EndpointEntry) -> float | None:
+    """The time of a restart in seconds."""
+    return entry.started_ms / 1000 or None
--- /dev/null
+++ b/lugtally/testbed/emulator/fault_script.py
@@ -0,0 +1,138 @@
+"""The script of a run's faults: each begins and ends at its time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lugtally.testbed.emulator.endpoint_registry import READY, REMOVED
+from lugtally.testbed.emulator.fleet import EmulatedFleet
+from lugtally.testbed.emulator.server import EmulatedServer
+from lugtally.testbed.scenario.fault_events import FaultEvent
+from lugtally.testbed.scenario.scenario import LOAD_FAULTS, SIDECAR_PREFIX
+
+FaultAction = Callable[[EmulatedServer, FaultEvent], None]
+
+
+class FaultScript:
+    """Applies the scheduled faults to a fleet.  Those of the load and of sidecars belong to other processes."""
+
+    def __init__(self, fleet: EmulatedFleet) -> None:
+        self._fleet = fleet
+        self._server_actions: dict[str, FaultAction] = {
+            "silent": self._silence,
+            "neighbour": self._take_cpu_share,
+            "shared-slow": self._slow_shared_resource,
+            "errors": self._fail_responses,
+            "reset": self._reset_connections,
+            "spoilt": self._malform_responses,
+            "slow-bytes": self._slow_responses,
+            "refuse": self._refuse_connections,
+            "never-up": self._block_connections,
+            "vanish": self._disconnect_network,
+            "drain": self._drain,
+            "restart": self._restart,
+            "replace": self._replace,
+            "crash": self._crash,
+            "join": self._join,
+        }
+        self._discovery_actions: dict[str, Callable[[FaultEvent], None]] = {
+            "discovery-down": self._stop_discovery,
+            "discovery-slow": self._slow_discovery,
+        }
+
+    def start(self, start: float) -> None:
+        """Schedule all events of a run that begins ``start`` seconds after the base."""
+        for event in self._fleet.schedule.events:
+            self._call_later(max(0.0, start + event.at - self._fleet.clock()), self._apply, event)
+
+    def _apply(self, event: FaultEvent) -> None:
+        kind = event.fault.kind
+        if kind in LOAD_FAULTS or kind.startswith(SIDECAR_PREFIX):
+            return
+        if kind in self._discovery_actions:
+            self._discovery_actions[kind](event)
+            return
+        for place in event.places:
+            self._server_actions[kind](self._fleet.servers[place], event)
+
+    def _call_later(self, delay: float, callback: Callable[..., None], argument: object) -> None:
+        asyncio.get_running_loop().call_later(delay, callback, argument)
+
+    def _stop_discovery(self, event: FaultEvent) -> None:
+        self._fleet.discovery.set_down(event.begins)
+
+    def _slow_discovery(self, event: FaultEvent) -> None:
+        self._fleet.discovery.extra_call_s = event.fault.size if event.begins else 0.0
+
+    def _silence(self, server: EmulatedServer, event: FaultEvent) -> None:
+        server.advance()
+        server.model.silent = event.begins
+        server.model_changed()
+
+    def _take_cpu_share(self, server: EmulatedServer, event: FaultEvent) -> None:
+        server.advance()
+        server.model.neighbour_share = event.fault.size if event.begins else 0.0
+        server.model_changed()
+
+    def _slow_shared_resource(self, server: EmulatedServer, event: FaultEvent) -> None:
+        server.advance()
+        server.model.slowdown = event.fault.size if event.begins else 1.0
+        server.model_changed()
+
+    def _fail_responses(self, server: EmulatedServer, event: FaultEvent) -> None:
+        server.faults.error_share = event.fault.size if event.begins else 0.0
+
+    def _reset_connections(self, server: EmulatedServer, event: FaultEvent) -> None:
+        server.faults.reset_share = event.fault.size if event.begins else 0.0
+
+    def _malform_responses(self, server: EmulatedServer, event: FaultEvent) -> None:
+        server.faults.malformed_share = event.fault.size if event.begins else 0.0
+
+    def _slow_responses(self, server: EmulatedServer, event: FaultEvent) -> None:
+        server.faults.slow_response_s = event.fault.size if event.begins else 0.0
+
+    def _refuse_connections(self, server: EmulatedServer, event: FaultEvent) -> None:
+        if event.begins:
+            server.refuse_connections()
+        elif server.running:
+            server.accept_connections()
+
+    def _block_connections(self, server: EmulatedServer, event: FaultEvent) -> None:
+        if event.begins:
+            server.block_connections()
+        else:
+            server.unblock_connections()
+
+    def _disconnect_network(self, server: EmulatedServer, event: FaultEvent) -> None:
+        if event.begins:
+            server.disconnect_network()
+            self._fleet.announce(server, REMOVED, silent=True)
+        else:
+            server.reconnect_network()
+            self._fleet.announce(server, READY, silent=True)
+
+    def _drain(self, server: EmulatedServer, event: FaultEvent) -> None:
+        if event.begins:
+            self._fleet.begin_drain(server)
+            self._call_later(event.fault.takes_s, self._fleet.shut_down, server)
+
+    def _restart(self, server: EmulatedServer, event: FaultEvent) -> None:
+        self._drain(server, event)
+        if event.begins:
+            self._call_later(event.fault.takes_s + event.fault.size, self._fleet.boot, server)
+
+    def _replace(self, server: EmulatedServer, event: FaultEvent) -> None:
+        """Drain and remove a machine, and put another at its address under a new name."""
+        self._drain(server, event)
+        if event.begins:
+            self._call_later(event.fault.takes_s + event.fault.size, self._fleet.replace, server)
+
+    def _crash(self, server: EmulatedServer, event: FaultEvent) -> None:
+        if event.begins:
+            self._fleet.shut_down(server)
+            self._call_later(event.fault.takes_s, self._fleet.boot, server)
+
+    def _join(self, server: EmulatedServer, event: FaultEvent) -> None:
+        if event.begins:
+            self._fleet.boot(server)
--- a/lugtally/testbed/emulator/fleet.py
+++ b/lugtally/testbed/emulator/fleet.py
@@ -1,284 +1,161 @@
-"""The process of the stand-ins: pledge servers, server list and the troubles' script.
-
-It is started with the path of a specification and told ``go SECONDS`` and ``stop`` on standard input; when that ends,
-it ends.  Its clock counts seconds from the base in the specification, on the machine's monotonic clock.
-"""
+"""The emulated fleet: all servers of a run and the discovery service that lists them."""
 
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 
-import uvloop
-
 from lugtally.testbed.emulator import loopback
-from lugtally.testbed.emulator.discovery import ServerList
-from lugtally.testbed.emulator.endpoint_registry import Catalog, Row
-from lugtally.testbed.emulator.server import Host, Shared
+from lugtally.testbed.emulator.discovery import DiscoveryService
+from lugtally.testbed.emulator.endpoint_registry import DRAINING, READY, REMOVED, EndpointEntry, EndpointRegistry
+from lugtally.testbed.emulator.fleet_context import FleetContext, NetworkTimes
+from lugtally.testbed.emulator.idempotency import IdempotencyStore
+from lugtally.testbed.emulator.server import EmulatedServer
 from lugtally.testbed.emulator.timer_lag import TimerLag
-from lugtally.testbed.scenario import schedule
-from lugtally.testbed.scenario.scenario import METHODS
-from lugtally.testbed.scenario.schedule import Event, Schedule
-from lugtally.testbed.scenario.specification import ProcessSpecification, read_specification, run_digits, serial_of
+from lugtally.testbed.scenario.scenario import METHODS, Network, Scenario
+from lugtally.testbed.scenario.schedule import Schedule, draw_machine, make_schedule
+from lugtally.testbed.scenario.specification import ProcessSpecification, run_digits, serial_of
 from lugtally.testbed.verification.event_log import EventLogWriter
 
-LOOK_S = 0.25
-
-
-class World:
-    """All stand-ins of a run, and what happens to them."""
-
-    def __init__(self, told: ProcessSpecification) -> None:
-        self.schedule: Schedule = schedule.make(told.scenario, told.seed)
-        self.told = told
-        scenario = told.scenario
-        self.event_log = EventLogWriter(Path(told.event_log_path))
-        self.timer_lag = TimerLag("stand-ins")
-        run = run_digits(told.seed)
-        arrivals = self.schedule.arrivals
 
-        def known(id: str) -> float | None:
-            serial = serial_of(id, run)
-            try:
-                return None if serial is None else arrivals[serial].work
-            except IndexError:
-                return None
+class EmulatedFleet:
+    """The servers by place, their life cycle, and what the endpoint list says of them."""
 
-        keyed = [cls for cls in scenario.classes if cls.effect == "keyed"]
-        network = scenario.network
-        self.shared = Shared(
-            told.seed,
-            told.loopback_block,
-            self.clock,
-            self.event_log.write,
-            self.timer_lag,
-            known,
-            {cls.name: METHODS[cls.effect] for cls in scenario.classes},
-            self.schedule.sidecar_zones,
-            network.same_zone_ms / 1000,
-            network.cross_zone_ms / 1000,
-            network.handshake_trips,
-            scenario.fleet.attempt_noise,
-            network.probe_ms / 1000,
-            scenario.fleet.error_rate,
-            network.idle_s,
-            key_ttl={cls.name: cls.key_ttl_ms / 1000 for cls in keyed},
-            key_wide=frozenset(cls.name for cls in keyed if cls.key_scope == "all"),
-        )
-        self.hosts = {
-            at: Host(self.shared, machine, at, cold=False) for at, machine in enumerate(self.schedule.machines)
+    def __init__(self, specification: ProcessSpecification) -> None:
+        self.schedule: Schedule = make_schedule(specification.scenario, specification.seed)
+        self._specification = specification
+        self._event_log = EventLogWriter(Path(specification.event_log_path))
+        self._timer_lag = TimerLag("stand-ins")
+        self._context = self._build_context()
+        self.servers = {
+            place: EmulatedServer(self._context, machine, place) for place, machine in enumerate(self.schedule.machines)
         }
-        self.started_ms: dict[str, int] = {}
-        self.list: ServerList | None = None
-        self._stopped = asyncio.Event()
+        self._restarted_ms: dict[str, int] = {}  # by server name
+        self.discovery = self._build_discovery()
 
     def clock(self) -> float:
         """Seconds since the base."""
-        return time.monotonic() - self.told.base
-
-    def address(self, id: str, sidecar: int) -> str:
+        return time.monotonic() - self._specification.base
+
+    async def start(self) -> None:
+        """Start the servers that run from the beginning, and the discovery service."""
+        for server in self._first_servers():
+            server.start(cold=False)
+        await self.discovery.start()
+
+    def stop(self) -> None:
+        """Stop all servers, record how late the timers ran, and close the event log."""
+        for server in self.servers.values():
+            if server.running:
+                server.stop()
+        self._event_log.write(self._timer_lag.report())
+        self._event_log.close()
+
+    def sample(self) -> None:
+        """Record the load of each server, and end those that have collapsed."""
+        for server in self.servers.values():
+            if server.running:
+                server.model_changed()
+                server.record_load()
+                if server.model.collapsed:
+                    # It stays down; the list learns so as of any process that has ended.
+                    self.shut_down(server)
+        self._event_log.flush()
+
+    def boot(self, server: EmulatedServer) -> None:
+        """Start a server cold, and list it."""
+        self._restarted_ms[server.name] = int(time.time() * 1000)
+        server.start(cold=True)
+        self.announce(server, READY)
+
+    def begin_drain(self, server: EmulatedServer) -> None:
+        """Let a server reject new requests, and list it as draining."""
+        server.advance()
+        server.model.draining = True
+        server.model_changed()
+        self.announce(server, DRAINING)
+
+    def shut_down(self, server: EmulatedServer) -> None:
+        """End a server's process, and remove it from the list."""
+        if server.running:
+            server.stop()
+            self.announce(server, REMOVED)
+
+    def replace(self, server: EmulatedServer) -> None:
+        """Start another machine at the place and address of a server, under a new name."""
+        specification = self._specification
+        machine = draw_machine(specification.scenario, specification.seed, server.place, f"{server.name}x")
+        self.servers[server.place] = successor = EmulatedServer(self._context, machine, server.place)
+        self.boot(successor)
+
+    def announce(self, server: EmulatedServer, state: str, *, silent: bool = False) -> None:
+        """Put a state into the list after the delay of the run; ``silent`` machines are noticed later."""
+        delay = self.schedule.silent_propagation_s if silent else self.schedule.propagation_s
+        asyncio.get_running_loop().call_later(delay, self.discovery.update, self._entry(server, state))
+
+    def _first_servers(self) -> list[EmulatedServer]:
+        return [self.servers[place] for place in range(self._specification.scenario.fleet.servers)]
+
+    def _entry(self, server: EmulatedServer, state: str) -> EndpointEntry:
+        cell = self._specification.scenario.fleet.zones.index(server.zone)
+        return EndpointEntry(server.name, server.zone, cell, state, self._restarted_ms.get(server.name, 0))
+
+    def _address_of(self, name: str, sidecar: int) -> str:
         """Where a sidecar finds a server."""
-        for place, host in self.hosts.items():
-            if host.machine.id == id:
-                return f"{loopback.server(self.told.loopback_block, place, sidecar)}:{loopback.PORT}"
-        # One that was replaced: its row is about its end, the address no longer matters.
-        return f"{loopback.server(self.told.loopback_block, 0, sidecar)}:{loopback.PORT}"
-
-    def row(self, host: Host, state: str) -> Row:
-        """A server's line of the list."""
-        zones = self.told.scenario.fleet.zones
-        return Row(
-            host.machine.id,
-            host.machine.zone,
-            zones.index(host.machine.zone),
-            state,
-            self.started_ms.get(host.machine.id, 0),
+        # One that was replaced has no place any more: its entry removes it, and the address no longer matters.
+        place = next((place for place, server in self.servers.items() if server.name == name), 0)
+        return f"{loopback.server_host(self._specification.loopback_block, place, sidecar)}:{loopback.PORT}"
+
+    def _work_of(self, request_id: str) -> float | None:
+        serial = serial_of(request_id, run_digits(self._specification.seed))
+        try:
+            return None if serial is None else self.schedule.arrivals[serial].work
+        except IndexError:
+            return None
+
+    def _build_discovery(self) -> DiscoveryService:
+        scenario = self._specification.scenario
+        hosts = [
+            loopback.discovery_host(self._specification.loopback_block, sidecar)
+            for sidecar in range(scenario.fleet.sidecars)
+        ]
+        registry = EndpointRegistry([self._entry(server, READY) for server in self._first_servers()])
+        return DiscoveryService(
+            hosts, registry, self.clock, self._event_log.write, self._address_of, scenario.discovery
         )
 
-    async def run(self) -> None:
-        """Serve until told to stop."""
-        scenario = self.told.scenario
-        first = [self.hosts[at] for at in range(scenario.fleet.servers)]
-        for host in first:
-            host.start(cold=False)
-        discovery = scenario.discovery
-        self.list = ServerList(
-            self.told.loopback_block,
-            scenario.fleet.sidecars,
-            Catalog([self.row(host, "ready") for host in first]),
-            self.clock,
-            self.event_log.write,
-            self.address,
-            at_once=discovery.calls_at_once,
-            call_s=discovery.call_ms / 1000,
-            wait_most_s=discovery.wait_most_s,
+    def _build_context(self) -> FleetContext:
+        scenario = self._specification.scenario
+        return FleetContext(
+            seed=self._specification.seed,
+            loopback_block=self._specification.loopback_block,
+            clock=self.clock,
+            record=self._event_log.write,
+            timer_lag=self._timer_lag,
+            work_of=self._work_of,
+            methods={one.name: METHODS[one.effect] for one in scenario.classes},
+            sidecar_zones=self.schedule.sidecar_zones,
+            network=_network_times(scenario.network),
+            attempt_noise=scenario.fleet.attempt_noise,
+            health_check_work=scenario.network.health_check_ms / 1000,
+            error_rate=scenario.fleet.error_rate,
+            idempotency=_idempotency_store(scenario),
         )
-        await self.list.start()
-        loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader()
-        await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
-        print("ready", flush=True)
-        looker = loop.create_task(self._look())
-        while line := (await reader.readline()).decode().split():
-            if line[0] == "go":
-                self._script(float(line[1]))
-            elif line[0] == "stop":
-                break
-        looker.cancel()
-        for host in self.hosts.values():
-            if host.running:
-                host.stop()
-        self.event_log.write(self.timer_lag.report())
-        self.event_log.close()
-
-    async def _look(self) -> None:
-        while True:
-            await asyncio.sleep(LOOK_S)
-            for host in self.hosts.values():
-                if host.running:
-                    host.changed()
-                    host.look()
-                    if host.model.fallen:
-                        # It stays down; the list learns so as of any process that has ended.
-                        host.stop()
-                        self._list_later(host, "gone")
-            self.event_log.flush()
-
-    # ------------------------------------------------------------ the script
-
-    def _script(self, start: float) -> None:
-        loop = asyncio.get_running_loop()
-        for event in self.schedule.events:
-            loop.call_later(max(0.0, start + event.at - self.clock()), self._happen, event)
-
-    def _happen(self, event: Event) -> None:
-        kind = event.trouble.kind.replace("-", "_")
-        if kind.startswith("discovery"):
-            assert self.list is not None
-            if kind == "discovery_down":
-                self.list.fail(event.begins)
-            else:
-                self.list.slow = event.trouble.size if event.begins else 0.0
-            return
-        if kind == "burst" or kind.startswith("sidecar"):
-            return  # the load tool's and the runner's
-        act: Callable[[Host, Event], None] = getattr(self, f"_{kind}")
-        for place in event.servers:
-            act(self.hosts[place], event)
-
-    def _list_later(self, host: Host, state: str, *, silent: bool = False) -> None:
-        """The list shows a change only after a while; the order of changes stays."""
-        row = self.row(host, state)
-        wait = self.schedule.silent_notice if silent else self.schedule.notice
-        assert self.list is not None
-        asyncio.get_running_loop().call_later(wait, self.list.put, row)
-
-    def _silent(self, host: Host, event: Event) -> None:
-        host.advance()
-        host.model.silent = event.begins
-        host.changed()
-
-    def _neighbour(self, host: Host, event: Event) -> None:
-        host.advance()
-        host.model.taken_away = event.trouble.size if event.begins else 0.0
-        host.changed()
-
-    def _shared_slow(self, host: Host, event: Event) -> None:
-        host.advance()
-        host.model.slower = event.trouble.size if event.begins else 1.0
-        host.changed()
-
-    def _errors(self, host: Host, event: Event) -> None:
-        host.faults.errors = event.trouble.size if event.begins else 0.0
-
-    def _reset(self, host: Host, event: Event) -> None:
-        host.faults.reset = event.trouble.size if event.begins else 0.0
-
-    def _spoilt(self, host: Host, event: Event) -> None:
-        host.faults.spoilt = event.trouble.size if event.begins else 0.0
-
-    def _slow_bytes(self, host: Host, event: Event) -> None:
-        host.faults.slow_s = event.trouble.size if event.begins else 0.0
-
-    def _refuse(self, host: Host, event: Event) -> None:
-        if event.begins:
-            host.unlisten()
-        elif host.running:
-            host.listen()
-
-    def _never_up(self, host: Host, event: Event) -> None:
-        if event.begins:
-            host.block_up()
-        else:
-            host.unblock()
-
-    def _vanish(self, host: Host, event: Event) -> None:
-        if event.begins:
-            host.cut()
-            self._list_later(host, "gone", silent=True)
-        else:
-            host.mend()
-            self._list_later(host, "ready", silent=True)
-
-    def _drain(self, host: Host, event: Event) -> None:
-        if event.begins:
-            self._begin_drain(host)
-            asyncio.get_running_loop().call_later(event.trouble.takes_s, self._leave, host)
-
-    def _begin_drain(self, host: Host) -> None:
-        host.advance()
-        host.model.draining = True
-        host.changed()
-        self._list_later(host, "draining")
-
-    def _leave(self, host: Host) -> None:
-        if host.running:
-            host.stop()
-            self._list_later(host, "gone")
-
-    def _restart(self, host: Host, event: Event) -> None:
-        if event.begins:
-            self._begin_drain(host)
-            loop = asyncio.get_running_loop()
-            loop.call_later(event.trouble.takes_s, self._leave, host)
-            loop.call_later(event.trouble.takes_s + event.trouble.size, self._boot, host)
-
-    def _crash(self, host: Host, event: Event) -> None:
-        if event.begins:
-            self._leave(host)
-            asyncio.get_running_loop().call_later(event.trouble.takes_s, self._boot, host)
-
-    def _boot(self, host: Host) -> None:
-        self.started_ms[host.machine.id] = int(time.time() * 1000)
-        host.start(cold=True)
-        self._list_later(host, "ready")
-
-    def _replace(self, host: Host, event: Event) -> None:
-        """Drained, gone, and another machine at its address under a new id."""
-        if not event.begins:
-            return
-        self._begin_drain(host)
-        loop = asyncio.get_running_loop()
-        loop.call_later(event.trouble.takes_s, self._leave, host)
-
-        def successor() -> None:
-            machine = schedule.machine(self.told.scenario, self.told.seed, host.place, f"{host.machine.id}x")
-            self.hosts[host.place] = new = Host(self.shared, machine, host.place, cold=True)
-            self._boot(new)
-
-        loop.call_later(event.trouble.takes_s + event.trouble.size, successor)
-
-    def _join(self, host: Host, event: Event) -> None:
-        if event.begins:
-            self._boot(host)
 
 
-async def _main(path: str) -> None:
-    await World(read_specification(path)).run()
+def _network_times(network: Network) -> NetworkTimes:
+    return NetworkTimes(
+        same_zone_s=network.same_zone_ms / 1000,
+        cross_zone_s=network.cross_zone_ms / 1000,
+        handshake_round_trips=network.handshake_round_trips,
+        idle_timeout_s=network.idle_timeout_s,
+    )
 
 
-if __name__ == "__main__":
-    uvloop.run(_main(sys.argv[1]))
+def _idempotency_store(scenario: Scenario) -> IdempotencyStore:
+    keyed = [one for one in scenario.classes if one.effect == "keyed"]
+    return IdempotencyStore(
+        {one.name: one.deduplication_window_ms / 1000 for one in keyed},
+        frozenset(one.name for one in keyed if one.deduplication_scope == "all"),
+    )
--- a/lugtally/testbed/emulator/loopback.py
+++ b/lugtally/testbed/emulator/loopback.py
@@ -13,15 +13,17 @@
 
 PORT = 9000
 LOCK_PORT = 8999
-DISCOVERY = 250  # the third part of the list's addresses
-FRONT = 251  # and of the sidecars' own
+FIRST_BLOCK, BLOCKS = 16, 200
+MAX_SERVERS, MAX_SIDECARS = 240, 254
+DISCOVERY_OCTET = 250  # the third octet of the discovery service's addresses
+SIDECAR_OCTET = 251  # and of the sidecars' own
 
 
-class Block:
-    """A /16 of loopback that this run holds until it is closed; other runs on the machine take another."""
+class LoopbackBlock:
+    """A /16 of loopback, locked until it is closed; other runs on the machine take another."""
 
     def __init__(self) -> None:
-        for number in _numbers():
+        for number in _candidates():
             lock = socket.socket()
             try:
                 lock.bind((f"127.{number}.0.1", LOCK_PORT))
@@ -33,26 +35,26 @@
         raise OSError("no free block of loopback addresses")
 
     def close(self) -> None:
-        """Give it back."""
+        """Release the block."""
         self._lock.close()
 
 
-def _numbers() -> Iterator[int]:
+def _candidates() -> Iterator[int]:
     start = os.getpid()
-    return (16 + (start + turn) % 200 for turn in range(200))
+    return (FIRST_BLOCK + (start + turn) % BLOCKS for turn in range(BLOCKS))
 
 
-def server(block: int, place: int, sidecar: int) -> str:
-    """The host at which a sidecar reaches the server of that place; 240 servers and 254 sidecars at most."""
-    assert place < 240 and sidecar < 254, "a block holds 240 servers and 254 sidecars"
+def server_host(block: int, place: int, sidecar: int) -> str:
+    """The host at which a sidecar reaches the server of that place."""
+    assert place < MAX_SERVERS and sidecar < MAX_SIDECARS, "a block holds 240 servers and 254 sidecars"
     return f"127.{block}.{place + 1}.{sidecar + 1}"
 
 
-def discovery(block: int, sidecar: int) -> str:
-    """The host at which a sidecar reaches the server list."""
-    return f"127.{block}.{DISCOVERY}.{sidecar + 1}"
+def discovery_host(block: int, sidecar: int) -> str:
+    """The host at which a sidecar reaches the discovery service."""
+    return f"127.{block}.{DISCOVERY_OCTET}.{sidecar + 1}"
 
 
-def front(block: int, sidecar: int) -> str:
+def sidecar_host(block: int, sidecar: int) -> str:
     """The host at which a sidecar listens."""
-    return f"127.{block}.{FRONT}.{sidecar + 1}"
+    return f"127.{block}.{SIDECAR_OCTET}.{sidecar + 1}"
--- /dev/null
+++ b/lugtally/testbed/emulator/process.py
@@ -0,0 +1,54 @@
+"""The process of the emulated fleet.
+
+It is started with the path of a specification, prints ``ready``, and is sent ``go SECONDS`` and ``stop`` on standard
+input; when that ends, it ends.  Its clock counts seconds from the base in the specification, on the machine's
+monotonic clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import uvloop
+
+from lugtally.testbed.emulator.fault_script import FaultScript
+from lugtally.testbed.emulator.fleet import EmulatedFleet
+from lugtally.testbed.scenario.specification import read_specification
+
+SAMPLE_INTERVAL_S = 0.25
+
+
+async def run_fleet(fleet: EmulatedFleet) -> None:
+    """Serve until told to stop."""
+    await fleet.start()
+    loop = asyncio.get_running_loop()
+    commands = asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
+    print("ready", flush=True)
+    sampling = loop.create_task(_sample(fleet))
+    await _follow_commands(commands, FaultScript(fleet))
+    sampling.cancel()
+    fleet.stop()
+
+
+async def _follow_commands(commands: asyncio.StreamReader, script: FaultScript) -> None:
+    while command := (await commands.readline()).decode().split():
+        if command[0] == "go":
+            script.start(float(command[1]))
+        elif command[0] == "stop":
+            return
+
+
+async def _sample(fleet: EmulatedFleet) -> None:
+    while True:
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+        fleet.sample()
+
+
+async def _main(path: str) -> None:
+    await run_fleet(EmulatedFleet(read_specification(path)))
+
+
+if __name__ == "__main__":
+    uvloop.run(_main(sys.argv[1]))
--- a/lugtally/testbed/experiments/experiment.py
+++ b/lugtally/testbed/experiments/experiment.py
@@ -21,7 +21,8 @@
 from lugtally.testbed.experiments.baselines import NAMES
 from lugtally.testbed.reporting import report as reports
 from lugtally.testbed.reporting.report import VOID, Report
-from lugtally.testbed.scenario.scenario import ScenarioError, checked, library
+from lugtally.testbed.scenario.scenario import ScenarioError
+from lugtally.testbed.scenario.scenario_file import from_tree, shipped
 
 CORES_EACH = 4  # of a run: two for the kit, two for its sidecars
 TURNS = 3  # of a void cell
@@ -91,9 +92,9 @@
 
 def changed(name: str, setting: Setting) -> str:
     """The text of a scenario, as JSON, with the setting's changes."""
-    shipped = library()
+    texts = shipped()
     try:
-        text = shipped[name] if name in shipped else Path(name).read_text(encoding="utf-8")
+        text = texts[name] if name in texts else Path(name).read_text(encoding="utf-8")
     except OSError as error:
         raise ScenarioError(f"{name}: {error.strerror}") from error
     try:
@@ -108,7 +109,7 @@
             if not isinstance(place, dict):
                 raise ScenarioError(f"{name}: settings.{setting.name}: {field}: {table} is no table")
         place[last] = value
-    return msgspec.json.encode(checked(raw, f"{name} with {setting.name}")).decode()
+    return msgspec.json.encode(from_tree(raw, f"{name} with {setting.name}")).decode()
 
 
 def cells(told: Experiment) -> list[Cell]:
--- a/lugtally/testbed/experiments/runner.py
+++ b/lugtally/testbed/experiments/runner.py
@@ -29,10 +29,10 @@
 from lugtally.testbed.emulator import loopback
 from lugtally.testbed.experiments import baselines
 from lugtally.testbed.reporting.report import INTERRUPTED, Report, build
-from lugtally.testbed.scenario import schedule
+from lugtally.testbed.scenario.fault_events import FaultEvent
 from lugtally.testbed.scenario.random_streams import stream
-from lugtally.testbed.scenario.scenario import TAKES_EFFECT, Scenario
-from lugtally.testbed.scenario.schedule import Event, Schedule
+from lugtally.testbed.scenario.scenario import EFFECT_SETTINGS, Scenario
+from lugtally.testbed.scenario.schedule import Schedule, make_schedule
 from lugtally.testbed.scenario.specification import ProcessSpecification
 from lugtally.testbed.verification import verifier
 from lugtally.testbed.verification.event_log import EventLog, EventLogWriter, read_records
@@ -47,7 +47,7 @@
 MODULE = "module"  # the decisions that the daemon ships
 
 # The processes of a run beside the sidecars, by the name that their files carry.
-PROCESS_MODULES = {"world": "lugtally.testbed.emulator.fleet", "load": "lugtally.testbed.loadgen.generator"}
+PROCESS_MODULES = {"world": "lugtally.testbed.emulator.process", "load": "lugtally.testbed.loadgen.generator"}
 
 
 class RunError(Exception):
@@ -81,13 +81,13 @@
     grades = [
         {
             "name": c.name,
-            "effect": TAKES_EFFECT[c.effect],
-            "gain": c.worth,
-            "late_worth": c.late_worth,
-            "slo_ns": int(c.aim_ms * 1e6),
+            "effect": EFFECT_SETTINGS[c.effect],
+            "gain": c.priority_weight,
+            "late_worth": c.late_priority_weight,
+            "slo_ns": int(c.latency_objective_ms * 1e6),
             "hard_limit_ns": int(c.deadline_ms * 1e6),
-            "key_scope": c.key_scope,
-            "key_ttl_ns": int(c.key_ttl_ms * 1e6),
+            "key_scope": c.deduplication_scope,
+            "key_ttl_ns": int(c.deduplication_window_ms * 1e6),
             "stream": False,
         }
         for c in scenario.classes
@@ -110,17 +110,17 @@
             "max_retry_after_ns": 2_000_000_000,
             "may_probe": True,
             "peers": False,
-            "keepalive_ns": int(scenario.network.idle_s * 1e9),
+            "keepalive_ns": int(scenario.network.idle_timeout_s * 1e9),
             "connect_timeout_ns": 150_000_000,
         },
         "contract": {
             "answer_slack_ns": int(RESPONSE_SLACK_S * 1e9),
-            "ask_within_ns": int(scenario.discovery.ask_within_s * 1e9),
-            "cold_from": fleet.cold_from,
-            "warm_within_ns": int(fleet.cold_s * 1e9),
+            "ask_within_ns": int(scenario.discovery.poll_within_s * 1e9),
+            "cold_from": fleet.initial_capacity,
+            "warm_within_ns": int(fleet.warm_up_s * 1e9),
             "drain_grace_ns": int(DRAIN_GRACE_S * 1e9),
-            "fall_multiple": fleet.fall_multiple,
-            "tip_after_ns": int(fleet.fall_after_s * 1e9),
+            "fall_multiple": fleet.collapse_multiple,
+            "tip_after_ns": int(fleet.collapse_window_s * 1e9),
         },
         "prices": {"cross_zone": 0.03},
         "report": {"how": "probe", "columns": ["inflight", "queue", "qps"]},
@@ -156,7 +156,7 @@
         operator: Path | None = None,
     ) -> None:
         self.scenario, self.seed, self.policy, self.watch = scenario, seed, policy, watch
-        self.schedule: Schedule = schedule.make(scenario, seed)
+        self.schedule: Schedule = make_schedule(scenario, seed)
         self.operator = operator
         self._keep = folder is not None
         self.folder = folder or Path(tempfile.mkdtemp(prefix="lugtally-rehearsal-"))
@@ -186,7 +186,7 @@
 
     def play(self) -> Report:
         """Play it to the end, or to Ctrl-C, and judge what the books hold."""
-        block = loopback.Block()
+        block = loopback.LoopbackBlock()
         cut_short = ""
         try:
             self.block = block.number
@@ -235,7 +235,7 @@
         self.start = self.clock() + AHEAD_S
         for part in (world, load):
             self._tell(part, f"go {self.start!r}")
-        script = [event for event in self.schedule.events if event.trouble.kind.startswith("sidecar-")]
+        script = [event for event in self.schedule.events if event.fault.kind.startswith("sidecar-")]
         assert load.stdout is not None
         while True:
             ready, _, _ = select.select([load.stdout], [], [], TURN_S)
@@ -313,8 +313,8 @@
         """What that sidecar is told: its config.json."""
         rows = [
             {
-                "id": m.id,
-                "addr": f"{loopback.server(self.block, at, sidecar.number)}:{loopback.PORT}",
+                "id": m.name,
+                "addr": f"{loopback.server_host(self.block, at, sidecar.number)}:{loopback.PORT}",
                 "zone": m.zone,
                 "kind": "std",
                 "cell": self.scenario.fleet.zones.index(m.zone),
@@ -326,8 +326,8 @@
         ]
         return {
             "name": f"n{sidecar.number}",
-            "listen": f"{loopback.front(self.block, sidecar.number)}:{loopback.PORT}",
-            "discovery": f"{loopback.discovery(self.block, sidecar.number)}:{loopback.PORT}",
+            "listen": f"{loopback.sidecar_host(self.block, sidecar.number)}:{loopback.PORT}",
+            "discovery": f"{loopback.discovery_host(self.block, sidecar.number)}:{loopback.PORT}",
             "seed": f"{stream(self.seed, 'sidecar', sidecar.number).integers(2**62):x}",
             "limits": {"cores": 1.0, "memory_mb": self.scenario.memory_mb, "sockets": self.scenario.sockets},
             "known": {"version": 1, "full": True, "servers": rows},
@@ -358,15 +358,15 @@
         every = sorted(os.sched_getaffinity(0))
         return every[-1 - sidecar.number % len(every)]
 
-    def _starve(self, event: Event) -> None:
+    def _starve(self, event: FaultEvent) -> None:
         """Other programs take a share of a sidecar's core: as many that spin as leave it the rest, by fair shares."""
-        sidecar = self.sidecars[event.trouble.sidecar]
+        sidecar = self.sidecars[event.fault.sidecar]
         if not event.begins:
             for child in self._spinners.pop(sidecar.number, []):
                 child.kill()
                 child.wait()
             return
-        count = max(1, round(event.trouble.size / (1 - event.trouble.size)))
+        count = max(1, round(event.fault.size / (1 - event.fault.size)))
         self._spinners[sidecar.number] = [
             self._spawn([sys.executable, "-c", "while True: pass"], "spin.log") for _ in range(count)
         ]
@@ -377,19 +377,19 @@
         self._book.write(ProcessEvent(self.clock(), sidecar.number, ProcessEventKind(what), status))
         self._book.flush()
 
-    def _strike(self, event: Event) -> None:
+    def _strike(self, event: FaultEvent) -> None:
         """A trouble of a sidecar itself."""
-        if event.trouble.kind == "sidecar-starved":
+        if event.fault.kind == "sidecar-starved":
             self._starve(event)
             return
-        sidecar = self.sidecars[event.trouble.sidecar]
+        sidecar = self.sidecars[event.fault.sidecar]
         if not event.begins or sidecar.process is None or sidecar.told:
             return
-        what = event.trouble.kind.removeprefix("sidecar-")
+        what = event.fault.kind.removeprefix("sidecar-")
         if what == "hup":
             self._signal(sidecar, "hup", signal.SIGHUP)
             return
-        sidecar.back_at = self.clock() + event.trouble.takes_s
+        sidecar.back_at = self.clock() + event.fault.takes_s
         self._signal(sidecar, what, signal.SIGKILL if what == "kill" else signal.SIGTERM)
 
     def _signal(self, sidecar: Sidecar, what: str, number: signal.Signals) -> None:
@@ -420,7 +420,9 @@
     def healthy(self, sidecar: Sidecar) -> bool:
         """Whether it answers that it is ready."""
         try:
-            with socket.create_connection((loopback.front(self.block, sidecar.number), loopback.PORT), 0.2) as sock:
+            with socket.create_connection(
+                (loopback.sidecar_host(self.block, sidecar.number), loopback.PORT), 0.2
+            ) as sock:
                 sock.settimeout(0.2)
                 sock.sendall(b"GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
                 return sock.recv(64).startswith(b"HTTP/1.1 200")
--- a/lugtally/testbed/loadgen/attempt.py
+++ b/lugtally/testbed/loadgen/attempt.py
@@ -99,7 +99,7 @@
     def _on_deadline(self) -> None:
         """The client stops waiting.  Most connections are watched a little longer, for the verifier."""
         self._is_abandoned = True
-        if unit(self._run.seed, "impatient", self._record.request_id) < self._run.client_behaviour.impatient:
+        if unit(self._run.seed, "impatient", self._record.request_id) < self._run.client_behaviour.impatient_share:
             self._close_connection()
             self._finish(ClientOutcome.CLIENT_LEFT)
         else:
--- a/lugtally/testbed/loadgen/client.py
+++ b/lugtally/testbed/loadgen/client.py
@@ -6,9 +6,9 @@
 
 from lugtally.testbed.loadgen.attempt import OutgoingAttempt
 from lugtally.testbed.loadgen.load_run import LoadRun
+from lugtally.testbed.scenario.arrivals import Arrival
 from lugtally.testbed.scenario.random_streams import unit
 from lugtally.testbed.scenario.scenario import METHODS
-from lugtally.testbed.scenario.schedule import Arrival
 from lugtally.testbed.scenario.specification import request_id
 from lugtally.testbed.verification.records import ClientAttempt, ClientOutcome
 
@@ -24,7 +24,7 @@
     def __init__(self, run: LoadRun, serial: int, arrival: Arrival) -> None:
         self._run = run
         self._arrival = arrival
-        self._class = run.classes[arrival.cls]
+        self._class = run.classes[arrival.class_index]
         self._serial = serial
         self._first_id = request_id(serial, 0, run.run_digits)
         self._attempts = 0
@@ -32,14 +32,14 @@
 
     def start_attempt(self, intended_at: float) -> None:
         """Send the next attempt."""
-        attempt_share = self._run.client_behaviour.try_share
+        attempt_share = self._run.client_behaviour.attempt_share
         patience = min(self._class.deadline_ms / 1000 * attempt_share, self._deadline_at() - intended_at)
         record = ClientAttempt(
             request_id(self._serial, self._attempts, self._run.run_digits),
             self._first_id,
             self._attempts,
             self._arrival.sidecar,
-            self._arrival.cls,
+            self._arrival.class_index,
             intended_at,
             intended_at,
             intended_at + patience,
@@ -95,14 +95,16 @@
             return True
         elapsed = self._run.clock() - self._run.start - self._arrival.at
         return (
-            self._class.effect == "keyed" and self._class.key_scope == "all" and elapsed < self._class.key_ttl_ms / 1000
+            self._class.effect == "keyed"
+            and self._class.deduplication_scope == "all"
+            and elapsed < self._class.deduplication_window_ms / 1000
         )
 
     def _backoff(self, record: ClientAttempt) -> float:
         """Seconds to wait; some clients follow Retry-After."""
         behaviour = self._run.client_behaviour
-        wait = behaviour.wait_ms / 1000
-        if record.retry_after_s >= 0 and unit(self._run.seed, "honour", self._first_id) < behaviour.honour:
+        wait = behaviour.backoff_ms / 1000
+        if record.retry_after_s >= 0 and unit(self._run.seed, "honour", self._first_id) < behaviour.retry_after_share:
             wait = max(wait, record.retry_after_s)
         return wait
 
--- a/lugtally/testbed/loadgen/generator.py
+++ b/lugtally/testbed/loadgen/generator.py
@@ -18,8 +18,7 @@
 
 from lugtally.testbed.loadgen.client import Client
 from lugtally.testbed.loadgen.load_run import LoadRun
-from lugtally.testbed.scenario import schedule
-from lugtally.testbed.scenario.schedule import Schedule
+from lugtally.testbed.scenario.schedule import Schedule, make_schedule
 from lugtally.testbed.scenario.specification import ProcessSpecification, read_specification
 
 TAIL_S = 0.3  # after the last response, for bytes that follow it
@@ -33,7 +32,7 @@
     """All clients of a run."""
 
     def __init__(self, specification: ProcessSpecification) -> None:
-        self._schedule: Schedule = schedule.make(specification.scenario, specification.seed)
+        self._schedule: Schedule = make_schedule(specification.scenario, specification.seed)
         self._run = LoadRun(specification)
 
     async def run(self) -> None:
--- a/lugtally/testbed/loadgen/load_run.py
+++ b/lugtally/testbed/loadgen/load_run.py
@@ -24,7 +24,9 @@
         self.event_log = EventLogWriter(Path(specification.event_log_path))
         self.timer_lag = TimerLag("load")
         self.pools = [
-            ConnectionPool(loopback.front(specification.loopback_block, sidecar), scenario.clients.connections)
+            ConnectionPool(
+                loopback.sidecar_host(specification.loopback_block, sidecar), scenario.clients.max_connections
+            )
             for sidecar in range(scenario.fleet.sidecars)
         ]
         self.start = 0.0  # seconds since the base at which the first second of the scenario begins
--- a/lugtally/testbed/reporting/report.py
+++ b/lugtally/testbed/reporting/report.py
@@ -171,20 +171,20 @@
                     e.at
                     for e in schedule.events
                     if not e.begins
-                    and e.trouble is event.trouble
+                    and e.fault is event.fault
                     and e.at >= event.at
-                    and set(e.servers) == set(event.servers)
+                    and set(e.places) == set(event.places)
                 ),
                 None,
             )
             machines = schedule.machines
             found.append(
                 Noted(
-                    event.trouble.kind,
+                    event.fault.kind,
                     event.at,
                     end,
-                    [machines[at].id for at in event.servers]
-                    if len(event.servers) < schedule.scenario.fleet.servers
+                    [machines[at].name for at in event.places]
+                    if len(event.places) < schedule.scenario.fleet.servers
                     else [],
                 )
             )
--- /dev/null
+++ b/lugtally/testbed/scenario/arrivals.py
@@ -0,0 +1,101 @@
+"""Arrivals of a run: when each first attempt is sent, by which sidecar's client, and the work that it costs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import log, sqrt
+
+import numpy as np
+
+from lugtally.testbed.scenario.random_streams import stream
+from lugtally.testbed.scenario.scenario import RequestClass, Scenario
+
+PROFILE_STEP_S = 0.01  # at which the highest rate is looked for
+PROFILE_MARGIN = 1.001  # over the highest rate found
+BURST_STEP_S = 0.5  # for which a bursty rate stays
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A first attempt: ``at`` seconds into the run, ``work`` in core-seconds."""
+
+    at: float
+    sidecar: int
+    class_index: int
+    work: float
+
+
+def draw_arrivals(scenario: Scenario, seed: int, rate: float, mean_work: tuple[float, ...]) -> tuple[Arrival, ...]:
+    """Draw a Poisson process for each sidecar, thinned to the profile (Lewis and Shedler, 1979)."""
+    weights = _sidecar_weights(scenario, seed)
+    grid = np.arange(0, scenario.length_s, PROFILE_STEP_S)
+    max_factor = float(_profile(scenario, seed, grid).max()) * PROFILE_MARGIN
+    arrivals: list[Arrival] = []
+    for sidecar, weight in enumerate(weights):
+        arrivals += _draw_sidecar(scenario, seed, sidecar, rate * weight, max_factor, mean_work)
+    return tuple(sorted(arrivals, key=lambda arrival: arrival.at))
+
+
+def draw_work(request_class: RequestClass, mean: float, random: np.random.Generator, count: int) -> np.ndarray:
+    """Draw core-seconds of ``count`` requests, with that mean whatever the shape."""
+    spread = request_class.spread
+    if request_class.shape == "fixed":
+        return np.full(count, mean)
+    if request_class.shape == "exponential":
+        return random.exponential(mean, count)
+    if request_class.shape == "pareto":
+        return (random.pareto(spread, count) + 1) * mean * (spread - 1) / spread
+    return random.lognormal(log(mean) - spread**2 / 2, spread, count)
+
+
+def _sidecar_weights(scenario: Scenario, seed: int) -> list[float]:
+    """The share of the load that each sidecar gets."""
+    sigma = sqrt(log(1 + scenario.load.sidecar_cv**2))
+    sidecars = range(scenario.fleet.sidecars)
+    weights = np.array([stream(seed, "weight", sidecar).lognormal(0, sigma) for sidecar in sidecars])
+    weights /= weights.sum()
+    return [float(weight) for weight in weights]
+
+
+def _draw_sidecar(
+    scenario: Scenario, seed: int, sidecar: int, rate: float, max_factor: float, mean_work: tuple[float, ...]
+) -> list[Arrival]:
+    """Draw the arrivals of one sidecar: candidates at the highest rate, of which the profile keeps a part."""
+    random = stream(seed, "arrivals", sidecar)
+    length_s, max_rate = scenario.length_s, rate * max_factor
+    count = int(max_rate * length_s + 10 * sqrt(max_rate * length_s) + 20)
+    times = np.cumsum(random.exponential(1 / max_rate, count))
+    is_kept = random.random(count) * max_factor < _profile(scenario, seed, np.minimum(times, length_s))
+    classes = _draw_classes(scenario, random, count)
+    work = [
+        draw_work(request_class, mean_work[index], stream(seed, "work", sidecar, request_class.name), count)
+        for index, request_class in enumerate(scenario.classes)
+    ]
+    return [
+        Arrival(float(times[i]), sidecar, int(classes[i]), float(work[int(classes[i])][i]))
+        for i in range(count)
+        if is_kept[i] and times[i] < length_s
+    ]
+
+
+def _draw_classes(scenario: Scenario, random: np.random.Generator, count: int) -> np.ndarray:
+    shares = np.cumsum([request_class.share for request_class in scenario.classes])
+    return np.minimum(np.searchsorted(shares, random.random(count), side="right"), len(shares) - 1)
+
+
+def _profile(scenario: Scenario, seed: int, times: np.ndarray) -> np.ndarray:
+    """The rate at each time as a multiple of the mean, with the bursts on top."""
+    load = scenario.load
+    factor = np.ones_like(times)
+    random = stream(seed, "profile")
+    if load.shape == "wave":
+        phase = random.random()
+        factor += load.swing * np.sin(2 * np.pi * (times / load.wave_s + phase))
+    elif load.shape == "bursty":
+        steps = random.lognormal(0, load.swing, int(scenario.length_s / BURST_STEP_S) + 2)
+        factor *= (steps / steps.mean())[(times / BURST_STEP_S).astype(int)]
+    for fault in scenario.faults:
+        if fault.kind == "burst":
+            end = fault.at_s + (fault.for_s or scenario.length_s)
+            factor = np.where((times >= fault.at_s) & (times < end), factor * fault.size, factor)
+    return factor
--- a/lugtally/testbed/scenario/random_streams.py
+++ b/lugtally/testbed/scenario/random_streams.py
@@ -1,7 +1,8 @@
-"""Random streams by name: each party draws from its own, so that adding a party moves no other draw.
+"""Random streams by name: each process draws from its own, so that adding one moves no other draw.
 
 A stream is numpy's ``Generator`` over Philox (Salmon et al., "Parallel random numbers: as easy as 1, 2, 3", 2011),
-keyed by a 128-bit hash of the seed and the name.  Two names share no numbers, whatever the order of use.
+keyed by a 128-bit hash of the seed and the name.  Two names share no numbers, whatever the order of use.  The names
+are part of what a seed means: another name, or another order of draws, is another run.
 """
 
 from __future__ import annotations
@@ -11,19 +12,22 @@
 
 
 def stream(seed: int, *name: object) -> np.random.Generator:
-    """The generator of that name under that seed; the same at every call, from its first number on."""
-    text = "/".join([str(seed), *map(str, name)])
-    return np.random.Generator(np.random.Philox(key=xxhash.xxh3_128_intdigest(text.encode())))
+    """Return the generator of that name under that seed: the same at every call, from its first number on."""
+    return np.random.Generator(np.random.Philox(key=xxhash.xxh3_128_intdigest(_key(seed, name))))
 
 
 def unit(seed: int, *name: object) -> float:
-    """One number in [0, 1) that belongs to the name alone: for draws by key, where no order exists."""
-    return float((xxhash.xxh3_64_intdigest("/".join([str(seed), *map(str, name)]).encode()) >> 11) * 2.0**-53)
+    """Return one number in [0, 1) that belongs to the name alone: for draws by key, where no order exists."""
+    return float((xxhash.xxh3_64_intdigest(_key(seed, name)) >> 11) * 2.0**-53)
 
 
 def between(random: np.random.Generator, bounds: float | tuple[float, float]) -> float:
-    """A number drawn evenly from a range, or the number itself; a draw is used up either way."""
+    """Draw a number evenly from a range, or return the number itself; a draw is used up either way."""
     draw = float(random.random())
     if isinstance(bounds, tuple):
         return bounds[0] + (bounds[1] - bounds[0]) * draw
     return float(bounds)
+
+
+def _key(seed: int, name: tuple[object, ...]) -> bytes:
+    return "/".join([str(seed), *map(str, name)]).encode()
--- /dev/null
+++ b/lugtally/testbed/scenario/scenario_file.py
@@ -0,0 +1,143 @@
+"""Scenario files: decoding, checks beyond the types, and the scenarios that are shipped."""
+
+from __future__ import annotations
+
+import tomllib
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from lugtally.testbed.scenario.scenario import (
+    DEFAULT_CLASSES,
+    SIDECAR_PREFIX,
+    Fault,
+    RequestClass,
+    Scenario,
+    ScenarioError,
+)
+
+SHARES_TOLERANCE = 0.001
+SUFFIX = ".toml"
+
+
+def load(name: str) -> Scenario:
+    """Load a shipped scenario by its name, or a file by its path.  Raises ScenarioError."""
+    texts = shipped()
+    if name in texts:
+        return decode(texts[name], f"{name}{SUFFIX}")
+    path = Path(name)
+    if path.suffix not in (SUFFIX, ".json"):
+        raise ScenarioError(f"{name}: no shipped scenario of that name, and no .toml file")
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise ScenarioError(f"{name}: {error.strerror}") from error
+    if path.suffix == ".json":  # as experiments write them
+        return from_tree(msgspec.json.decode(text), path.name)
+    return decode(text, path.name)
+
+
+def shipped() -> dict[str, str]:
+    """The scenarios that are shipped: name to text."""
+    folder = resources.files("lugtally.testbed") / "scenarios"
+    return {
+        entry.name.removesuffix(SUFFIX): entry.read_text(encoding="utf-8")
+        for entry in sorted(folder.iterdir(), key=lambda entry: entry.name)
+        if entry.name.endswith(SUFFIX)
+    }
+
+
+def decode(text: str, name: str) -> Scenario:
+    """Decode the text of a file called ``name``.  Raises ScenarioError."""
+    try:
+        tree = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError(f"{name}: no TOML: {error}") from error
+    return from_tree(tree, name)
+
+
+def from_tree(tree: dict[str, Any], name: str) -> Scenario:
+    """Build a scenario from the tree of values of a file called ``name``.  Raises ScenarioError."""
+    try:
+        scenario = msgspec.convert(tree, Scenario)
+    except msgspec.ValidationError as error:
+        raise ScenarioError(f"{name}: {_with_place_first(str(error))}") from error
+    if not scenario.classes:
+        scenario = msgspec.structs.replace(scenario, classes=DEFAULT_CLASSES)
+    try:
+        _check(scenario)
+    except ScenarioError as error:
+        raise ScenarioError(f"{name}: {error}") from None
+    return scenario
+
+
+def _with_place_first(error: str) -> str:
+    """Move ``$.fleet.servers`` from the end of msgspec's message to its start, as table and field."""
+    text, _, place = error.partition(" - at `$")
+    place = place.rstrip("`").lstrip(".")
+    return f"{place}: {text}" if place else text
+
+
+def _check(scenario: Scenario) -> None:
+    """Check what types alone do not say.  Raises ScenarioError, without the name of the file."""
+    tables = {
+        "fleet": scenario.fleet,
+        "network": scenario.network,
+        "discovery": scenario.discovery,
+        "load": scenario.load,
+        "clients": scenario.clients,
+    }
+    for place, table in tables.items():
+        _check_ranges(place, table)
+    for index, request_class in enumerate(scenario.classes):
+        _check_class(f"classes[{index}]", request_class)
+    _check_classes(scenario.classes)
+    if not scenario.fleet.zones:
+        raise ScenarioError("fleet.zones: is empty")
+    for index, fault in enumerate(scenario.faults):
+        _check_fault(f"troubles[{index}]", index, fault, scenario)
+
+
+def _check_ranges(place: str, table: Struct) -> None:
+    """Check that each pair of numbers is in order."""
+    for field, key in zip(table.__struct_fields__, table.__struct_encode_fields__, strict=True):
+        value = getattr(table, field)
+        if not isinstance(value, tuple) or len(value) != 2 or not all(isinstance(bound, float) for bound in value):
+            continue
+        if not 0 <= value[0] <= value[1]:
+            raise ScenarioError(f"{place}.{key}: {list(value)} is no range [least, most]")
+
+
+def _check_class(place: str, request_class: RequestClass) -> None:
+    _check_ranges(place, request_class)
+    if request_class.latency_objective_ms > request_class.deadline_ms:
+        raise ScenarioError(f"{place}.aim_ms: is longer than the deadline")
+    if request_class.shape == "pareto" and request_class.spread <= 1:
+        raise ScenarioError(f"{place}.spread: a pareto index must be above 1 for a mean to exist")
+
+
+def _check_classes(classes: tuple[RequestClass, ...]) -> None:
+    total = sum(request_class.share for request_class in classes)
+    if abs(total - 1) > SHARES_TOLERANCE:
+        raise ScenarioError(f"classes: the shares add up to {total:.3f}, not to 1")
+    if len({request_class.name for request_class in classes}) < len(classes):
+        raise ScenarioError("classes: two have the same name")
+
+
+def _check_fault(place: str, index: int, fault: Fault, scenario: Scenario) -> None:
+    fleet = scenario.fleet
+    if fault.at_s >= scenario.length_s:
+        raise ScenarioError(f"{place}.at_s: {fault.at_s} is not within the {scenario.length_s} s of the run")
+    if fault.zone is not None and fault.zone not in fleet.zones:
+        raise ScenarioError(f"{place}.zone: {fault.zone!r} is no zone of the fleet")
+    if fault.same_as is not None and fault.same_as >= index:
+        raise ScenarioError(f"{place}.same_as: names no earlier trouble")
+    if fault.kind == "sidecar-starved" and not (fleet.pinned and fault.size < 1):
+        raise ScenarioError(f"{place}: sidecar-starved needs fleet.pinned and a size, the share taken, under 1")
+    if fault.kind.startswith(SIDECAR_PREFIX) and fault.sidecar >= fleet.sidecars:
+        raise ScenarioError(f"{place}.sidecar: there are {fleet.sidecars} sidecars")
+    if fault.servers is not None and fault.servers > fleet.servers and fault.kind != "join":
+        raise ScenarioError(f"{place}.servers: there are {fleet.servers} servers")
--- a/lugtally/testbed/verification/drains.py
+++ b/lugtally/testbed/verification/drains.py
@@ -22,7 +22,7 @@
 )
 
 READY = "ready"
-FAILED_CALL_FACTOR = 4  # times ask_within_s, after a call that failed
+FAILED_CALL_FACTOR = 4  # times poll_within_s, after a call that failed
 
 
 class KnownState(NamedTuple):
@@ -53,7 +53,7 @@
     states: StatesByEndpoint = defaultdict(list)
     for notified in log.notifications:
         states[notified.sidecar, notified.server].append(KnownState(notified.at, notified.state == READY))
-    poll_interval = schedule.scenario.discovery.ask_within_s
+    poll_interval = schedule.scenario.discovery.poll_within_s
     for sidecar in range(schedule.scenario.fleet.sidecars):
         for at in _implied_notifications(log, sidecar, poll_interval):
             for change in _latest_changes(log.endpoint_changes, at - poll_interval):
--- a/lugtally/testbed/verification/effects.py
+++ b/lugtally/testbed/verification/effects.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from lugtally.testbed.scenario.scenario import Class
+from lugtally.testbed.scenario.scenario import RequestClass
 from lugtally.testbed.scenario.schedule import Schedule
 from lugtally.testbed.verification.event_log import EventLog
 from lugtally.testbed.verification.records import ClientAttempt, ClientOutcome, ServerAttempt, ServerOutcome
@@ -35,7 +35,7 @@
     return attempt.outcome != ServerOutcome.REJECTED
 
 
-def _check_repeats(attempts: list[ServerAttempt], request_class: Class, start: float) -> list[Violation]:
+def _check_repeats(attempts: list[ServerAttempt], request_class: RequestClass, start: float) -> list[Violation]:
     """Report each attempt that was not allowed after the earlier ones, once."""
     violations: list[Violation] = []
     may_have_run: list[ServerAttempt] = []
@@ -51,17 +51,17 @@
 
 
 def _check_repeat(
-    attempt: ServerAttempt, earlier: ServerAttempt, request_class: Class, start: float
+    attempt: ServerAttempt, earlier: ServerAttempt, request_class: RequestClass, start: float
 ) -> Violation | None:
     """Report an attempt that was not allowed after an earlier one that may have run."""
     elapsed = attempt.last_byte_at - earlier.last_byte_at
-    allowed = request_class.key_ttl_ms / 1000 + SOCKET_ALLOWANCE_S
+    allowed = request_class.deduplication_window_ms / 1000 + SOCKET_ALLOWANCE_S
     if request_class.effect == "unsafe":
         name = ViolationName.NON_IDEMPOTENT_REPEATED
         description = (
             f"sent to {attempt.server} after {earlier.server} had it whole at {earlier.last_byte_at - start:.3f} s"
         )
-    elif request_class.key_scope != "all" and earlier.zone != attempt.zone:
+    elif request_class.deduplication_scope != "all" and earlier.zone != attempt.zone:
         name = ViolationName.REPEATED_OUT_OF_SCOPE
         description = f"sent to {attempt.server} in {attempt.zone} after {earlier.server} in {earlier.zone}"
     elif elapsed > allowed:
@@ -73,10 +73,10 @@
 
 
 def _check_rejection(
-    request: ClientAttempt, attempts: list[ServerAttempt], request_class: Class, start: float
+    request: ClientAttempt, attempts: list[ServerAttempt], request_class: RequestClass, start: float
 ) -> list[Violation]:
     """Report a rejection of a request that may have run, unless a repeat is deduplicated everywhere."""
-    repeatable_everywhere = request_class.effect == "keyed" and request_class.key_scope == "all"
+    repeatable_everywhere = request_class.effect == "keyed" and request_class.deduplication_scope == "all"
     if request.outcome != ClientOutcome.REJECTED or repeatable_everywhere:
         return []
     ran = next((attempt for attempt in attempts if _may_have_run(attempt)), None)
--- a/lugtally/testbed/verification/service.py
+++ b/lugtally/testbed/verification/service.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from lugtally.testbed.scenario.scenario import Class
+from lugtally.testbed.scenario.scenario import RequestClass
 from lugtally.testbed.scenario.schedule import Schedule
 from lugtally.testbed.verification.event_log import EventLog
 from lugtally.testbed.verification.records import ClientAttempt, ClientOutcome
@@ -77,8 +77,10 @@
         began = min(attempt.intended_at for attempt in attempts)
         earned, failed_late = _score_request(attempts, classes[index], rows[index], began)
         if failed_late:
-            late_failed += classes[index].worth
-        scores.append(RequestScore(began - start, index, classes[index].worth, classes[index].worth * earned))
+            late_failed += classes[index].priority_weight
+        scores.append(
+            RequestScore(began - start, index, classes[index].priority_weight, classes[index].priority_weight * earned)
+        )
     counted = [score for score in scores if score.at >= SETTLING_S] or scores
     for index, row in enumerate(rows):
         row.service = _earned_share([score for score in counted if score.class_index == index])
@@ -104,11 +106,11 @@
 
 
 def _score_request(
-    attempts: list[ClientAttempt], request_class: Class, row: ClassService, began: float
+    attempts: list[ClientAttempt], request_class: RequestClass, row: ClassService, began: float
 ) -> tuple[float, bool]:
     """Count a request; return the part of its weight that was earned, and whether it failed late."""
     row.requests += 1
-    objective = request_class.aim_ms / 1000
+    objective = request_class.latency_objective_ms / 1000
     served_at = min(
         (
             attempt.ended_at
@@ -122,7 +124,7 @@
         return 1.0, False
     if served_at - began <= request_class.deadline_ms / 1000:
         row.late += 1
-        return request_class.late_worth, False
+        return request_class.late_priority_weight, False
     last = max(attempts, key=lambda attempt: attempt.ended_at)
     if last.outcome in (ClientOutcome.REJECTED, ClientOutcome.UNREACHABLE):
         row.rejected += 1
--- a/tests/balancing/crowd.py
+++ b/tests/balancing/crowd.py
@@ -13,7 +13,7 @@
 from statistics import mean
 
 from lugtally import balancing
-from lugtally.testbed.emulator.server_model import Traits
+from lugtally.testbed.emulator.server_model import ServerTraits
 from tests.balancing.fleet import Fleet
 from tests.balancing.world import MS, S, settings
 
@@ -48,23 +48,23 @@
 )
 WORK = (0.041, 0.053, 0.100)  # seconds of a standard core
 SHARES = (0.63, 0.23, 0.14)
-CHOKING = Traits(
+CHOKING = ServerTraits(
     cores=1,
     slots=4,
-    queue=40,
+    max_queue=40,
     speed=0.95,
-    crowd_at=8.0,
-    crowd_loss=0.14,
-    choke_at=4.0,
-    choke_over=2.0,
-    choke_slower=2.8,
-    choke_idle=3.5,
-    choke_most=29.0,
+    congestion_threshold=8.0,
+    congestion_loss=0.14,
+    choke_threshold=4.0,
+    choke_onset_s=2.0,
+    choke_slowdown=2.8,
+    choke_idle_s=3.5,
+    max_choke_s=29.0,
 )
 KINDS = (CHOKING, replace(CHOKING, speed=0.6))
 
 
-def capacity(servers: int, kinds: tuple[Traits, ...] = KINDS) -> float:
+def capacity(servers: int, kinds: tuple[ServerTraits, ...] = KINDS) -> float:
     """Requests a second that the servers can do, with the classes mixed as they come."""
     speed = sum(kinds[n % len(kinds)].speed * kinds[n % len(kinds)].cores for n in range(1, servers + 1))
     return speed / sum(w * s for w, s in zip(WORK, SHARES, strict=True))
@@ -75,7 +75,7 @@
     servers: int = 9,
     load: float = 0.75,
     seed: int = 1,
-    kinds: tuple[Traits, ...] = KINDS,
+    kinds: tuple[ServerTraits, ...] = KINDS,
     tenants: tuple[tuple[float, float], ...] = ((1.0, 1.0),),
 ) -> Fleet:
     """Such a fleet, loaded to that part of what it can do; reports refreshed every 0.7 s, seen 0.2 s late.
--- a/tests/balancing/fleet.py
+++ b/tests/balancing/fleet.py
@@ -14,10 +14,10 @@
 from random import Random
 
 from lugtally import Balancer, balancing
-from lugtally.testbed.emulator.server_model import Job, Server, Taken, Traits
+from lugtally.testbed.emulator.server_model import Admission, Job, ServerModel, ServerTraits
 from tests.balancing.world import MS, S
 
-TRAITS = Traits(cold_from=0.3, cold_s=8.0)
+TRAITS = ServerTraits(initial_capacity=0.3, warm_up_s=8.0)
 
 
 @dataclass
@@ -25,7 +25,7 @@
     """One server, and when something was sent to it."""
 
     line: balancing.Endpoint
-    server: Server
+    server: ServerModel
     sends: list[int] = field(default_factory=list)
     report: float | None = None  # the held requests that its answers tell, as of its last refresh
     jobs: dict[Job, tuple[int, str, int]] = field(default_factory=dict)  # instance, request, attempt
@@ -57,7 +57,7 @@
         work: tuple[float, ...],
         shares: tuple[float, ...] = (1.0,),
         seed: int = 1,
-        traits: tuple[Traits, ...] = (TRAITS,),
+        traits: tuple[ServerTraits, ...] = (TRAITS,),
         reports: tuple[int, int] | None = None,
         tenants: tuple[float, ...] = (1.0,),
     ) -> None:
@@ -118,14 +118,14 @@
     def _machine(self, number: int, started: int = 0) -> Machine:
         line = balancing.Endpoint(number, zone=number % 2, started_ns=started)
         traits = self.traits[number % len(self.traits)]
-        return Machine(line, Server(traits, self.now / S, cold=started > 0))
+        return Machine(line, ServerModel(traits, self.now / S, cold=started > 0))
 
     def _refresh(self, machine: Machine) -> None:
         """Its report is read off now and seen a while later; then the next one is due."""
         assert self.reports is not None
         every, late = self.reports
         self._turn(machine)
-        held = float(machine.server.held)
+        held = float(machine.server.in_flight)
 
         def seen() -> None:
             machine.report = held
@@ -138,17 +138,17 @@
         """What the servers truly hold now, by id."""
         for machine in self.machines.values():
             self._turn(machine)
-        return [self.machines[n].server.held for n in sorted(self.machines)]
+        return [self.machines[n].server.in_flight for n in sorted(self.machines)]
 
     def slow_all(self, by: float) -> None:
         """Something that all servers depend on makes each of them slower by that much (1: not at all)."""
         for machine in self.machines.values():
             self._turn(machine)
-            machine.server.slower = by
+            machine.server.slowdown = by
 
     def choked(self) -> int:
         """How many servers are choked now."""
-        return sum(m.server.choked_at >= 0 for m in self.machines.values())
+        return sum(m.server.choked_since >= 0 for m in self.machines.values())
 
     def tell(self, at: int, kind: balancing.EndpointUpdateKind) -> None:
         """Give one instance the list."""
@@ -200,7 +200,7 @@
             return
         machine.sends.append(self.now)
         self._turn(machine)
-        if machine.server.offer(self.now / S, job) is not Taken.TAKEN:
+        if machine.server.offer(self.now / S, job) is not Admission.ADMITTED:
             self._after(MS, lambda: self._answer(at, action.request_id, attempt, balancing.AttemptResult.REJECTED))
             return
         machine.jobs[job] = at, action.request_id, attempt
@@ -217,7 +217,7 @@
 
     def _call(self, machine: Machine) -> None:
         """Come back when something ends at a server."""
-        due = machine.server.due()
+        due = machine.server.next_due()
         if due == inf or machine.due <= due:
             return
         machine.due = due
--- a/tests/balancing/test_fleet.py
+++ b/tests/balancing/test_fleet.py
@@ -15,9 +15,9 @@
 from tests.balancing.world import MS, SAFE, S, lines, sent, settings, started
 
 COLD = {
-    "slow_start_window_ns": int(TRAITS.cold_s * S),
-    "initial_capacity": TRAITS.cold_from,
-    "overload_multiple": TRAITS.fall_multiple,
+    "slow_start_window_ns": int(TRAITS.warm_up_s * S),
+    "initial_capacity": TRAITS.initial_capacity,
+    "overload_multiple": TRAITS.collapse_multiple,
 }
 WORK = 0.08  # seconds of a core
 
@@ -41,10 +41,12 @@
     world.run(4 * S)
     cold = [world.machines[number] for number in new]
     taken = mean(len(m.sends) for m in cold) / 4
-    ramp = TRAITS.cold_from + (1 - TRAITS.cold_from) * 2 / TRAITS.cold_s  # on average over these seconds
+    ramp = (
+        TRAITS.initial_capacity + (1 - TRAITS.initial_capacity) * 2 / TRAITS.warm_up_s
+    )  # on average over these seconds
     assert taken > 0.5 * ramp * share, "cold servers stand idle while the warm ones are swamped"
     assert taken < 0.85 * ramp * share, "slow start lets in more than the told part"
-    assert not any(machine.server.fallen for machine in cold), "all together pushed a cold server over"
+    assert not any(machine.server.collapsed for machine in cold), "all together pushed a cold server over"
 
 
 def past_budget(machine: Machine, started: int, span: int) -> float:
@@ -55,8 +57,10 @@
     most = -inf
     for at, begin in enumerate(machine.sends):
         sends = bisect_left(machine.sends, begin + span) - at
-        ramp = TRAITS.cold_from + (1 - TRAITS.cold_from) * min(1.0, (begin - started) / (TRAITS.cold_s * S))
-        budget = TRAITS.fall_multiple * ramp * TRAITS.cores / WORK * span / S
+        ramp = TRAITS.initial_capacity + (1 - TRAITS.initial_capacity) * min(
+            1.0, (begin - started) / (TRAITS.warm_up_s * S)
+        )
+        budget = TRAITS.collapse_multiple * ramp * TRAITS.cores / WORK * span / S
         most = max(most, sends - (budget + 2 * budget**0.5 + 2))
     return most
 
@@ -75,7 +79,7 @@
     world.run(5 * S)
     cold = [world.machines[number] for number in new]
     assert max(past_budget(m, started, span * S) for m in cold for span in (1, 3)) <= 0
-    assert not any(m.server.fallen for m in cold)
+    assert not any(m.server.collapsed for m in cold)
     assert mean(len(m.sends) for m in cold) > 5, "nothing was sent there at all"
 
 
@@ -129,7 +133,7 @@
 
 def test_the_limit_on_what_servers_hold_grows_where_they_have_more_cores() -> None:
     """Four requests at each server of four cores would leave a fifth of the capacity unused."""
-    roomy = replace(CHOKING, cores=4, slots=16, queue=160)
+    roomy = replace(CHOKING, cores=4, slots=16, max_queue=160)
     world = crowd(load=0.8, seed=2, kinds=(roomy,))
     world.run(20 * S)
     asked = sum(n for what, n in world.tally.items() if what.startswith("asked"))
--- a/tests/overload/test_sockets.py
+++ b/tests/overload/test_sockets.py
@@ -10,7 +10,7 @@
 
 from lugtally.testbed.experiments import runner
 from lugtally.testbed.reporting.report import BROKEN, Report
-from lugtally.testbed.scenario import scenario
+from lugtally.testbed.scenario import scenario_file
 from lugtally.testbed.verification import event_log
 from lugtally.testbed.verification.records import ClientAttempt, Record, ServerAttempt
 from tests.integration.player import Player
@@ -65,7 +65,9 @@
 def flooded(tmp_path_factory: pytest.TempPathFactory) -> tuple[Report, list[Record]]:
     folder = tmp_path_factory.mktemp("flood")
     (folder / "operator.toml").write_text(GUARD)
-    run = runner.Run(scenario.decode(FLOOD, "flood.toml"), 2, folder=folder / "run", operator=folder / "operator.toml")
+    run = runner.Run(
+        scenario_file.decode(FLOOD, "flood.toml"), 2, folder=folder / "run", operator=folder / "operator.toml"
+    )
     report = run.play()
     return report, event_log.read_records([folder / "run" / name for name in ("load.jsonl", "world.jsonl")])
 
@@ -86,7 +88,7 @@
     assert report.verdict != BROKEN or set(report.violations_by_name) <= {"late", "dropped"}
     sent = {r.request_id for r in records if isinstance(r, ServerAttempt) and r.outcome != "turned-away"}
     refused = [t for t in tries if t.outcome == "refused"]
-    receipts = [cls.name for cls in scenario.decode(FLOOD, "flood.toml").classes].index("receipt-issue")
+    receipts = [cls.name for cls in scenario_file.decode(FLOOD, "flood.toml").classes].index("receipt-issue")
     assert not [t for t in refused if t.request_id in sent and t.class_index == receipts]
 
 
--- a/tests/testbed/test_judge.py
+++ b/tests/testbed/test_judge.py
@@ -9,7 +9,7 @@
 
 from lugtally.testbed.experiments import runner
 from lugtally.testbed.reporting.report import PASSED, VOID, Report
-from lugtally.testbed.scenario import scenario, schedule
+from lugtally.testbed.scenario import scenario_file, schedule
 from lugtally.testbed.verification import records, verifier
 from lugtally.testbed.verification.event_log import EventLog
 from lugtally.testbed.verification.records import ClientOutcome, ProcessEventKind, ServerOutcome
@@ -62,7 +62,7 @@
 @pytest.fixture(scope="module")
 def verdicts() -> dict[str, Report]:
     """All offenders and the true sidecar on the same day, some at a time."""
-    told = scenario.decode(DAY, "offences.toml")
+    told = scenario_file.decode(DAY, "offences.toml")
 
     def play(fault: str) -> Report:
         command = None if fault == "true" else [sys.executable, "-B", "-m", "tests.testbed.offender", fault]
@@ -98,8 +98,8 @@
 
 # ---------------------------------------------------------------- the judge alone, record by record
 
-TOLD = scenario.decode("name='x'\nabout='y'\n[fleet]\nsidecars=1\n[discovery]\nask_within_s=1\n", "x")
-PLAN = schedule.make(TOLD, 1)
+TOLD = scenario_file.decode("name='x'\nabout='y'\n[fleet]\nsidecars=1\n[discovery]\nask_within_s=1\n", "x")
+PLAN = schedule.make_schedule(TOLD, 1)
 READ, PLEDGE, RECEIPT = range(3)
 
 
--- a/tests/testbed/test_load.py
+++ b/tests/testbed/test_load.py
@@ -15,7 +15,7 @@
 from lugtally.testbed.emulator.response_body import build_body
 from lugtally.testbed.loadgen.connection import ClientConnection, ResponseHandlers
 from lugtally.testbed.reporting import report
-from lugtally.testbed.scenario import scenario, schedule
+from lugtally.testbed.scenario import scenario, scenario_file, schedule
 from lugtally.testbed.scenario.specification import ProcessSpecification
 from lugtally.testbed.verification import event_log, records, verifier
 from tests.testbed.offender import _answer, _read
@@ -61,7 +61,7 @@
                 await asyncio.sleep(STALL_AT + STALL_S - now)
             writer.write(_answer(200, build_body(seed, headers["x-correlation-id"], "s-000")))
 
-    server = await asyncio.start_server(serve, loopback.front(block, 0), loopback.PORT)
+    server = await asyncio.start_server(serve, loopback.sidecar_host(block, 0), loopback.PORT)
     assert child.stdin is not None and child.stdout is not None
     assert child.stdout.readline() == b"ready\n"
     start = time.monotonic() - base + 0.3
@@ -72,7 +72,7 @@
 
 
 def test_a_stall_of_a_second_shows_in_full(tmp_path: Path) -> None:
-    told, block = scenario.decode(DAY, "stall.toml"), loopback.Block()
+    told, block = scenario_file.decode(DAY, "stall.toml"), loopback.LoopbackBlock()
     base = time.monotonic()
     spec = ProcessSpecification(told, 5, block.number, base, str(tmp_path / "load.jsonl"))
     (tmp_path / "spec.json").write_bytes(msgspec.json.encode(spec))
@@ -89,7 +89,7 @@
         child.wait()
         block.close()
     log = event_log.EventLog(event_log.read_records([tmp_path / "load.jsonl"]))
-    drawn = schedule.make(told, 5)
+    drawn = schedule.make_schedule(told, 5)
     assert len(log.client_attempts) == len(drawn.arrivals), "every arrival was sent, whatever the answers did"
     (latency,) = report._latencies(drawn, log)
     # A fifth of the run stalls: those sent then wait evenly between nothing and a second.
@@ -109,7 +109,7 @@
     ],
 )
 def test_a_late_kit_makes_a_run_void(late: records.TimerLagReport, word: str) -> None:
-    drawn = schedule.make(scenario.load("quiet"), 1)
+    drawn = schedule.make_schedule(scenario_file.load("quiet"), 1)
     log = event_log.EventLog([late, records.TimerLagReport("stand-ins", 9, 1.0, 2.0, 1.0)])
     assert report.verdict(verifier.verify(log, drawn, 0.0), scenario.Expect())[0] == word
 
@@ -122,7 +122,7 @@
     whole = (tmp_path / "a.jsonl").read_bytes()
     (tmp_path / "a.jsonl").write_bytes(whole[:-5])
     assert len(event_log.read_records([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
-    found = verifier.verify(event_log.EventLog([]), schedule.make(scenario.load("quiet"), 1), 0.0)
+    found = verifier.verify(event_log.EventLog([]), schedule.make_schedule(scenario_file.load("quiet"), 1), 0.0)
     assert report.verdict(found, scenario.Expect())[0] == "void"
 
 
--- a/tests/testbed/test_runs.py
+++ b/tests/testbed/test_runs.py
@@ -17,7 +17,7 @@
 from lugtally.testbed.experiments import experiment, runner
 from lugtally.testbed.reporting import compare, report
 from lugtally.testbed.reporting.report import PASSED, VOID, Report
-from lugtally.testbed.scenario import scenario
+from lugtally.testbed.scenario import scenario, scenario_file
 from lugtally.testbed.verification import event_log, records
 from tests.integration.player import ROOT
 
@@ -54,7 +54,7 @@
 
 
 def test_a_server_that_falls_silent_in_its_drain_gets_nothing_new_and_all_are_answered(tmp_path: Path) -> None:
-    told = scenario.decode(DRAIN, "drain.toml")
+    told = scenario_file.decode(DRAIN, "drain.toml")
     result = played(told, 3, tmp_path)
     assert result.verdict == PASSED, result.reasons
     recorded = event_log.read_records([tmp_path / "world.jsonl", tmp_path / "load.jsonl"])
@@ -138,7 +138,7 @@
 
 
 def test_comparisons_are_paired_and_say_where_no_difference_is_seen(tmp_path: Path) -> None:
-    told = scenario.decode(DRAIN.replace("length_s = 6", "length_s = 2.5"), "drain.toml")
+    told = scenario_file.decode(DRAIN.replace("length_s = 6", "length_s = 2.5"), "drain.toml")
     one = played(told, 1)
     spread = (-0.04, 0.03, -0.02, 0.04, -0.01, 0.02)
     a = [_moved(one, n, s) for n, s in enumerate(spread)]
--- a/tests/testbed/test_scenario.py
+++ b/tests/testbed/test_scenario.py
@@ -8,10 +8,10 @@
 
 from lugtally.cli.root import root
 from lugtally.testbed.emulator import endpoint_registry
-from lugtally.testbed.scenario import scenario, schedule
+from lugtally.testbed.scenario import arrivals, scenario, scenario_file, schedule
 from lugtally.testbed.scenario.random_streams import stream, unit
 
-SHIPPED = sorted(scenario.library())
+SHIPPED = sorted(scenario_file.shipped())
 
 
 def test_the_library_holds_the_named_days() -> None:
@@ -33,10 +33,10 @@
 
 @pytest.mark.parametrize("name", SHIPPED)
 def test_a_shipped_scenario_is_sound_and_draws_the_same_again(name: str) -> None:
-    told = scenario.load(name)
+    told = scenario_file.load(name)
     assert told.name == name and told.about
-    first, second = schedule.make(told, 7), schedule.make(told, 7)
-    assert first == second and first.arrivals != schedule.make(told, 8).arrivals
+    first, second = schedule.make_schedule(told, 7), schedule.make_schedule(told, 7)
+    assert first == second and first.arrivals != schedule.make_schedule(told, 8).arrivals
     asked = len(first.arrivals) / told.length_s
     assert 0.5 < asked / first.rate < 2.2
     assert all(0 <= a.at < told.length_s and a.work > 0 for a in first.arrivals)
@@ -67,7 +67,7 @@
 def test_a_bad_file_is_named_with_table_and_field(text: str, complaint: str) -> None:
     head = "" if text.startswith("name") else "name = 'x'\nabout = 'y'\n"
     with pytest.raises(scenario.ScenarioError) as caught:
-        scenario.decode(head + text, "day.toml")
+        scenario_file.decode(head + text, "day.toml")
     assert str(caught.value).startswith(complaint) and "\n" not in str(caught.value)
 
 
@@ -83,9 +83,10 @@
 
 def test_one_more_party_moves_no_other_draw() -> None:
     small, large = (
-        scenario.decode(f"name='x'\nabout='y'\n[fleet]\nservers={n}\nsidecars={m}\n", "x") for n, m in ((6, 3), (9, 3))
+        scenario_file.decode(f"name='x'\nabout='y'\n[fleet]\nservers={n}\nsidecars={m}\n", "x")
+        for n, m in ((6, 3), (9, 3))
     )
-    first, second = schedule.make(small, 3), schedule.make(large, 3)
+    first, second = schedule.make_schedule(small, 3), schedule.make_schedule(large, 3)
     assert second.machines[:6] == first.machines
     assert second.arrivals == first.arrivals, "more servers, same clients"
     assert unit(1, "a", 2) == unit(1, "a", 2) != unit(1, "a", 3)
@@ -94,34 +95,34 @@
 
 def test_works_have_the_mean_that_is_asked_for() -> None:
     for shape, spread in (("lognormal", 0.8), ("pareto", 2.5), ("exponential", 1.0), ("fixed", 1.0)):
-        cls = scenario.Class("a", 1.0, 40.0, 100, 200, 1, "safe", shape=shape, spread=spread)  # type: ignore[arg-type]
-        drawn = schedule._work(cls, 0.04, stream(1, "test", shape), 200_000)
+        cls = scenario.RequestClass("a", 1.0, 40.0, 100, 200, 1, "safe", shape=shape, spread=spread)  # type: ignore[arg-type]
+        drawn = arrivals.draw_work(cls, 0.04, stream(1, "test", shape), 200_000)
         assert float(np.mean(drawn)) == pytest.approx(0.04, rel=0.03), shape
 
 
 def test_arrivals_follow_the_burst() -> None:
-    told = scenario.decode(
+    told = scenario_file.decode(
         "name='x'\nabout='y'\nlength_s=30\n[load]\nrate_per_s=200\nshape='steady'\n"
         "[[troubles]]\nkind='burst'\nat_s=10\nfor_s=10\nsize=2.5\n",
         "x",
     )
-    times = np.array([a.at for a in schedule.make(told, 2).arrivals])
+    times = np.array([a.at for a in schedule.make_schedule(told, 2).arrivals])
     inside = ((times >= 10) & (times < 20)).sum()
     outside = len(times) - inside
     assert inside / (outside / 2) == pytest.approx(2.5, rel=0.1)
 
 
 def test_the_catalog_tells_changes_once_and_the_whole_list_to_who_is_behind() -> None:
-    rows = [endpoint_registry.Row(f"s{n}", "z", 0, "ready", 0) for n in range(3)]
-    book = endpoint_registry.Catalog(list(rows))
-    assert book.since(None) == (True, rows) and book.since(1) == (False, [])
-    draining = endpoint_registry.Row("s1", "z", 0, "draining", 0)
-    assert book.put(draining) and not book.put(draining)
-    assert book.since(1) == (False, [draining]) and book.since(2) == (False, [])
-    gone = endpoint_registry.Row("s1", "z", 0, "gone", 0)
-    assert book.put(gone) and not book.put(gone), "what has left cannot leave again"
-    assert book.since(1) == (False, [gone]) and len(book.since(None)[1]) == 2
-    assert book.since(99)[0], "a version from another life of the list"
-    for turn in range(endpoint_registry.KEPT + 5):
-        book.put(endpoint_registry.Row("s0", "z", 0, "ready", turn + 1))
-    assert book.since(2)[0], "too far behind"
+    rows = [endpoint_registry.EndpointEntry(f"s{n}", "z", 0, "ready", 0) for n in range(3)]
+    book = endpoint_registry.EndpointRegistry(list(rows))
+    assert book.changes_since(None) == (True, rows) and book.changes_since(1) == (False, [])
+    draining = endpoint_registry.EndpointEntry("s1", "z", 0, "draining", 0)
+    assert book.update(draining) and not book.update(draining)
+    assert book.changes_since(1) == (False, [draining]) and book.changes_since(2) == (False, [])
+    gone = endpoint_registry.EndpointEntry("s1", "z", 0, "gone", 0)
+    assert book.update(gone) and not book.update(gone), "what has left cannot leave again"
+    assert book.changes_since(1) == (False, [gone]) and len(book.changes_since(None)[1]) == 2
+    assert book.changes_since(99)[0], "a version from another life of the list"
+    for turn in range(endpoint_registry.MAX_CHANGES + 5):
+        book.update(endpoint_registry.EndpointEntry("s0", "z", 0, "ready", turn + 1))
+    assert book.changes_since(2)[0], "too far behind"
