--- a/benchmarks/saturate.py
+++ b/benchmarks/saturate.py
@@ -27,8 +27,10 @@
 import uvloop
 
 from lugtally.testbed.emulator import loopback
-from lugtally.testbed.experiments import runner
+from lugtally.testbed.experiments.sidecar_configuration import sidecar_configuration
+from lugtally.testbed.experiments.sidecars import is_ready
 from lugtally.testbed.scenario import scenario_file
+from lugtally.testbed.scenario.schedule import make_schedule
 
 SERVERS = 10
 AIM_MS, DEADLINE_MS = 2000, 8000
@@ -215,10 +217,11 @@
     servers = multiprocessing.Process(target=serve, args=(block.number, ready, {every[1 % len(every)]}), daemon=True)
     servers.start()
     ready.wait(10)
-    run = runner.Run(scenario_file.decode(DAY, "saturate"), 1, folder=folder)
-    run.block = block.number
-    sidecar = run.sidecars[0]
-    told = {**run.configuration(sidecar), "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}}
+    schedule = make_schedule(scenario_file.decode(DAY, "saturate"), 1)
+    told = {
+        **sidecar_configuration(schedule, block.number, 0),
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
+    }
     (folder / "config.json").write_text(json.dumps(told))
     child = subprocess.Popen(
         [sys.executable, "-B", "-m", "lugtally", "serve", "--log-level", "ERROR"],
@@ -226,7 +229,7 @@
     )
     try:
         os.sched_setaffinity(child.pid, {every[0]})
-        while not run.healthy(sidecar):
+        while not is_ready(block.number, 0):
             time.sleep(0.02)
         here, there = multiprocessing.Pipe()
         clients = multiprocessing.Process(
--- a/lugtally/cli/experiment.py
+++ b/lugtally/cli/experiment.py
@@ -15,17 +15,15 @@
 @click.option("--at-once", type=int, default=None, help="runs side by side  [default: by the cores there are]")
 def experiment(file: Path, out: Path | None, at_once: int | None) -> int:
     """Play the experiment of FILE, or go on with it; one table and one plot come out."""
-    rehearse.need_kit()
+    rehearse.require_kit()
     from lugtally.testbed.experiments import experiment as experiments
-    from lugtally.testbed.reporting import compare
-    from lugtally.testbed.scenario import scenario
+    from lugtally.testbed.reporting.compare import MEASURES
+    from lugtally.testbed.scenario.scenario import ScenarioError
 
     try:
-        told = experiments.read(file)
-        if told.measure not in compare.MEASURES:
-            raise scenario.ScenarioError(
-                f"{file.name}: measure: {told.measure!r} is none of {', '.join(compare.MEASURES)}"
-            )
-    except scenario.ScenarioError as error:
-        return rehearse.complain(error)
-    return rehearse.play(told, out or file.with_suffix(""), at_once, table=True)
+        described = experiments.read(file)
+        if described.measure not in MEASURES:
+            raise ScenarioError(f"{file.name}: measure: {described.measure!r} is none of {', '.join(MEASURES)}")
+    except ScenarioError as error:
+        return rehearse.print_error(error)
+    return rehearse.play_experiment(described, out or file.with_suffix(""), at_once, with_table=True)
--- a/lugtally/cli/rehearse.py
+++ b/lugtally/cli/rehearse.py
@@ -1,4 +1,4 @@
-"""``lugtally rehearse``: the laboratory's commands.
+"""``lugtally rehearse``: the testbed's commands.
 
 Exit status: 0 passed, 1 failed or a rule broken, 2 for a bad command line or file, 3 void (the machine was too busy for
 a verdict), 130 after Ctrl-C.
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -18,22 +19,23 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from lugtally.testbed.experiments.experiment import Experiment
     from lugtally.testbed.reporting.report import Report
     from lugtally.testbed.scenario.scenario import Scenario
 
-INTERRUPTED = 130
-BAD = 2
-Watch = Callable[[float, str], None]
+EXIT_INTERRUPTED = 130
+EXIT_BAD_INPUT = 2
+OnProgress = Callable[[float, str], None]
 
 
-def complain(error: Exception) -> int:
-    """One line, and the status of a bad command line."""
+def print_error(error: Exception) -> int:
+    """Print one line; return the status of a bad command line."""
     print(f"lugtally: {error}", file=sys.stderr)
-    return BAD
+    return EXIT_BAD_INPUT
 
 
-def need_kit() -> None:
-    """The kit's libraries are an extra."""
+def require_kit() -> None:
+    """Check that the testbed's libraries, which are an extra, are installed.  Raises click.ClickException."""
     try:
         import hdrh.histogram  # noqa: F401
         import httptools  # noqa: F401
@@ -48,33 +50,34 @@
         raise click.ClickException(f"the rehearsal kit needs {error.name}: pip install 'lugtally[kit]'") from error
 
 
-def seeds_of(_ctx: click.Context, _parameter: click.Parameter, text: str) -> tuple[int, ...]:
-    """``3``, ``1-5`` or ``1,4,9`` as numbers."""
+def parse_seeds(_ctx: click.Context, _parameter: click.Parameter, text: str) -> tuple[int, ...]:
+    """Parse ``3``, ``1-5`` or ``1,4,9``."""
     try:
-        found: list[int] = []
-        for part in text.split(","):
-            first, _, last = part.partition("-")
-            found += range(int(first), int(last or first) + 1)
+        seeds: list[int] = []
+        for bounds in text.split(","):
+            first, _, last = bounds.partition("-")
+            seeds += range(int(first), int(last or first) + 1)
     except ValueError as error:
         raise click.BadParameter(f"{text!r}: numbers like 3, 1-5 or 1,4,9 are wanted") from error
-    if not found:
+    if not seeds:
         raise click.BadParameter(f"{text!r}: no number")
-    return tuple(found)
+    return tuple(seeds)
 
 
-def status_of(reports: list[Report]) -> int:
-    """The worst of all: a broken or failed run before a void one."""
-    from lugtally.testbed.reporting.report import EXIT
+def exit_status(reports: list[Report]) -> int:
+    """Return the worst of all: a broken or failed run before a void one."""
+    from lugtally.testbed.reporting.report import EXIT_STATUS, Verdict
 
-    statuses = [EXIT[one.verdict] for one in reports]
-    return next((s for s in (1, 3) if s in statuses), 0)
+    statuses = [EXIT_STATUS[report.verdict] for report in reports]
+    worst_first = (EXIT_STATUS[Verdict.BROKEN], EXIT_STATUS[Verdict.VOID])
+    return next((status for status in worst_first if status in statuses), 0)
 
 
 @contextmanager
-def _progress(shown: bool, title: str, total: float) -> Iterator[Watch]:
-    """A bar on the terminal."""
-    if not shown:
-        yield lambda _at, _what: None
+def _progress_bar(is_shown: bool, title: str, total: float) -> Iterator[OnProgress]:
+    """Show a bar on the terminal."""
+    if not is_shown:
+        yield lambda _done, _phase: None
         return
     from rich.console import Console
     from rich.progress import Progress, TextColumn
@@ -86,11 +89,16 @@
         transient=True,
     ) as bar:
         task = bar.add_task(title, total=total)
-        yield lambda at, what: bar.update(task, completed=at, description=f"{title}: {what}")
+        yield lambda done, phase: bar.update(task, completed=done, description=f"{title}: {phase}")
 
 
-def _terminate(_number: int, _frame: Any) -> None:
-    raise KeyboardInterrupt  # a planned stop ends a run as Ctrl-C does: no process is left
+def _interrupt_on_sigterm() -> None:
+    """Let a planned stop end a run as Ctrl-C does: no process is left."""
+
+    def interrupt(_number: int, _frame: Any) -> None:
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, interrupt)
 
 
 @click.group()
@@ -99,14 +107,14 @@
 
 
 @rehearse.command("list")
-def list_() -> int:
+def list_scenarios() -> int:
     """The shipped scenarios."""
-    need_kit()
+    require_kit()
     from lugtally.testbed.scenario import scenario_file
 
     for name in scenario_file.shipped():
-        told = scenario_file.load(name)
-        print(f"{name:20} {told.length_s:4.0f} s  {told.about}")
+        scenario = scenario_file.load(name)
+        print(f"{name:20} {scenario.length_s:4.0f} s  {scenario.about}")
     return 0
 
 
@@ -114,7 +122,7 @@
 @click.argument("name")
 def show(name: str) -> int:
     """Print the text of a shipped scenario: a start for one of your own."""
-    need_kit()
+    require_kit()
     from lugtally.testbed.scenario import scenario_file
     from lugtally.testbed.scenario.scenario import ScenarioError
 
@@ -122,7 +130,7 @@
         scenario_file.load(name)
         print(scenario_file.shipped().get(name) or Path(name).read_text(encoding="utf-8"), end="")
     except ScenarioError as error:
-        return complain(error)
+        return print_error(error)
     return 0
 
 
@@ -131,92 +139,112 @@
 @click.option("--seed", default=1, show_default=True)
 def check(file: str, seed: int) -> int:
     """Check a scenario and say what a seed draws from it."""
-    need_kit()
-    from lugtally.testbed.scenario import scenario_file, schedule
+    require_kit()
+    from lugtally.testbed.scenario import scenario_file
     from lugtally.testbed.scenario.scenario import ScenarioError
+    from lugtally.testbed.scenario.schedule import make_schedule
 
     try:
-        drawn = schedule.make_schedule(scenario_file.load(file), seed)
+        schedule = make_schedule(scenario_file.load(file), seed)
     except ScenarioError as error:
-        return complain(error)
-    told = drawn.scenario
+        return print_error(error)
+    scenario = schedule.scenario
     print(
-        f"{told.name}: {told.length_s:g} s, {told.fleet.servers} servers, {told.fleet.sidecars} sidecars, "
-        f"{drawn.rate:.0f} first tries/s, {len(drawn.arrivals)} in all, the list {drawn.propagation_s:.1f} s late"
+        f"{scenario.name}: {scenario.length_s:g} s, {scenario.fleet.servers} servers, "
+        f"{scenario.fleet.sidecars} sidecars, {schedule.rate:.0f} first tries/s, {len(schedule.arrivals)} in all, "
+        f"the list {schedule.propagation_s:.1f} s late"
     )
-    for event in drawn.events:
-        where = ", ".join(drawn.machines[at].name for at in event.places[:6])
-        print(f"{event.at:7.2f} s  {'begin' if event.begins else 'end  '} {event.fault.kind:14} {where}")
+    for event in schedule.events:
+        names = ", ".join(schedule.machines[place].name for place in event.places[:6])
+        print(f"{event.at:7.2f} s  {'begin' if event.begins else 'end  '} {event.fault.kind:14} {names}")
     return 0
 
 
+@dataclass(frozen=True, slots=True)
+class RunOptions:
+    """The options of ``run``."""
+
+    seeds: tuple[int, ...]
+    policy: str
+    operator: Path | None
+    json_file: Path | None
+    html_file: Path | None
+    keep: Path | None
+    progress: bool | None
+
+
 @rehearse.command()
 @click.argument("names", nargs=-1, required=True)
-@click.option("--seed", "--seeds", "seeds", default="1", show_default=True, callback=seeds_of, help="3, 1-5 or 1,4,9")
+@click.option(
+    "--seed", "--seeds", "seeds", default="1", show_default=True, callback=parse_seeds, help="3, 1-5 or 1,4,9"
+)
 @click.option("--policy", default="module", show_default=True, help="module, or a baseline of the kit")
 @click.option("--operator", type=click.Path(path_type=Path, exists=True), help="an operator's file for the sidecars")
 @click.option("--json", "json_file", type=click.Path(path_type=Path), help="write the reports there")
 @click.option("--html", "html_file", type=click.Path(path_type=Path), help="write a page on the last run there")
 @click.option("--keep", type=click.Path(path_type=Path), help="keep books, logs and configurations in this folder")
 @click.option("--progress/--no-progress", default=None, help="a bar on the terminal")
-def run(
-    names: tuple[str, ...],
-    seeds: tuple[int, ...],
-    policy: str,
-    operator: Path | None,
-    json_file: Path | None,
-    html_file: Path | None,
-    keep: Path | None,
-    progress: bool | None,
-) -> int:
+def run(names: tuple[str, ...], **options: Any) -> int:
     """Play scenarios, shipped ones by name or files, and judge each run."""
-    need_kit()
-    from lugtally.testbed.experiments import runner
-    from lugtally.testbed.reporting import render
-    from lugtally.testbed.reporting import report as reports
+    require_kit()
+    from lugtally.testbed.experiments.child_processes import RunError
     from lugtally.testbed.scenario import scenario_file
     from lugtally.testbed.scenario.scenario import ScenarioError
 
     try:
-        told = [scenario_file.load(name) for name in names]
-    except ScenarioError as error:
-        return complain(error)
-    signal.signal(signal.SIGTERM, _terminate)
-    console = render.wide()
-    shown = sys.stderr.isatty() if progress is None else progress
-    done: list[Report] = []
-    interrupted = False
-    for one in told:
-        for seed in seeds:
-            folder = keep / f"{one.name}.{policy}.{seed}" if keep else None
-            try:
-                done.append(_play(one, seed, policy, operator, folder, shown))
-            except runner.RunError as error:
-                return complain(error)
-            interrupted = any(reason.startswith(reports.INTERRUPTED) for reason in done[-1].reasons)
-            render.terminal(done[-1], console)
-            if json_file:
-                reports.save(done, json_file)
-            if interrupted:
-                break
-        if interrupted:
+        return _run_scenarios([scenario_file.load(name) for name in names], RunOptions(**options))
+    except (ScenarioError, RunError) as error:
+        return print_error(error)
+
+
+def _run_scenarios(scenarios: list[Scenario], options: RunOptions) -> int:
+    """Play each scenario under each seed, up to an interrupt; return the exit status."""
+    from lugtally.testbed.reporting import page, report_file, terminal
+
+    _interrupt_on_sigterm()
+    console = terminal.console_for_tables()
+    reports: list[Report] = []
+    was_interrupted = False
+    for scenario, seed in [(scenario, seed) for scenario in scenarios for seed in options.seeds]:
+        report = _play_run(scenario, seed, options)
+        reports.append(report)
+        terminal.print_report(report, console)
+        if options.json_file:
+            report_file.save(reports, options.json_file)
+        was_interrupted = _was_interrupted(report)
+        if was_interrupted:
             break
-    if html_file:
-        render.page(done[-1], html_file)
-    if len(done) > 1:
-        render.summary(done, console)
-    return INTERRUPTED if interrupted else status_of(done)
+    if options.html_file:
+        page.write_page(reports[-1], options.html_file)
+    if len(reports) > 1:
+        terminal.print_summary(reports, console)
+    return EXIT_INTERRUPTED if was_interrupted else exit_status(reports)
+
 
+def _was_interrupted(report: Report) -> bool:
+    from lugtally.testbed.reporting.report import INTERRUPTED
 
-def _play(told: Scenario, seed: int, policy: str, operator: Path | None, folder: Path | None, shown: bool) -> Report:
+    return any(reason.startswith(INTERRUPTED) for reason in report.reasons)
+
+
+def _play_run(scenario: Scenario, seed: int, options: RunOptions) -> Report:
     from lugtally.testbed.experiments.runner import Run
 
-    with _progress(shown, f"{told.name} {seed}", told.length_s) as watch:
-        return Run(told, seed, policy=policy, operator=operator, folder=folder, watch=watch).play()
+    folder = options.keep / f"{scenario.name}.{options.policy}.{seed}" if options.keep else None
+    is_shown = sys.stderr.isatty() if options.progress is None else options.progress
+    with _progress_bar(is_shown, f"{scenario.name} {seed}", scenario.length_s) as on_progress:
+        return Run(
+            scenario,
+            seed,
+            policy=options.policy,
+            operator=options.operator,
+            folder=folder,
+            on_progress=on_progress,
+        ).play()
 
 
 @rehearse.command("all")
-@click.option("--seed", "--seeds", "seeds", default="1", show_default=True, callback=seeds_of)
+@click.option("--seed", "--seeds", "seeds", default="1", show_default=True, callback=parse_seeds)
 @click.option("--policy", default="module", show_default=True)
 @click.option(
     "--out",
@@ -226,42 +254,39 @@
     help="folder of the reports; runs whose report is there are not played again",
 )
 @click.option("--at-once", type=int, default=None, help="runs side by side  [default: a run for each 4 cores]")
-def all_(seeds: tuple[int, ...], policy: str, out: Path, at_once: int | None) -> int:
+def run_all(seeds: tuple[int, ...], policy: str, out: Path, at_once: int | None) -> int:
     """The full rehearsal: every shipped scenario, side by side within the cores there are."""
-    need_kit()
-    from lugtally.testbed.experiments import experiment
+    require_kit()
+    from lugtally.testbed.experiments.experiment import Experiment
     from lugtally.testbed.scenario import scenario_file
 
-    told = experiment.Experiment("all", tuple(scenario_file.shipped()), seeds, (policy,))
-    return play(told, out, at_once)
+    return play_experiment(Experiment("all", tuple(scenario_file.shipped()), seeds, (policy,)), out, at_once)
 
 
-def play(told: Any, out: Path, at_once: int | None, *, table: bool = False) -> int:
-    """Play an experiment and print its table: also the ``experiment`` command's."""
-    from lugtally.testbed.experiments import experiment
-    from lugtally.testbed.reporting import render
-    from lugtally.testbed.reporting import table as tables
+def play_experiment(experiment: Experiment, out: Path, at_once: int | None, *, with_table: bool = False) -> int:
+    """Play an experiment and print its results, as a table with intervals or one line a run."""
+    from lugtally.testbed.experiments.experiment import cells_of
+    from lugtally.testbed.experiments.matrix import max_parallel_runs, play_cells
+    from lugtally.testbed.reporting import table, terminal
 
-    signal.signal(signal.SIGTERM, _terminate)
-    todo = experiment.cells(told)
-    with _progress(sys.stderr.isatty(), told.name, len(todo)) as watch:
+    _interrupt_on_sigterm()
+    cells = cells_of(experiment)
+    with _progress_bar(sys.stderr.isatty(), experiment.name, len(cells)) as on_progress:
         try:
-            found = experiment.play(
-                todo, out, at_once or experiment.at_once(told.cores_each), lambda done, _of, what: watch(done, what)
-            )
+            reports = play_cells(cells, out, at_once or max_parallel_runs(experiment.cores_per_run), on_progress)
         except KeyboardInterrupt:
             print(f"lugtally: interrupted; the same command goes on from {out}", file=sys.stderr)
-            return INTERRUPTED
-    console = render.wide()
-    if table:
-        tables.print_table(told, todo, found, console)
-        tables.plot(told, todo, found, out / f"{told.name}.svg")
+            return EXIT_INTERRUPTED
+    console = terminal.console_for_tables()
+    if with_table:
+        table.print_table(experiment, cells, reports, console)
+        table.plot(experiment, cells, reports, out / f"{experiment.name}.svg")
     else:
-        render.summary([found[cell.name] for cell in todo if cell.name in found], console)
-    if len(found) < len(todo):
-        print(f"lugtally: {len(todo) - len(found)} runs left no report; their logs are in {out}", file=sys.stderr)
+        terminal.print_summary([reports[cell.name] for cell in cells if cell.name in reports], console)
+    if len(reports) < len(cells):
+        print(f"lugtally: {len(cells) - len(reports)} runs left no report; their logs are in {out}", file=sys.stderr)
         return 1
-    return status_of(list(found.values()))
+    return exit_status(list(reports.values()))
 
 
 @rehearse.command()
@@ -269,19 +294,18 @@
 @click.option("--html", "html_file", type=click.Path(path_type=Path), help="write a page on the last run there")
 def report(file: Path, html_file: Path | None) -> int:
     """Show the reports of a file once more."""
-    need_kit()
-    from lugtally.testbed.reporting import render
-    from lugtally.testbed.reporting import report as reports
+    require_kit()
+    from lugtally.testbed.reporting import page, report_file, terminal
 
     try:
-        found = reports.load(file)
-    except reports.ReportError as error:
-        return complain(error)
-    for one in found:
-        render.terminal(one, render.wide())
+        reports = report_file.load(file)
+    except report_file.ReportError as error:
+        return print_error(error)
+    for one in reports:
+        terminal.print_report(one, terminal.console_for_tables())
     if html_file:
-        render.page(found[-1], html_file)
-    return status_of(found)
+        page.write_page(reports[-1], html_file)
+    return exit_status(reports)
 
 
 @rehearse.command()
@@ -289,31 +313,13 @@
 @click.argument("b", type=click.Path(path_type=Path))
 def compare(a: Path, b: Path) -> int:
     """Compare two sets of reports, paired by scenario and seed.  A, B: files or folders of them."""
-    need_kit()
-    from rich.table import Table
-
+    require_kit()
     from lugtally.testbed.reporting import compare as comparing
-    from lugtally.testbed.reporting import render
-    from lugtally.testbed.reporting import report as reports
+    from lugtally.testbed.reporting import report_file, terminal
 
     try:
-        differences = comparing.compare(reports.load_all(a), reports.load_all(b))
-    except (reports.ReportError, comparing.CompareError) as error:
-        return complain(error)
-    table = Table(box=None, pad_edge=False)
-    table.add_column("measure")
-    for name in ("pairs", "A", "B", "B less A", "95% interval"):
-        table.add_column(name, justify="right")
-    table.add_column("")
-    for one in differences:
-        table.add_row(
-            one.measure,
-            str(one.pairs),
-            f"{one.a:.4f}",
-            f"{one.b:.4f}",
-            f"{one.mean:+.4f}",
-            f"{one.low:+.4f} to {one.high:+.4f}",
-            one.word,
-        )
-    render.wide().print(table)
+        differences = comparing.compare(report_file.load_all(a), report_file.load_all(b))
+    except (report_file.ReportError, comparing.CompareError) as error:
+        return print_error(error)
+    terminal.print_differences(differences, terminal.console_for_tables())
     return 0
--- a/lugtally/testbed/experiments/__init__.py
+++ b/lugtally/testbed/experiments/__init__.py
@@ -1,1 +1,5 @@
-"""Running one rehearsal or a matrix of them, and the baselines to compare with."""
+"""Playing one run, or a matrix of runs, and the baseline policies to compare with.
+
+It owns the processes of a run and their end, whatever happens.  It must not know how they work inside: it starts
+them, passes them words and signals, and hands their event logs to the verifier.
+"""
--- a/lugtally/testbed/experiments/baselines.py
+++ b/lugtally/testbed/experiments/baselines.py
@@ -1,7 +1,7 @@
-"""Plain policies to compare with, behind the same facade and the same network code as the shipped decisions.
+"""Plain policies to compare with, behind the same dispatcher and the same network code as the shipped decisions.
 
-They are part of the kit and cannot be selected for the daemon: this module is started by the runner alone.  Each
-keeps the rules on what may be sent again, and on drains; none watches load, silence or cold starts.
+They are part of the testbed and cannot be selected for the daemon: this module is started by the runner alone.  Each
+keeps the rules on retries and on drains; none watches load, silence or cold starts.
 """
 
 from __future__ import annotations
@@ -11,130 +11,149 @@
 from random import Random
 
 from lugtally import balancing
-from lugtally.balancing import DeduplicationScope, EndpointState, Idempotency
+from lugtally.balancing import DeduplicationScope, Endpoint, EndpointState, Idempotency
 from lugtally.units import NS_PER_MS
 
-MOST_RETRIES = 3
-TRY_SHARE = 0.5  # of the time left that an attempt gets where another may follow
+MAX_RETRIES = 3
+ATTEMPT_SHARE = 0.5  # of the time left that an attempt gets where another may follow
+RETRY_LIST_DELAY_NS = 100 * NS_PER_MS
+RETRY_LIST_TIMER = "ask"
 RETRY = "+retry"
-PICKS = ("random", "round-robin", "least-in-flight")
-NAMES = tuple(pick + again for pick in PICKS for again in ("", RETRY))
+RANDOM, ROUND_ROBIN, LEAST_IN_FLIGHT = "random", "round-robin", "least-in-flight"
+PICKS = (RANDOM, ROUND_ROBIN, LEAST_IN_FLIGHT)
+NAMES = tuple(pick + retry for pick in PICKS for retry in ("", RETRY))
 
 
-class Request:
-    """A request that is owed its final answer."""
+class PendingRequest:
+    """A request whose final response is due."""
 
-    __slots__ = ("cls", "deadline", "sent", "ran", "out")
+    __slots__ = ("request_class", "deadline_ns", "tried", "may_have_run")
 
-    def __init__(self, cls: balancing.RequestClass, deadline: int) -> None:
-        self.cls = cls
-        self.deadline = deadline
-        self.sent: list[int] = []  # servers, by attempt
-        self.ran: list[tuple[int, int]] = []  # attempts that may have run: server, when sent
-        self.out = 0
+    def __init__(self, request_class: balancing.RequestClass, deadline_ns: int) -> None:
+        self.request_class = request_class
+        self.deadline_ns = deadline_ns
+        self.tried: list[int] = []  # endpoints, by attempt
+        self.may_have_run: list[tuple[int, int]] = []  # attempts: endpoint, and when it was sent
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a repeat is harmless wherever it goes."""
+        return self.request_class.idempotency is Idempotency.IDEMPOTENT
+
+    @property
+    def is_non_idempotent(self) -> bool:
+        """Whether it must not be repeated once it may have run."""
+        return self.request_class.idempotency is Idempotency.NON_IDEMPOTENT
 
 
 class Baseline:
     """A policy in the place of :class:`lugtally.balancing.balancer.Balancer`: events in, actions out."""
 
     def __init__(self, name: str, settings: balancing.Settings, seed: int) -> None:
-        pick, _, again = name.partition("+")
+        """Build the policy of that name.  Raises ValueError for an unknown one."""
         if name not in NAMES:
             raise ValueError(f"{name}: no such policy")
-        self.pick, self.again = pick, bool(again)
-        self.settings = settings
-        self.random = Random(seed)
-        self.turn = self.random.randrange(1 << 20)
-        self.servers: dict[int, balancing.Endpoint] = {}
-        self.flying: dict[int, int] = {}
-        self.requests: dict[str, Request] = {}
+        self._pick, _, retry = name.partition("+")
+        self._retries = bool(retry)
+        self._settings = settings
+        self._random = Random(seed)
+        self._turn = self._random.randrange(1 << 20)
+        self._endpoints: dict[int, Endpoint] = {}
+        self._in_flight: dict[int, int] = {}
+        self._requests: dict[str, PendingRequest] = {}
 
     def handle(self, now: int, event: balancing.Event) -> list[balancing.Action]:
-        """What to do about an event."""
+        """Return what to do about an event."""
         match event:
             case balancing.EndpointUpdate():
-                return self._listed(event)
+                return self._update_endpoints(event)
             case balancing.Request():
-                cls = self.settings.classes[event.class_index]
-                self.requests[event.id] = request = Request(cls, now + event.time_left_ns)
+                request_class = self._settings.classes[event.class_index]
+                self._requests[event.id] = request = PendingRequest(request_class, now + event.time_left_ns)
                 return self._send(now, event.id, request)
             case balancing.AttemptFinished():
-                return self._ended(now, event)
+                return self._finish_attempt(now, event)
             case balancing.ClientDisconnected():
-                self.requests.pop(event.request_id, None)
+                self._requests.pop(event.request_id, None)
             case balancing.TimerFired():
                 return [balancing.WatchEndpoints()]
         return []
 
-    def _listed(self, event: balancing.EndpointUpdate) -> list[balancing.Action]:
+    def _update_endpoints(self, event: balancing.EndpointUpdate) -> list[balancing.Action]:
         if event.kind is balancing.EndpointUpdateKind.FAILED:
-            return [balancing.SetTimer(100 * NS_PER_MS, "ask")]
+            return [balancing.SetTimer(RETRY_LIST_DELAY_NS, RETRY_LIST_TIMER)]
         if event.kind is not balancing.EndpointUpdateKind.DELTA:
-            self.servers = {}
-        for server in event.endpoints:
-            self.servers[server.id] = server
-        self.servers = {id: server for id, server in self.servers.items() if server.state is not EndpointState.REMOVED}
+            self._endpoints = {}
+        for endpoint in event.endpoints:
+            if endpoint.state is EndpointState.REMOVED:
+                self._endpoints.pop(endpoint.id, None)
+            else:
+                self._endpoints[endpoint.id] = endpoint
         return [balancing.WatchEndpoints()] if event.kind is balancing.EndpointUpdateKind.CACHED else []
 
-    def _send(self, now: int, id: str, request: Request) -> list[balancing.Action]:
-        able = [s for s in self.servers.values() if s.state is EndpointState.READY]
-        if request.ran:
-            group = request.cls.deduplication_scope
-            first = self.servers.get(request.ran[0][0])
-            if group is DeduplicationScope.ZONE:
-                able = [s for s in able if first is not None and s.zone == first.zone]
-            elif group is DeduplicationScope.CELL:
-                able = [s for s in able if first is not None and s.cell == first.cell]
-        able = [s for s in able if s.id not in request.sent] or able
-        if not able:
-            return self._give_up(id, request)
-        if self.pick == "random":
-            chosen = self.random.choice(able)
-        elif self.pick == "round-robin":
-            self.turn += 1
-            chosen = sorted(able, key=lambda s: s.id)[self.turn % len(able)]
-        else:
-            least = min(self.flying.get(s.id, 0) for s in able)
-            chosen = self.random.choice([s for s in able if self.flying.get(s.id, 0) == least])
-        request.sent.append(chosen.id)
-        request.out += 1
-        self.flying[chosen.id] = self.flying.get(chosen.id, 0) + 1
-        left = request.deadline - now
-        follows = (
-            self.again
-            and len(request.sent) <= MOST_RETRIES
-            and request.cls.idempotency is not Idempotency.NON_IDEMPOTENT
-        )
-        return [balancing.SendAttempt(id, chosen.id, max(NS_PER_MS, int(left * TRY_SHARE) if follows else left))]
-
-    def _ended(self, now: int, event: balancing.AttemptFinished) -> list[balancing.Action]:
-        self.flying[event.endpoint_id] = self.flying.get(event.endpoint_id, 1) - 1
-        request = self.requests.get(event.request_id)
+    def _send(self, now: int, request_id: str, request: PendingRequest) -> list[balancing.Action]:
+        candidates = self._candidates(request)
+        if not candidates:
+            return self._give_up(request_id, request)
+        chosen = self._choose(candidates)
+        request.tried.append(chosen.id)
+        self._in_flight[chosen.id] = self._in_flight.get(chosen.id, 0) + 1
+        time_left_ns = request.deadline_ns - now
+        may_follow = self._retries and len(request.tried) <= MAX_RETRIES and not request.is_non_idempotent
+        timeout_ns = max(NS_PER_MS, int(time_left_ns * ATTEMPT_SHARE)) if may_follow else time_left_ns
+        return [balancing.SendAttempt(request_id, chosen.id, timeout_ns)]
+
+    def _candidates(self, request: PendingRequest) -> list[Endpoint]:
+        """Ready endpoints within the scope of deduplication, those not yet tried first."""
+        candidates = [one for one in self._endpoints.values() if one.state is EndpointState.READY]
+        if request.may_have_run:
+            scope = request.request_class.deduplication_scope
+            first = self._endpoints.get(request.may_have_run[0][0])
+            if scope is DeduplicationScope.ZONE:
+                candidates = [one for one in candidates if first is not None and one.zone == first.zone]
+            elif scope is DeduplicationScope.CELL:
+                candidates = [one for one in candidates if first is not None and one.cell == first.cell]
+        return [one for one in candidates if one.id not in request.tried] or candidates
+
+    def _choose(self, candidates: list[Endpoint]) -> Endpoint:
+        if self._pick == RANDOM:
+            return self._random.choice(candidates)
+        if self._pick == ROUND_ROBIN:
+            self._turn += 1
+            return sorted(candidates, key=lambda one: one.id)[self._turn % len(candidates)]
+        fewest = min(self._in_flight.get(one.id, 0) for one in candidates)
+        return self._random.choice([one for one in candidates if self._in_flight.get(one.id, 0) == fewest])
+
+    def _finish_attempt(self, now: int, event: balancing.AttemptFinished) -> list[balancing.Action]:
+        self._in_flight[event.endpoint_id] = self._in_flight.get(event.endpoint_id, 1) - 1
+        request = self._requests.get(event.request_id)
         if request is None or event.request_finished:
-            self.requests.pop(event.request_id, None)
+            self._requests.pop(event.request_id, None)
             return []
-        request.out -= 1
         if event.result not in balancing.NOT_PROCESSED:
-            request.ran.append((event.endpoint_id, now - event.duration_ns))
-        if event.result is balancing.AttemptResult.DECLINED or not self.again or not self._may_repeat(now, request):
+            request.may_have_run.append((event.endpoint_id, now - event.duration_ns))
+        declined = event.result is balancing.AttemptResult.DECLINED
+        if declined or not self._retries or not self._may_retry(now, request):
             return self._give_up(event.request_id, request)
         return self._send(now, event.request_id, request)
 
-    def _may_repeat(self, now: int, request: Request) -> bool:
-        if len(request.sent) > MOST_RETRIES or len(request.sent) >= self.settings.max_attempts:
+    def _may_retry(self, now: int, request: PendingRequest) -> bool:
+        margin_ns = self._settings.timer_resolution_ns
+        if len(request.tried) > MAX_RETRIES or len(request.tried) >= self._settings.max_attempts:
             return False
-        if now >= request.deadline - self.settings.timer_resolution_ns:
+        if now >= request.deadline_ns - margin_ns:
             return False
-        if not request.ran or request.cls.idempotency is Idempotency.IDEMPOTENT:
+        if not request.may_have_run or request.is_idempotent:
             return True
-        if request.cls.idempotency is Idempotency.NON_IDEMPOTENT:
+        if request.is_non_idempotent:
             return False
-        return now - request.ran[0][1] < request.cls.deduplication_window_ns - self.settings.timer_resolution_ns
+        return now - request.may_have_run[0][1] < request.request_class.deduplication_window_ns - margin_ns
 
-    def _give_up(self, id: str, request: Request) -> list[balancing.Action]:
-        self.requests.pop(id, None)
-        harmless = not request.ran or request.cls.idempotency is Idempotency.IDEMPOTENT
-        return [balancing.RejectRequest(id, 0) if harmless else balancing.FailRequest(id)]
+    def _give_up(self, request_id: str, request: PendingRequest) -> list[balancing.Action]:
+        self._requests.pop(request_id, None)
+        if not request.may_have_run or request.is_idempotent:
+            return [balancing.RejectRequest(request_id, 0)]
+        return [balancing.FailRequest(request_id)]
 
 
 def main(name: str) -> int:
--- a/lugtally/testbed/reporting/compare.py
+++ b/lugtally/testbed/reporting/compare.py
@@ -1,35 +1,52 @@
 """Two sets of runs side by side: differences paired by scenario and seed, with bootstrap intervals.
 
 The percentile bootstrap of Efron (1979) over the paired differences.  Where the interval holds zero, or where there
-are too few pairs for one, the word is "no difference seen".
+are too few pairs for one, the finding is "no difference seen".
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import numpy as np
 
-from lugtally.testbed.reporting.report import VOID, Report
+from lugtally.testbed.reporting.report import Report, Verdict
 from lugtally.testbed.scenario.random_streams import stream
 
 RESAMPLES = 10_000
 LEVEL = 0.95
-LEAST_PAIRS = 4  # with fewer, resampling says nothing of the spread
-
-MEASURES: dict[str, tuple[Callable[[Report], float], bool]] = {  # and whether more is better
-    "service": (lambda r: r.findings.service, True),
-    "net": (lambda r: r.findings.net, True),
-    "whole": (lambda r: r.findings.overall, True),
-    "worst 10 s": (lambda r: r.findings.worst_10s, True),
-    "worst class": (lambda r: r.findings.worst_class, True),
-    "attempts a try": (lambda r: r.findings.server_attempts / max(1, r.findings.client_attempts), False),
-    "waste": (lambda r: r.findings.prices["waste"], False),
-    "broken rules": (lambda r: float(sum(r.violations_by_name.values())), False),
-    "sidecar CPU ms a try": (
-        lambda r: 1000 * sum(s.cpu_s for s in r.sidecars) / max(1, r.findings.client_attempts),
-        False,
+MIN_PAIRS = 4  # with fewer, resampling says nothing of the spread
+NO_DIFFERENCE = "no difference seen"
+
+
+class CompareError(Exception):
+    """The sets cannot be compared."""
+
+
+class Measure(NamedTuple):
+    """A figure of a run."""
+
+    value: Callable[[Report], float]
+    more_is_better: bool
+
+
+def _per_client_attempt(value: float, report: Report) -> float:
+    return value / max(1, report.findings.client_attempts)
+
+
+MEASURES: dict[str, Measure] = {
+    "service": Measure(lambda report: report.findings.service, True),
+    "net": Measure(lambda report: report.findings.net, True),
+    "whole": Measure(lambda report: report.findings.overall, True),
+    "worst 10 s": Measure(lambda report: report.findings.worst_10s, True),
+    "worst class": Measure(lambda report: report.findings.worst_class, True),
+    "attempts a try": Measure(lambda report: _per_client_attempt(report.findings.server_attempts, report), False),
+    "waste": Measure(lambda report: report.findings.prices["waste"], False),
+    "broken rules": Measure(lambda report: float(sum(report.violations_by_name.values())), False),
+    "sidecar CPU ms a try": Measure(
+        lambda report: _per_client_attempt(1000 * sum(one.cpu_s for one in report.sidecars), report), False
     ),
 }
 
@@ -40,32 +57,27 @@
 
     measure: str
     pairs: int
-    a: float  # means
-    b: float
+    mean_a: float
+    mean_b: float
     mean: float
     low: float  # of the interval; equal to ``mean`` where there is none
     high: float
-    word: str
-
-
-class CompareError(Exception):
-    """The sets cannot be compared."""
+    finding: str
 
 
-def paired(a: list[Report], b: list[Report]) -> list[tuple[Report, Report]]:
-    """Runs of the same scenario and seed in both sets; void ones say nothing and are left out."""
+def pair_runs(first: list[Report], second: list[Report]) -> list[tuple[Report, Report]]:
+    """Pair runs of the same scenario and seed in both sets; void ones say nothing and are left out.
 
-    def keyed(reports: list[Report]) -> dict[tuple[str, int], Report]:
-        return {(r.scenario, r.seed): r for r in reports if r.verdict != VOID}
-
-    first, second = keyed(a), keyed(b)
-    common = sorted(first.keys() & second.keys())
+    Raises CompareError where there is no pair.
+    """
+    by_key_first, by_key_second = _by_scenario_and_seed(first), _by_scenario_and_seed(second)
+    common = sorted(by_key_first.keys() & by_key_second.keys())
     if not common:
         raise CompareError("no scenario was played under the same seed in both")
-    return [(first[key], second[key]) for key in common]
+    return [(by_key_first[key], by_key_second[key]) for key in common]
 
 
-def interval(differences: list[float], *name: object) -> tuple[float, float]:
+def bootstrap_interval(differences: list[float], *name: object) -> tuple[float, float]:
     """The bootstrap interval of their mean; the same numbers give the same interval."""
     values = np.array(differences)
     draws = stream(0, "bootstrap", len(values), *name).integers(len(values), size=(RESAMPLES, len(values)))
@@ -75,22 +87,26 @@
     return float(low), float(high)
 
 
-def compare(a: list[Report], b: list[Report]) -> list[Difference]:
-    """Every measure."""
-    pairs = paired(a, b)
-    found = []
-    for name, (measure, more_is_better) in MEASURES.items():
-        firsts, seconds = [measure(x) for x, _ in pairs], [measure(y) for _, y in pairs]
-        differences = [y - x for x, y in zip(firsts, seconds, strict=True)]
-        mean = float(np.mean(differences))
-        low, high = interval(differences, name) if len(pairs) >= LEAST_PAIRS else (mean, mean)
-        if len(pairs) < LEAST_PAIRS:
-            word = f"no difference seen: {len(pairs)} pairs, {LEAST_PAIRS} needed"
-        elif low <= 0 <= high:
-            word = "no difference seen"
-        else:
-            word = "B is better" if (mean > 0) == more_is_better else "B is worse"
-        found.append(
-            Difference(name, len(pairs), float(np.mean(firsts)), float(np.mean(seconds)), mean, low, high, word)
-        )
-    return found
+def compare(first: list[Report], second: list[Report]) -> list[Difference]:
+    """Compare every measure, B less A.  Raises CompareError."""
+    pairs = pair_runs(first, second)
+    return [_compare_measure(name, measure, pairs) for name, measure in MEASURES.items()]
+
+
+def _by_scenario_and_seed(reports: list[Report]) -> dict[tuple[str, int], Report]:
+    return {(report.scenario, report.seed): report for report in reports if report.verdict != Verdict.VOID}
+
+
+def _compare_measure(name: str, measure: Measure, pairs: list[tuple[Report, Report]]) -> Difference:
+    values_a = [measure.value(report) for report, _ in pairs]
+    values_b = [measure.value(report) for _, report in pairs]
+    differences = [b - a for a, b in zip(values_a, values_b, strict=True)]
+    mean = float(np.mean(differences))
+    if len(pairs) < MIN_PAIRS:
+        low = high = mean
+        finding = f"{NO_DIFFERENCE}: {len(pairs)} pairs, {MIN_PAIRS} needed"
+    else:
+        low, high = bootstrap_interval(differences, name)
+        better = "B is better" if (mean > 0) == measure.more_is_better else "B is worse"
+        finding = NO_DIFFERENCE if low <= 0 <= high else better
+    return Difference(name, len(pairs), float(np.mean(values_a)), float(np.mean(values_b)), mean, low, high, finding)
--- /dev/null
+++ b/lugtally/testbed/reporting/plots.py
@@ -0,0 +1,103 @@
+"""Plots as SVG; the same data give the same bytes."""
+
+from __future__ import annotations
+
+import io
+from pathlib import Path
+from typing import Any
+
+from lugtally.testbed.reporting.report import Report
+
+NO_METADATA = {"Date": None, "Creator": None, "Format": None, "Type": None}
+HASH_SALT = "lugtally"
+MAX_LEGEND_SERVERS = 16
+
+
+def pyplot() -> Any:
+    """Load matplotlib for files, without a display."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    matplotlib.rcParams["svg.hashsalt"] = HASH_SALT
+    import matplotlib.pyplot as plt
+
+    return plt
+
+
+def save_svg(figure: Any, file: Path | io.StringIO) -> None:
+    """Write a figure and close it."""
+    figure.savefig(file, format="svg", bbox_inches="tight", metadata=NO_METADATA)
+    pyplot().close(figure)
+
+
+def plot_report(report: Report) -> dict[str, str]:
+    """Draw the plots of a run: title to SVG element."""
+    return {
+        "Service over time, by class": _plot_service(report),
+        "Latency of served requests": _plot_latencies(report),
+        "Requests held, by server": _plot_in_flight(report),
+        "Attempts per try": _plot_attempts(report),
+    }
+
+
+def _svg_element(figure: Any) -> str:
+    file = io.StringIO()
+    save_svg(figure, file)
+    text = file.getvalue()
+    return text[text.index("<svg") :]
+
+
+def _mark_faults(axes: Any, report: Report) -> None:
+    """Shade the time of each fault."""
+    for index, fault in enumerate(report.faults):
+        end = report.length_s if fault.ended_s is None else fault.ended_s
+        axes.axvspan(fault.began_s, end, color=f"C{3 + index % 6}", alpha=0.12, lw=0)
+        axes.text(
+            fault.began_s,
+            1.0,
+            fault.kind,
+            rotation=90,
+            va="top",
+            fontsize=6,
+            transform=axes.get_xaxis_transform(),
+        )
+
+
+def _plot_service(report: Report) -> str:
+    figure, axes = pyplot().subplots(figsize=(9, 3))
+    for name, values in report.findings.per_second.items():
+        axes.step(range(len(values)), values, where="post", label=name)
+    _mark_faults(axes, report)
+    axes.set(xlabel="seconds", ylabel="share of worth", ylim=(0, 1.05), xlim=(0, report.length_s))
+    axes.legend(loc="lower left", fontsize=7)
+    return _svg_element(figure)
+
+
+def _plot_latencies(report: Report) -> str:
+    figure, axes = pyplot().subplots(figsize=(9, 3))
+    for latency in report.latencies:
+        if latency.count:
+            percentiles = latency.percentiles
+            axes.plot([str(p) for p in percentiles], list(percentiles.values()), marker="o", label=latency.name)
+    axes.set(xlabel="percentile", ylabel="ms from the intended time", yscale="log")
+    axes.legend(fontsize=7)
+    return _svg_element(figure)
+
+
+def _plot_in_flight(report: Report) -> str:
+    figure, axes = pyplot().subplots(figsize=(9, 3))
+    for server, samples in sorted(report.in_flight.items()):
+        axes.plot([at for at, _ in samples], [requests for _, requests in samples], lw=0.8, label=server)
+    _mark_faults(axes, report)
+    axes.set(xlabel="seconds", ylabel="requests held", xlim=(0, report.length_s))
+    if len(report.in_flight) <= MAX_LEGEND_SERVERS:
+        axes.legend(fontsize=5, ncol=4)
+    return _svg_element(figure)
+
+
+def _plot_attempts(report: Report) -> str:
+    figure, axes = pyplot().subplots(figsize=(9, 2.5))
+    counts = report.attempts_per_client_attempt
+    axes.bar(list(counts), [max(count, 0.5) for count in counts.values()])
+    axes.set(xlabel="attempts of a try (9: or more)", ylabel="tries", yscale="log")
+    return _svg_element(figure)
--- /dev/null
+++ b/lugtally/testbed/reporting/report_file.py
@@ -0,0 +1,56 @@
+"""Files of reports."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+from msgspec import Struct
+
+from lugtally.testbed.reporting.report import SCHEMA, Report
+
+SCENARIO_SUFFIX = ".scenario.json"  # of the other files in the folder of an experiment
+
+
+class ReportError(Exception):
+    """A file is no report, or one of a schema that this program does not know."""
+
+
+class Document(Struct):
+    """A file of reports."""
+
+    schema: int
+    reports: list[Report]
+
+
+def save(reports: list[Report], path: Path) -> None:
+    """Write reports to a file, completely or not at all."""
+    temporary = path.with_suffix(path.suffix + ".part")
+    temporary.write_bytes(msgspec.json.encode(Document(SCHEMA, reports)) + b"\n")
+    temporary.replace(path)
+
+
+def load(path: Path) -> list[Report]:
+    """Read the reports of a file.  Raises ReportError, whose one line says what is wrong with it."""
+    try:
+        raw = path.read_bytes()
+        head = msgspec.json.decode(raw)
+        if not isinstance(head, dict) or head.get("schema") != SCHEMA:
+            schema = head.get("schema") if isinstance(head, dict) else None
+            raise ReportError(f"{path}: schema {schema!r}; this program reads {SCHEMA}")
+        return msgspec.json.decode(raw, type=Document).reports
+    except OSError as error:
+        raise ReportError(f"{path}: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise ReportError(f"{path}: {error}") from error
+
+
+def load_all(path: Path) -> list[Report]:
+    """Read the reports of a file, or of all files of a folder.  Raises ReportError."""
+    if not path.is_dir():
+        return load(path)
+    files = [file for file in sorted(path.glob("*.json")) if not file.name.endswith(SCENARIO_SUFFIX)]
+    reports = [report for file in files for report in load(file)]
+    if not reports:
+        raise ReportError(f"{path}: no reports in it")
+    return reports
--- a/tests/overload/test_sockets.py
+++ b/tests/overload/test_sockets.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lugtally.testbed.experiments import runner
-from lugtally.testbed.reporting.report import BROKEN, Report
+from lugtally.testbed.reporting.report import Report, Verdict
 from lugtally.testbed.scenario import scenario_file
 from lugtally.testbed.verification import event_log
 from lugtally.testbed.verification.records import ClientAttempt, Record, ServerAttempt
@@ -85,7 +85,7 @@
     report, records = flooded
     tries = [r for r in records if isinstance(r, ClientAttempt)]
     assert not [t for t in tries if t.duplicate_response or t.outcome == "foreign"]
-    assert report.verdict != BROKEN or set(report.violations_by_name) <= {"late", "dropped"}
+    assert report.verdict != Verdict.BROKEN or set(report.violations_by_name) <= {"late", "dropped"}
     sent = {r.request_id for r in records if isinstance(r, ServerAttempt) and r.outcome != "turned-away"}
     refused = [t for t in tries if t.outcome == "refused"]
     receipts = [cls.name for cls in scenario_file.decode(FLOOD, "flood.toml").classes].index("receipt-issue")
--- a/tests/testbed/test_judge.py
+++ b/tests/testbed/test_judge.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lugtally.testbed.experiments import runner
-from lugtally.testbed.reporting.report import PASSED, VOID, Report
+from lugtally.testbed.reporting.report import Report, Verdict
 from lugtally.testbed.scenario import scenario_file, schedule
 from lugtally.testbed.verification import records, verifier
 from lugtally.testbed.verification.event_log import EventLog
@@ -68,7 +68,7 @@
         command = None if fault == "true" else [sys.executable, "-B", "-m", "tests.testbed.offender", fault]
         for _ in range(3):  # a busy machine gives no verdict: ask again
             report = runner.Run(told, 4, command=command).play()
-            if report.verdict != VOID:
+            if report.verdict != Verdict.VOID:
                 break
         return report
 
@@ -93,7 +93,7 @@
 
 @pytest.mark.parametrize("sidecar", ["true", "honest"])
 def test_who_keeps_the_rules_is_acquitted(verdicts: dict[str, Report], sidecar: str) -> None:
-    assert verdicts[sidecar].verdict == PASSED, verdicts[sidecar].reasons
+    assert verdicts[sidecar].verdict == Verdict.PASSED, verdicts[sidecar].reasons
 
 
 # ---------------------------------------------------------------- the judge alone, record by record
--- a/tests/testbed/test_load.py
+++ b/tests/testbed/test_load.py
@@ -91,7 +91,7 @@
     log = event_log.EventLog(event_log.read_records([tmp_path / "load.jsonl"]))
     drawn = schedule.make_schedule(told, 5)
     assert len(log.client_attempts) == len(drawn.arrivals), "every arrival was sent, whatever the answers did"
-    (latency,) = report._latencies(drawn, log)
+    (latency,) = report.measure_latencies(drawn, log)
     # A fifth of the run stalls: those sent then wait evenly between nothing and a second.
     slow = [t.ended_at - t.intended_at for t in log.client_attempts if t.ended_at - t.intended_at > STALL_S / 2]
     due = sum(STALL_AT <= a.at < STALL_AT + STALL_S / 2 for a in drawn.arrivals)
@@ -111,7 +111,7 @@
 def test_a_late_kit_makes_a_run_void(late: records.TimerLagReport, word: str) -> None:
     drawn = schedule.make_schedule(scenario_file.load("quiet"), 1)
     log = event_log.EventLog([late, records.TimerLagReport("stand-ins", 9, 1.0, 2.0, 1.0)])
-    assert report.verdict(verifier.verify(log, drawn, 0.0), scenario.Expect())[0] == word
+    assert report.judge_run(verifier.verify(log, drawn, 0.0), scenario.Expect())[0] == word
 
 
 def test_a_book_that_breaks_off_makes_a_run_void_and_is_read_up_to_there(tmp_path: Path) -> None:
@@ -123,7 +123,7 @@
     (tmp_path / "a.jsonl").write_bytes(whole[:-5])
     assert len(event_log.read_records([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
     found = verifier.verify(event_log.EventLog([]), schedule.make_schedule(scenario_file.load("quiet"), 1), 0.0)
-    assert report.verdict(found, scenario.Expect())[0] == "void"
+    assert report.judge_run(found, scenario.Expect())[0] == "void"
 
 
 class _Transport(asyncio.Transport):
--- a/tests/testbed/test_runs.py
+++ b/tests/testbed/test_runs.py
@@ -14,9 +14,9 @@
 from click.testing import CliRunner
 
 from lugtally.cli.root import root
-from lugtally.testbed.experiments import experiment, runner
-from lugtally.testbed.reporting import compare, report
-from lugtally.testbed.reporting.report import PASSED, VOID, Report
+from lugtally.testbed.experiments import experiment, matrix, runner
+from lugtally.testbed.reporting import compare, report, report_file
+from lugtally.testbed.reporting.report import Report, Verdict
 from lugtally.testbed.scenario import scenario, scenario_file
 from lugtally.testbed.verification import event_log, records
 from tests.integration.player import ROOT
@@ -48,7 +48,7 @@
     """A run that says something: a busy machine is asked again."""
     for _ in range(3):
         result = runner.Run(told, seed, folder=folder, policy=policy).play()
-        if result.verdict != VOID:
+        if result.verdict != Verdict.VOID:
             break
     return result
 
@@ -56,7 +56,7 @@
 def test_a_server_that_falls_silent_in_its_drain_gets_nothing_new_and_all_are_answered(tmp_path: Path) -> None:
     told = scenario_file.decode(DRAIN, "drain.toml")
     result = played(told, 3, tmp_path)
-    assert result.verdict == PASSED, result.reasons
+    assert result.verdict == Verdict.PASSED, result.reasons
     recorded = event_log.read_records([tmp_path / "world.jsonl", tmp_path / "load.jsonl"])
     changes = [r for r in recorded if isinstance(r, records.EndpointChanged) and r.state == "draining"]
     server, when = changes[0].server, changes[0].at
@@ -81,10 +81,10 @@
             text=True,
             timeout=120,
         )
-        if done.returncode != report.EXIT[VOID]:
+        if done.returncode != report.EXIT_STATUS[Verdict.VOID]:
             break
     assert done.returncode == 0 and done.stdout.startswith("PASSED"), done.stdout + done.stderr
-    (result,) = report.load(file)
+    (result,) = report_file.load(file)
     assert result.findings.service > 0.8 and result.latencies[0].count > 100
     page = html.read_text()
     assert page.count("<svg") == 4 and "PASSED" in page and "http://" not in page.replace("http://www.w3.org", "")
@@ -123,16 +123,18 @@
     out, _ = child.communicate(timeout=30)
     assert child.returncode == 130 and out.startswith(b"VOID")
     assert not psutil.wait_procs(family, 2)[1], "a process was left"
-    (result,) = report.load(tmp_path / "a.json")
+    (result,) = report_file.load(tmp_path / "a.json")
     assert (
-        result.verdict == VOID and result.reasons[0].startswith(report.INTERRUPTED) and result.findings.server_attempts
+        result.verdict == Verdict.VOID
+        and result.reasons[0].startswith(report.INTERRUPTED)
+        and result.findings.server_attempts
     )
 
 
 def _moved(one: Report, seed: int, by: float) -> Report:
     """The same run under another seed, better by so much."""
     copy = msgspec.convert(msgspec.to_builtins(one), Report)
-    copy.seed, copy.verdict = seed, PASSED
+    copy.seed, copy.verdict = seed, Verdict.PASSED
     copy.findings.service += by
     return copy
 
@@ -142,20 +144,20 @@
     one = played(told, 1)
     spread = (-0.04, 0.03, -0.02, 0.04, -0.01, 0.02)
     a = [_moved(one, n, s) for n, s in enumerate(spread)]
-    assert compare.compare(a[:3], a[:3])[0].word.startswith("no difference seen: 3 pairs")
+    assert compare.compare(a[:3], a[:3])[0].finding.startswith("no difference seen: 3 pairs")
     noisy = [_moved(one, n, -s) for n, s in enumerate(spread)]
-    assert compare.compare(a, noisy)[0].word == "no difference seen"
+    assert compare.compare(a, noisy)[0].finding == "no difference seen"
     better = [_moved(one, n, s + 0.05 + s / 10) for n, s in enumerate(spread)]
     found = compare.compare(a, better)[0]
-    assert found.word == "B is better" and found.low > 0.04 and found.mean == pytest.approx(0.05, abs=0.004)
-    assert compare.compare(better, a)[0].word == "B is worse"
+    assert found.finding == "B is better" and found.low > 0.04 and found.mean == pytest.approx(0.05, abs=0.004)
+    assert compare.compare(better, a)[0].finding == "B is worse"
     void = [_moved(one, n, 0) for n in range(6)]
     for each in void:
-        each.verdict = VOID
+        each.verdict = Verdict.VOID
     with pytest.raises(compare.CompareError):
         compare.compare(a, void)
-    report.save(a, tmp_path / "a.json")
-    report.save(better, tmp_path / "b.json")
+    report_file.save(a, tmp_path / "a.json")
+    report_file.save(better, tmp_path / "b.json")
     result = CliRunner().invoke(
         root, ["rehearse", "compare", str(tmp_path / "a.json"), str(tmp_path / "b.json")], standalone_mode=False
     )
@@ -169,9 +171,9 @@
         "[[settings]]\nname = 'base'\n[[settings]]\nname = 'busy'\nset = {'load.rate_per_s' = 70}\n"
     )
     told = experiment.read(tmp_path / "try.toml")
-    todo = experiment.cells(told)
+    todo = experiment.cells_of(told)
     assert len(todo) == 4
-    first = experiment.play(todo[:3], tmp_path / "out", 3)
+    first = matrix.play_cells(todo[:3], tmp_path / "out", 3)
     stamps = {path: path.stat().st_mtime_ns for path in (tmp_path / "out").glob("*.1.json")}
     assert len(first) == len(stamps) == 3
     result = CliRunner().invoke(
