--- a/lugtally/testbed/emulator/discovery.py
+++ b/lugtally/testbed/emulator/discovery.py
@@ -49,7 +49,7 @@
         self._address_of = address_of
         self._call_s = settings.call_ms / 1000
         self._max_wait_s = settings.max_wait_s
-        self._slots = asyncio.Semaphore(settings.calls_at_once)
+        self._slots = asyncio.Semaphore(settings.max_parallel_calls)
         self._changed = asyncio.Event()
         self._is_down = False
         self._connections: set[DiscoveryConnection] = set()
--- a/lugtally/testbed/emulator/listeners.py
+++ b/lugtally/testbed/emulator/listeners.py
@@ -9,7 +9,7 @@
 from lugtally.testbed.emulator import loopback
 
 BACKLOG = 512
-MAX_ACCEPTED_AT_ONCE = 64
+MAX_ACCEPTS_PER_EVENT = 64
 FILLERS = 3  # connections that fill a backlog of length 0
 
 
@@ -65,7 +65,7 @@
         asyncio.get_running_loop().add_reader(listener, self._accept, listener, sidecar)
 
     def _accept(self, listener: socket.socket, sidecar: int) -> None:
-        for _ in range(MAX_ACCEPTED_AT_ONCE):
+        for _ in range(MAX_ACCEPTS_PER_EVENT):
             try:
                 accepted, _ = listener.accept()
             except OSError:
--- a/lugtally/testbed/emulator/process.py
+++ b/lugtally/testbed/emulator/process.py
@@ -20,7 +20,7 @@
 
 
 async def run_fleet(fleet: EmulatedFleet) -> None:
-    """Serve until told to stop."""
+    """Serve until the command to stop, or the end of the commands."""
     await fleet.start()
     loop = asyncio.get_running_loop()
     commands = asyncio.StreamReader()
--- a/lugtally/testbed/experiments/sidecars.py
+++ b/lugtally/testbed/experiments/sidecars.py
@@ -95,7 +95,7 @@
             self.poll()
             if self._clock() > until:
                 raise RunError(f"a sidecar was not ready after {READY_TIMEOUT_S:g} s; its log is in {self._folder}")
-            if any(s.process is not None and s.process.poll() is not None for s in self._sidecars):
+            if any(one.process is not None and one.process.poll() is not None for one in self._sidecars):
                 raise RunError(f"a sidecar ended before it was ready; its log is in {self._folder}")
             time.sleep(START_POLL_S)
 
--- a/lugtally/testbed/reporting/compare.py
+++ b/lugtally/testbed/reporting/compare.py
@@ -100,7 +100,7 @@
 def _compare_measure(name: str, measure: Measure, pairs: list[tuple[Report, Report]]) -> Difference:
     values_a = [measure.value(report) for report, _ in pairs]
     values_b = [measure.value(report) for _, report in pairs]
-    differences = [b - a for a, b in zip(values_a, values_b, strict=True)]
+    differences = [value_b - value_a for value_a, value_b in zip(values_a, values_b, strict=True)]
     mean = float(np.mean(differences))
     if len(pairs) < MIN_PAIRS:
         low = high = mean
--- a/lugtally/testbed/reporting/page.py
+++ b/lugtally/testbed/reporting/page.py
@@ -19,7 +19,7 @@
     template = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined).from_string(text)
     page = template.render(
         report=report,
-        found=report.findings,
+        findings=report.findings,
         plots=plot_report(report),
         latency={latency.name: latency.percentiles for latency in report.latencies},
     )
--- a/lugtally/testbed/reporting/plots.py
+++ b/lugtally/testbed/reporting/plots.py
@@ -78,7 +78,7 @@
     for latency in report.latencies:
         if latency.count:
             percentiles = latency.percentiles
-            axes.plot([str(p) for p in percentiles], list(percentiles.values()), marker="o", label=latency.name)
+            axes.plot(list(percentiles), list(percentiles.values()), marker="o", label=latency.name)
     axes.set(xlabel="percentile", ylabel="ms from the intended time", yscale="log")
     axes.legend(fontsize=7)
     return _svg_element(figure)
--- a/lugtally/testbed/scenario/arrivals.py
+++ b/lugtally/testbed/scenario/arrivals.py
@@ -60,21 +60,21 @@
 def _draw_sidecar(
     scenario: Scenario, seed: int, sidecar: int, rate: float, max_factor: float, mean_work: tuple[float, ...]
 ) -> list[Arrival]:
-    """Draw the arrivals of one sidecar: candidates at the highest rate, of which the profile keeps a part."""
+    """Draw the arrivals of one sidecar: candidates at the highest rate, which the profile thins out."""
     random = stream(seed, "arrivals", sidecar)
     length_s, max_rate = scenario.length_s, rate * max_factor
     count = int(max_rate * length_s + 10 * sqrt(max_rate * length_s) + 20)
     times = np.cumsum(random.exponential(1 / max_rate, count))
-    is_kept = random.random(count) * max_factor < _profile(scenario, seed, np.minimum(times, length_s))
+    passes = random.random(count) * max_factor < _profile(scenario, seed, np.minimum(times, length_s))
     classes = _draw_classes(scenario, random, count)
     work = [
-        draw_work(request_class, mean_work[index], stream(seed, "work", sidecar, request_class.name), count)
-        for index, request_class in enumerate(scenario.classes)
+        draw_work(request_class, mean_work[class_index], stream(seed, "work", sidecar, request_class.name), count)
+        for class_index, request_class in enumerate(scenario.classes)
     ]
     return [
-        Arrival(float(times[i]), sidecar, int(classes[i]), float(work[int(classes[i])][i]))
-        for i in range(count)
-        if is_kept[i] and times[i] < length_s
+        Arrival(float(times[index]), sidecar, int(classes[index]), float(work[int(classes[index])][index]))
+        for index in range(count)
+        if passes[index] and times[index] < length_s
     ]
 
 
--- a/lugtally/testbed/scenario/scenario.py
+++ b/lugtally/testbed/scenario/scenario.py
@@ -160,6 +160,7 @@
     rename={
         "propagation_s": "notice_s",
         "silent_propagation_s": "silent_notice_s",
+        "max_parallel_calls": "calls_at_once",
         "max_wait_s": "wait_most_s",
         "poll_within_s": "ask_within_s",
     },
@@ -168,12 +169,10 @@
 
     propagation_s: Range = (0.65, 3.0)  # from a change until the list shows it
     silent_propagation_s: Range = (6.3, 12)  # the same for a machine that sends nothing any more
-    calls_at_once: Count = 4  # the others wait in turn
+    max_parallel_calls: Count = 4  # the others wait in turn
     call_ms: NotNegative = 2.0  # work of one call, beside a hundredth of it for each entry
     max_wait_s: Positive = 3.0  # a call that waited longer fails with 503
-    poll_within_s: Positive = (
-        10.0  # a sidecar without a call for so long counts as notified; 4 times that after a failure
-    )
+    poll_within_s: Positive = 10.0  # a sidecar without a call for so long counts as notified; 4 times, after a failure
 
 
 class Load(Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/testbed/offender.py
+++ b/tests/testbed/offender.py
@@ -35,11 +35,11 @@
 class Sidecar:
     """One of them."""
 
-    def __init__(self, fault: str, told: dict[str, Any]) -> None:
+    def __init__(self, fault: str, configuration: dict[str, Any]) -> None:
         self.fault = fault
-        self.told = told
-        self.servers: dict[str, dict[str, Any]] = {row["id"]: row for row in told["known"]["servers"]}
-        self.version = told["known"]["version"]
+        self.configuration = configuration
+        self.servers: dict[str, dict[str, Any]] = {row["id"]: row for row in configuration["known"]["servers"]}
+        self.version = configuration["known"]["version"]
         self.count = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -47,7 +47,7 @@
 
     async def watch(self) -> None:
         """Follow the server list, as the platform asks."""
-        host, port = self.told["discovery"].split(":")
+        host, port = self.configuration["discovery"].split(":")
         while True:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
                 reader, writer = await asyncio.open_connection(host, int(port))
@@ -56,9 +56,9 @@
                         f"GET /catalog/members?from={self.version}&hold_ms=2000 HTTP/1.1\r\nHost: x\r\n\r\n".encode()
                     )
                     _, _, body = await _read(reader)
-                    news = json.loads(body)
-                    self.version = news["version"]
-                    for row in news["servers"]:
+                    update = json.loads(body)
+                    self.version = update["version"]
+                    for row in update["servers"]:
                         if row["state"] == "gone" and self.fault != "drained":
                             self.servers.pop(row["id"], None)
                         elif self.fault != "drained" or row["state"] == "ready":
@@ -99,21 +99,21 @@
 
     async def answer(self, line: str, headers: dict[str, str], body: bytes) -> bytes | None:
         """The final answer, with the fault in every so many."""
-        cls, strike = headers["x-service-class"], self.count % 20 == 0
+        cls, fails_now = headers["x-service-class"], self.count % 20 == 0
         left = float(headers["x-time-left"])
-        if self.fault == "forge" and strike:
+        if self.fault == "forge" and fails_now:
             return _answer(200, b'{"id":"%s","server":"s-000","made":"0000"}\n' % headers["x-correlation-id"].encode())
         chosen = self.choose()
         if chosen is None:
             return _answer(503, b"")
-        if self.fault == "drop" and strike:
+        if self.fault == "drop" and fails_now:
             return None
         due = asyncio.get_running_loop().time() + left
         late = due + 0.25
         status, got = await self.send(chosen, line, headers, body, left)
-        if self.fault == "late" and strike:
+        if self.fault == "late" and fails_now:
             await asyncio.sleep(late - asyncio.get_running_loop().time())
-        again = cls == "pledge-record" and strike and status == 200
+        again = cls == "pledge-record" and fails_now and status == 200
         if self.fault == "pledge-late" and again:
 
             async def repeat() -> None:
@@ -122,7 +122,7 @@
 
             self.tasks.add(asyncio.create_task(repeat()))
         elif self.fault == "pledge-elsewhere" and again:
-            other = self.choose(next(z for z in self.told["settings"]["zones"] if z != chosen["zone"]))
+            other = self.choose(next(z for z in self.configuration["settings"]["zones"] if z != chosen["zone"]))
             if other is not None:
                 await self.send(other, line, headers, body, max(0.0, due - asyncio.get_running_loop().time()))
         elif self.fault == "receipt-twice" and cls == "receipt-issue" and status == 200 and self.count % 5 == 0:
@@ -170,10 +170,10 @@
 async def main(fault: str) -> None:
     """Serve until SIGTERM."""
     with open(os.environ["PROXY_CONFIG"], encoding="utf-8") as file:
-        told = json.load(file)
-    sidecar = Sidecar(fault, told)
-    random.seed(told["seed"])
-    host, port = told["listen"].split(":")
+        configuration = json.load(file)
+    sidecar = Sidecar(fault, configuration)
+    random.seed(configuration["seed"])
+    host, port = configuration["listen"].split(":")
     server = await asyncio.start_server(sidecar.serve, host, int(port))
     watch = asyncio.create_task(sidecar.watch())
     stop = asyncio.Event()
--- a/tests/testbed/test_judge.py
+++ b/tests/testbed/test_judge.py
@@ -62,12 +62,12 @@
 @pytest.fixture(scope="module")
 def verdicts() -> dict[str, Report]:
     """All offenders and the true sidecar on the same day, some at a time."""
-    told = scenario_file.decode(DAY, "offences.toml")
+    day = scenario_file.decode(DAY, "offences.toml")
 
     def play(fault: str) -> Report:
         command = None if fault == "true" else [sys.executable, "-B", "-m", "tests.testbed.offender", fault]
         for _ in range(3):  # a busy machine gives no verdict: ask again
-            report = runner.Run(told, 4, command=command).play()
+            report = runner.Run(day, 4, command=command).play()
             if report.verdict != Verdict.VOID:
                 break
         return report
@@ -98,22 +98,34 @@
 
 # ---------------------------------------------------------------- the judge alone, record by record
 
-TOLD = scenario_file.decode("name='x'\nabout='y'\n[fleet]\nsidecars=1\n[discovery]\nask_within_s=1\n", "x")
-PLAN = schedule.make_schedule(TOLD, 1)
+SCENARIO = scenario_file.decode("name='x'\nabout='y'\n[fleet]\nsidecars=1\n[discovery]\nask_within_s=1\n", "x")
+PLAN = schedule.make_schedule(SCENARIO, 1)
 READ, PLEDGE, RECEIPT = range(3)
 
 
-def tried(id: str, cls: int, ending: str = "served", ended: float = 1.1, until: float = 2.0) -> records.ClientAttempt:
+def tried(
+    request_id: str, cls: int, outcome: str = "served", ended: float = 1.1, until: float = 2.0
+) -> records.ClientAttempt:
     return records.ClientAttempt(
-        id, id, 0, 0, cls, 1.0, 1.0, until, ended, ClientOutcome(ending), 200 if ending == "served" else 503
+        request_id,
+        request_id,
+        0,
+        0,
+        cls,
+        1.0,
+        1.0,
+        until,
+        ended,
+        ClientOutcome(outcome),
+        200 if outcome == "served" else 503,
     )
 
 
 def sent(
-    id: str, last: float, outcome: str = "served", zone: str = "east", effect: bool = False
+    request_id: str, last: float, outcome: str = "served", zone: str = "east", effect: bool = False
 ) -> records.ServerAttempt:
     return records.ServerAttempt(
-        id, f"s-{zone}", zone, 0, last, last, outcome=ServerOutcome(outcome), had_effect=effect
+        request_id, f"s-{zone}", zone, 0, last, last, outcome=ServerOutcome(outcome), had_effect=effect
     )
 
 
@@ -157,14 +169,16 @@
     assert names(tried("a", READ)) == [ViolationName.FOREIGN_RESPONSE], "served, but no server has it in its book"
 
 
-def test_a_drain_binds_from_the_word_on_or_where_nobody_asked() -> None:
+def test_a_drain_binds_from_its_notification_on_or_where_nobody_polled() -> None:
     change = records.EndpointChanged(1.0, "s-east", "draining")
-    told = records.EndpointNotified(2.0, 0, "s-east", "draining")
+    notified = records.EndpointNotified(2.0, 0, "s-east", "draining")
     watched = records.DiscoveryCall(0, 0.0, 30.0, True)
-    assert names(change, told, watched, tried("a", READ, until=9), sent("a", 3.54)) == []
-    assert names(change, told, watched, tried("a", READ, until=9), sent("a", 3.56)) == [ViolationName.SENT_TO_DRAINED]
+    assert names(change, notified, watched, tried("a", READ, until=9), sent("a", 3.54)) == []
+    assert names(change, notified, watched, tried("a", READ, until=9), sent("a", 3.56)) == [
+        ViolationName.SENT_TO_DRAINED
+    ]
     back = records.EndpointNotified(3.0, 0, "s-east", "ready", 2.9)
-    assert names(change, told, back, watched, tried("a", READ, until=9), sent("a", 4.0)) == []
+    assert names(change, notified, back, watched, tried("a", READ, until=9), sent("a", 4.0)) == []
     # It stopped asking at 0.5: from 1.55 on it counts as told of what was in the list a second before.
     stopped = records.DiscoveryCall(0, 0.0, 0.5, True)
     early = records.EndpointChanged(0.4, "s-east", "draining")
--- a/tests/testbed/test_load.py
+++ b/tests/testbed/test_load.py
@@ -72,9 +72,9 @@
 
 
 def test_a_stall_of_a_second_shows_in_full(tmp_path: Path) -> None:
-    told, block = scenario_file.decode(DAY, "stall.toml"), loopback.LoopbackBlock()
+    day, block = scenario_file.decode(DAY, "stall.toml"), loopback.LoopbackBlock()
     base = time.monotonic()
-    spec = ProcessSpecification(told, 5, block.number, base, str(tmp_path / "load.jsonl"))
+    spec = ProcessSpecification(day, 5, block.number, base, str(tmp_path / "load.jsonl"))
     (tmp_path / "spec.json").write_bytes(msgspec.json.encode(spec))
     child = subprocess.Popen(
         [sys.executable, "-B", "-m", "lugtally.testbed.loadgen.generator", str(tmp_path / "spec.json")],
@@ -89,7 +89,7 @@
         child.wait()
         block.close()
     log = event_log.EventLog(event_log.read_records([tmp_path / "load.jsonl"]))
-    drawn = schedule.make_schedule(told, 5)
+    drawn = schedule.make_schedule(day, 5)
     assert len(log.client_attempts) == len(drawn.arrivals), "every arrival was sent, whatever the answers did"
     (latency,) = report.measure_latencies(drawn, log)
     # A fifth of the run stalls: those sent then wait evenly between nothing and a second.
@@ -114,11 +114,11 @@
     assert report.judge_run(verifier.verify(log, drawn, 0.0), scenario.Expect())[0] == word
 
 
-def test_a_book_that_breaks_off_makes_a_run_void_and_is_read_up_to_there(tmp_path: Path) -> None:
-    book = event_log.EventLogWriter(tmp_path / "a.jsonl")
+def test_an_event_log_that_breaks_off_makes_a_run_void_and_is_read_up_to_there(tmp_path: Path) -> None:
+    writer = event_log.EventLogWriter(tmp_path / "a.jsonl")
     for n in range(3):
-        book.write(records.HealthCheck(float(n), "s-000", 0))
-    book.close()
+        writer.write(records.HealthCheck(float(n), "s-000", 0))
+    writer.close()
     whole = (tmp_path / "a.jsonl").read_bytes()
     (tmp_path / "a.jsonl").write_bytes(whole[:-5])
     assert len(event_log.read_records([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
@@ -154,7 +154,7 @@
             b"GET / HTTP/1.1\r\n\r\n",
             ResponseHandlers(
                 lambda status, body, retry_after_s: self.events.append(("answer", body)),
-                lambda begun: self.events.append(("broke", b"begun" if begun else b"")),
+                lambda received: self.events.append(("broke", b"begun" if received else b"")),
                 lambda: self.events.append(("extra", b"")),
                 lambda body: body == self.body,
             ),
@@ -177,7 +177,7 @@
     assert not link.is_reusable, "a connection on which too much came is not used again"
 
 
-def test_a_foreign_body_is_told_to_the_request_that_is_out() -> None:
+def test_a_foreign_body_is_reported_to_the_request_in_flight() -> None:
     link, first, second, forged = ClientConnection(lambda _: None), _Heard("a"), _Heard("b"), _Heard("c")
     link.connection_made(_Transport())
     first.send(link)
--- a/tests/testbed/test_model.py
+++ b/tests/testbed/test_model.py
@@ -55,7 +55,7 @@
     assert mean_wait(cores, load, count) == pytest.approx(erlang_c_wait(cores, load), rel=0.03)
 
 
-def test_a_full_waiting_room_and_a_drain_turn_away() -> None:
+def test_a_full_queue_and_a_drain_reject() -> None:
     server = ServerModel(ServerTraits(cores=1, slots=1, max_queue=1), 0.0)
     assert [server.offer(0.0, Job(str(n), 1.0)) for n in range(3)] == [
         Admission.ADMITTED,
@@ -119,7 +119,7 @@
     assert not warm.collapsed
 
 
-def test_the_choke_begins_when_crowded_and_ends_when_idle() -> None:
+def test_the_choke_begins_when_congested_and_ends_when_idle() -> None:
     traits = ServerTraits(
         cores=1,
         slots=1,
--- a/tests/testbed/test_runs.py
+++ b/tests/testbed/test_runs.py
@@ -44,18 +44,18 @@
 """
 
 
-def played(told: scenario.Scenario, seed: int, folder: Path | None = None, policy: str = runner.MODULE) -> Report:
+def played(day: scenario.Scenario, seed: int, folder: Path | None = None, policy: str = runner.MODULE) -> Report:
     """A run that says something: a busy machine is asked again."""
     for _ in range(3):
-        result = runner.Run(told, seed, folder=folder, policy=policy).play()
+        result = runner.Run(day, seed, folder=folder, policy=policy).play()
         if result.verdict != Verdict.VOID:
             break
     return result
 
 
 def test_a_server_that_falls_silent_in_its_drain_gets_nothing_new_and_all_are_answered(tmp_path: Path) -> None:
-    told = scenario_file.decode(DRAIN, "drain.toml")
-    result = played(told, 3, tmp_path)
+    day = scenario_file.decode(DRAIN, "drain.toml")
+    result = played(day, 3, tmp_path)
     assert result.verdict == Verdict.PASSED, result.reasons
     recorded = event_log.read_records([tmp_path / "world.jsonl", tmp_path / "load.jsonl"])
     changes = [r for r in recorded if isinstance(r, records.EndpointChanged) and r.state == "draining"]
@@ -113,9 +113,9 @@
         stderr=subprocess.PIPE,
         start_new_session=True,
     )
-    book = tmp_path / "kept" / "quiet.module.1" / "world.jsonl"
+    event_log_path = tmp_path / "kept" / "quiet.module.1" / "world.jsonl"
     until = time.monotonic() + 30
-    while time.monotonic() < until and not (book.exists() and book.stat().st_size > 20_000):
+    while time.monotonic() < until and not (event_log_path.exists() and event_log_path.stat().st_size > 20_000):
         time.sleep(0.05)
     family = psutil.Process(child.pid).children(recursive=True)
     assert len(family) == 6, "two parts of the kit and four sidecars"
@@ -140,8 +140,8 @@
 
 
 def test_comparisons_are_paired_and_say_where_no_difference_is_seen(tmp_path: Path) -> None:
-    told = scenario_file.decode(DRAIN.replace("length_s = 6", "length_s = 2.5"), "drain.toml")
-    one = played(told, 1)
+    day = scenario_file.decode(DRAIN.replace("length_s = 6", "length_s = 2.5"), "drain.toml")
+    one = played(day, 1)
     spread = (-0.04, 0.03, -0.02, 0.04, -0.01, 0.02)
     a = [_moved(one, n, s) for n, s in enumerate(spread)]
     assert compare.compare(a[:3], a[:3])[0].finding.startswith("no difference seen: 3 pairs")
@@ -170,8 +170,8 @@
         f"name = 'try'\nscenarios = ['{tmp_path}/day.toml']\nseeds = [1]\npolicies = ['module', 'round-robin+retry']\n"
         "[[settings]]\nname = 'base'\n[[settings]]\nname = 'busy'\nset = {'load.rate_per_s' = 70}\n"
     )
-    told = experiment.read(tmp_path / "try.toml")
-    todo = experiment.cells_of(told)
+    described = experiment.read(tmp_path / "try.toml")
+    todo = experiment.cells_of(described)
     assert len(todo) == 4
     first = matrix.play_cells(todo[:3], tmp_path / "out", 3)
     stamps = {path: path.stat().st_mtime_ns for path in (tmp_path / "out").glob("*.1.json")}
--- a/tests/testbed/test_scenario.py
+++ b/tests/testbed/test_scenario.py
@@ -33,14 +33,14 @@
 
 @pytest.mark.parametrize("name", SHIPPED)
 def test_a_shipped_scenario_is_sound_and_draws_the_same_again(name: str) -> None:
-    told = scenario_file.load(name)
-    assert told.name == name and told.about
-    first, second = schedule.make_schedule(told, 7), schedule.make_schedule(told, 7)
-    assert first == second and first.arrivals != schedule.make_schedule(told, 8).arrivals
-    asked = len(first.arrivals) / told.length_s
-    assert 0.5 < asked / first.rate < 2.2
-    assert all(0 <= a.at < told.length_s and a.work > 0 for a in first.arrivals)
-    assert {m.zone for m in first.machines} == set(told.fleet.zones)
+    day = scenario_file.load(name)
+    assert day.name == name and day.about
+    first, second = schedule.make_schedule(day, 7), schedule.make_schedule(day, 7)
+    assert first == second and first.arrivals != schedule.make_schedule(day, 8).arrivals
+    sent_per_s = len(first.arrivals) / day.length_s
+    assert 0.5 < sent_per_s / first.rate < 2.2
+    assert all(0 <= a.at < day.length_s and a.work > 0 for a in first.arrivals)
+    assert {m.zone for m in first.machines} == set(day.fleet.zones)
 
 
 @pytest.mark.parametrize(
@@ -81,7 +81,7 @@
     assert CliRunner().invoke(root, ["rehearse", "list"], standalone_mode=False).output.count("\n") == len(SHIPPED)
 
 
-def test_one_more_party_moves_no_other_draw() -> None:
+def test_one_more_process_moves_no_other_draw() -> None:
     small, large = (
         scenario_file.decode(f"name='x'\nabout='y'\n[fleet]\nservers={n}\nsidecars={m}\n", "x")
         for n, m in ((6, 3), (9, 3))
@@ -93,7 +93,7 @@
     assert stream(5, "x").random() != stream(5, "y").random()
 
 
-def test_works_have_the_mean_that_is_asked_for() -> None:
+def test_work_has_the_mean_of_its_class() -> None:
     for shape, spread in (("lognormal", 0.8), ("pareto", 2.5), ("exponential", 1.0), ("fixed", 1.0)):
         cls = scenario.RequestClass("a", 1.0, 40.0, 100, 200, 1, "safe", shape=shape, spread=spread)  # type: ignore[arg-type]
         drawn = arrivals.draw_work(cls, 0.04, stream(1, "test", shape), 200_000)
@@ -101,28 +101,28 @@
 
 
 def test_arrivals_follow_the_burst() -> None:
-    told = scenario_file.decode(
+    day = scenario_file.decode(
         "name='x'\nabout='y'\nlength_s=30\n[load]\nrate_per_s=200\nshape='steady'\n"
         "[[troubles]]\nkind='burst'\nat_s=10\nfor_s=10\nsize=2.5\n",
         "x",
     )
-    times = np.array([a.at for a in schedule.make_schedule(told, 2).arrivals])
+    times = np.array([a.at for a in schedule.make_schedule(day, 2).arrivals])
     inside = ((times >= 10) & (times < 20)).sum()
     outside = len(times) - inside
     assert inside / (outside / 2) == pytest.approx(2.5, rel=0.1)
 
 
-def test_the_catalog_tells_changes_once_and_the_whole_list_to_who_is_behind() -> None:
+def test_the_registry_gives_changes_once_and_the_whole_list_to_who_is_behind() -> None:
     rows = [endpoint_registry.EndpointEntry(f"s{n}", "z", 0, "ready", 0) for n in range(3)]
-    book = endpoint_registry.EndpointRegistry(list(rows))
-    assert book.changes_since(None) == (True, rows) and book.changes_since(1) == (False, [])
+    registry = endpoint_registry.EndpointRegistry(list(rows))
+    assert registry.changes_since(None) == (True, rows) and registry.changes_since(1) == (False, [])
     draining = endpoint_registry.EndpointEntry("s1", "z", 0, "draining", 0)
-    assert book.update(draining) and not book.update(draining)
-    assert book.changes_since(1) == (False, [draining]) and book.changes_since(2) == (False, [])
-    gone = endpoint_registry.EndpointEntry("s1", "z", 0, "gone", 0)
-    assert book.update(gone) and not book.update(gone), "what has left cannot leave again"
-    assert book.changes_since(1) == (False, [gone]) and len(book.changes_since(None)[1]) == 2
-    assert book.changes_since(99)[0], "a version from another life of the list"
+    assert registry.update(draining) and not registry.update(draining)
+    assert registry.changes_since(1) == (False, [draining]) and registry.changes_since(2) == (False, [])
+    removed = endpoint_registry.EndpointEntry("s1", "z", 0, "gone", 0)
+    assert registry.update(removed) and not registry.update(removed), "what has left cannot leave again"
+    assert registry.changes_since(1) == (False, [removed]) and len(registry.changes_since(None)[1]) == 2
+    assert registry.changes_since(99)[0], "a version from another incarnation of the list"
     for turn in range(endpoint_registry.MAX_CHANGES + 5):
-        book.update(endpoint_registry.EndpointEntry("s0", "z", 0, "ready", turn + 1))
-    assert book.changes_since(2)[0], "too far behind"
+        registry.update(endpoint_registry.EndpointEntry("s0", "z", 0, "ready", turn + 1))
+    assert registry.changes_since(2)[0], "too far behind"
