--- a/benchmarks/saturate.py
+++ b/benchmarks/saturate.py
@@ -3,8 +3,8 @@
     python benchmarks/saturate.py --connections 1,16,64 --seconds 4 --runs 3 [--pause-ms 0] [--json FILE]
 
 Clients are a closed loop: each connection sends its next request when the last one is answered, after a pause if one
-is asked for; a refused one asks again at once.  Servers and clients are processes of their own on other cores.  CPU is
-the sidecar's own, from its process times; memory is the most seen in ten looks a second.
+is asked for; after a rejection it sends again at once.  Servers and clients are processes of their own on other cores.
+CPU is the sidecar's own, from its process times; memory is the most seen in ten samples a second.
 """
 
 from __future__ import annotations
@@ -19,6 +19,9 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -33,8 +36,8 @@
 from lugtally.testbed.scenario.schedule import make_schedule
 
 SERVERS = 10
-AIM_MS, DEADLINE_MS = 2000, 8000
-DAY = f"""
+LATENCY_OBJECTIVE_MS, DEADLINE_MS = 2000, 8000
+SCENARIO = f"""
 name = "saturate"
 about = "One sidecar alone."
 [fleet]
@@ -44,232 +47,276 @@
 name = "read"
 share = 1
 work_ms = 1
-aim_ms = {AIM_MS}
+aim_ms = {LATENCY_OBJECTIVE_MS}
 deadline_ms = {DEADLINE_MS}
 worth = 1
 effect = "safe"
 key_scope = "all"
 """
 WARM_UP_S = 1.0
+HOLD_S = 10  # of a watch
+RECONNECT_DELAY_S = 0.01
+SAMPLE_INTERVAL_S = 0.1
+STOP_TIMEOUT_S = 5
+OK, REJECTED = 200, 503
 
 
 class Server(asyncio.Protocol):
     """Answers each request at once."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """A connection has come up."""
-        self.transport: Any = transport
-        self.parser = httptools.HttpRequestParser(self)
+        """Begin to parse."""
+        self._transport: Any = transport
+        self._parser = httptools.HttpRequestParser(self)
 
     def data_received(self, data: bytes) -> None:
-        """Bytes of a request."""
-        self.parser.feed_data(data)
+        """Parse bytes of a request."""
+        self._parser.feed_data(data)
 
     def on_message_complete(self) -> None:
-        """A request is whole."""
-        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+        """Answer a complete request."""
+        self._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
 
 
-class Quiet(asyncio.Protocol):
-    """A server list without news: it lets each watch wait."""
+class UnchangingDiscovery(asyncio.Protocol):
+    """An endpoint list without changes: it lets each watch wait."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """A connection has come up."""
-        self.transport: Any = transport
+        """Keep the connection."""
+        self._transport: Any = transport
 
     def data_received(self, data: bytes) -> None:
-        """A call: nothing new for ten seconds."""
+        """Answer a call late: nothing changed."""
         body = b'{"version":1,"full":false,"servers":[]}'
-        asyncio.get_running_loop().call_later(
-            10, self.transport.write, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        )
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        asyncio.get_running_loop().call_later(HOLD_S, self._transport.write, response)
 
 
-def serve(block: int, ready: Any, cores: set[int]) -> None:
-    """The process of the servers and of the list."""
+def run_servers(block: int, ready: Any, cores: set[int]) -> None:
+    """The process of the servers and of discovery."""
     os.sched_setaffinity(0, cores)
 
-    async def run() -> None:
+    async def serve() -> None:
         loop = asyncio.get_running_loop()
         for place in range(SERVERS):
             await loop.create_server(Server, loopback.server_host(block, place, 0), loopback.PORT, backlog=512)
-        await loop.create_server(Quiet, loopback.discovery_host(block, 0), loopback.PORT)
+        await loop.create_server(UnchangingDiscovery, loopback.discovery_host(block, 0), loopback.PORT)
         ready.set()
         await asyncio.sleep(3600)
 
-    uvloop.run(run())
+    uvloop.run(serve())
 
 
 class Client(asyncio.Protocol):
     """One connection of the application."""
 
-    def __init__(self, told: Load, number: int) -> None:
-        self.told, self.number, self.count = told, number, 0
+    def __init__(self, load: Load) -> None:
+        self._load = load
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Up: send the first request."""
-        self.transport: Any = transport
-        self.send()
+        """Send the first request."""
+        self._transport: Any = transport
+        self._send()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """The sidecar closed it: open another."""
-        if not self.told.over:
-            asyncio.get_running_loop().create_task(self.told.connect(self.number))
-
-    def send(self) -> None:
-        """The next request."""
-        if self.told.over or self.transport.is_closing():
-            return
-        self.told.serial += 1
-        self.parser = httptools.HttpResponseParser(self)
-        self.close = False
-        self.begun = time.perf_counter()
-        self.transport.write(
-            b"GET /read HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: %016x\r\nX-Service-Class: read\r\n"
-            b"X-Time-Left: %d\r\n\r\n" % (self.told.serial, DEADLINE_MS // 1000)
-        )
+        """Open another connection where the sidecar closed this one."""
+        if not self._load.is_over:
+            asyncio.get_running_loop().create_task(self._load.connect())
 
     def data_received(self, data: bytes) -> None:
-        """Bytes of an answer."""
-        self.parser.feed_data(data)
+        """Parse bytes of a response."""
+        self._parser.feed_data(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """One header."""
+        """Note whether the connection may be used again."""
         if name.lower() == b"connection" and value.lower() == b"close":
-            self.close = True
+            self._must_close = True
 
     def on_message_complete(self) -> None:
-        """The answer is whole."""
-        self.told.note(self.parser.get_status_code(), time.perf_counter() - self.begun)
-        if self.close:
-            self.transport.close()
-        elif self.told.pause:
-            asyncio.get_running_loop().call_later(self.told.pause, self.send)
+        """Count a complete response, and go on."""
+        self._load.count(self._parser.get_status_code(), time.perf_counter() - self._sent_at)
+        if self._must_close:
+            self._transport.close()
+        elif self._load.pause_s:
+            asyncio.get_running_loop().call_later(self._load.pause_s, self._send)
         else:
-            self.send()
+            self._send()
+
+    def _send(self) -> None:
+        if self._load.is_over or self._transport.is_closing():
+            return
+        self._parser = httptools.HttpResponseParser(self)
+        self._must_close = False
+        self._sent_at = time.perf_counter()
+        self._transport.write(
+            b"GET /read HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: %016x\r\nX-Service-Class: read\r\n"
+            b"X-Time-Left: %d\r\n\r\n" % (self._load.next_serial(), DEADLINE_MS // 1000)
+        )
 
 
 class Load:
     """All clients, and what they saw."""
 
-    def __init__(self, host: str, pause: float) -> None:
-        self.host, self.pause = host, pause
-        self.serial = 0
-        self.over = False
-        self.counting = False
-        self.statuses: dict[int, int] = {}
-        self.took: list[float] = []
-
-    def note(self, status: int, took: float) -> None:
-        """An answer."""
-        if self.counting:
-            self.statuses[status] = self.statuses.get(status, 0) + 1
-            if status == 200:
-                self.took.append(took)
-
-    async def connect(self, number: int) -> None:
-        """One client's connection; again until there is one."""
-        while not self.over:
+    def __init__(self, host: str, pause_s: float) -> None:
+        self.pause_s = pause_s
+        self.is_over = False
+        self.is_counting = False
+        self._host = host
+        self._serial = 0
+        self._statuses: dict[int, int] = {}
+        self._latencies_s: list[float] = []
+
+    def next_serial(self) -> int:
+        """The number of the next request."""
+        self._serial += 1
+        return self._serial
+
+    def count(self, status: int, latency_s: float) -> None:
+        """Count a response."""
+        if self.is_counting:
+            self._statuses[status] = self._statuses.get(status, 0) + 1
+            if status == OK:
+                self._latencies_s.append(latency_s)
+
+    async def connect(self) -> None:
+        """Open one client's connection; try again until there is one."""
+        while not self.is_over:
             try:
-                await asyncio.get_running_loop().create_connection(
-                    lambda: Client(self, number), self.host, loopback.PORT
-                )
+                await asyncio.get_running_loop().create_connection(lambda: Client(self), self._host, loopback.PORT)
                 return
             except OSError:
-                await asyncio.sleep(0.01)
+                await asyncio.sleep(RECONNECT_DELAY_S)
+
+    def result(self, seconds: float) -> ClientResult:
+        """What was seen in that many seconds."""
+        latencies_s = sorted(self._latencies_s)
+        p50_ms = 1000 * latencies_s[len(latencies_s) // 2] if latencies_s else 0.0
+        p99_ms = 1000 * latencies_s[int(len(latencies_s) * 0.99)] if latencies_s else 0.0
+        return ClientResult(self._statuses, seconds, p50_ms, p99_ms)
 
 
-def load(host: str, connections: int, seconds: float, pause: float, cores: set[int], pipe: Any) -> None:
-    """The process of the clients; says ``begin`` and then the figures."""
+@dataclass(frozen=True, slots=True)
+class ClientResult:
+    """What the clients saw."""
+
+    statuses: dict[int, int]
+    seconds: float
+    p50_ms: float
+    p99_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """What the clients do."""
+
+    connections: int
+    seconds: float
+    pause_s: float
+
+
+def run_clients(host: str, options: ClientOptions, cores: set[int], pipe: Any) -> None:
+    """The process of the clients; sends ``begin`` and then a :class:`ClientResult`."""
     os.sched_setaffinity(0, cores)
 
-    async def run() -> None:
-        told = Load(host, pause)
-        for number in range(connections):
-            await told.connect(number)
+    async def play() -> None:
+        load = Load(host, options.pause_s)
+        for _ in range(options.connections):
+            await load.connect()
         await asyncio.sleep(WARM_UP_S)
         pipe.send("begin")
-        told.counting = True
-        begun = time.perf_counter()
-        await asyncio.sleep(seconds)
-        told.counting = False
-        span = time.perf_counter() - begun
-        told.took.sort()
-        pipe.send(
-            {
-                "statuses": told.statuses,
-                "seconds": span,
-                "p50_ms": 1000 * told.took[len(told.took) // 2] if told.took else 0.0,
-                "p99_ms": 1000 * told.took[int(len(told.took) * 0.99)] if told.took else 0.0,
-            }
-        )
-        told.over = True
+        load.is_counting = True
+        began_at = time.perf_counter()
+        await asyncio.sleep(options.seconds)
+        load.is_counting = False
+        pipe.send(load.result(time.perf_counter() - began_at))
+        load.is_over = True
 
-    uvloop.run(run())
+    uvloop.run(play())
 
 
-def measure(connections: int, seconds: float, pause: float, memory_mb: int) -> dict[str, float]:
-    """One run of one sidecar on core 0."""
-    block = loopback.LoopbackBlock()
-    folder = Path(tempfile.mkdtemp(prefix="lugtally-saturate-"))
-    every = sorted(os.sched_getaffinity(0))
+@contextmanager
+def running_servers(block: int, cores: set[int]) -> Iterator[None]:
+    """Servers and discovery that are ready."""
     ready = multiprocessing.Event()
-    servers = multiprocessing.Process(target=serve, args=(block.number, ready, {every[1 % len(every)]}), daemon=True)
+    servers = multiprocessing.Process(target=run_servers, args=(block, ready, cores), daemon=True)
     servers.start()
-    ready.wait(10)
-    schedule = make_schedule(scenario_file.decode(DAY, "saturate"), 1)
-    told = {
-        **sidecar_configuration(schedule, block.number, 0),
-        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
-    }
-    (folder / "config.json").write_text(json.dumps(told))
+    try:
+        ready.wait(10)
+        yield
+    finally:
+        servers.terminate()
+
+
+@contextmanager
+def running_sidecar(block: int, memory_mb: int, core: int) -> Iterator[psutil.Process]:
+    """A sidecar that is ready, pinned to that core."""
+    schedule = make_schedule(scenario_file.decode(SCENARIO, "saturate"), 1)
+    configuration = sidecar_configuration(schedule, block, 0)
+    configuration["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
+    path = Path(tempfile.mkdtemp(prefix="lugtally-saturate-")) / "config.json"
+    path.write_text(json.dumps(configuration))
     child = subprocess.Popen(
         [sys.executable, "-B", "-m", "lugtally", "serve", "--log-level", "ERROR"],
-        env={**os.environ, "PROXY_CONFIG": str(folder / "config.json")},
+        env={**os.environ, "PROXY_CONFIG": str(path)},
     )
     try:
-        os.sched_setaffinity(child.pid, {every[0]})
-        while not is_ready(block.number, 0):
+        os.sched_setaffinity(child.pid, {core})
+        while not is_ready(block, 0):
             time.sleep(0.02)
-        here, there = multiprocessing.Pipe()
-        clients = multiprocessing.Process(
-            target=load,
-            daemon=True,
-            args=(loopback.sidecar_host(block.number, 0), connections, seconds, pause, {every[2 % len(every)]}, there),
-        )
-        clients.start()
-        process = psutil.Process(child.pid)
-        assert here.recv() == "begin"
-        before, most = process.cpu_times(), 0.0
-        while not here.poll(0.1):
-            most = max(most, process.memory_info().rss / 2**20)
-        after, seen = process.cpu_times(), here.recv()
-        cpu = after.user + after.system - before.user - before.system
-        answers = sum(seen["statuses"].values())
-        clients.join(5)
-        return {
-            "connections": connections,
-            "served_per_s": seen["statuses"].get(200, 0) / seen["seconds"],
-            "refused": seen["statuses"].get(503, 0),
-            "other": answers - sum(seen["statuses"].get(s, 0) for s in (200, 503)),
-            "p50_ms": seen["p50_ms"],
-            "p99_ms": seen["p99_ms"],
-            "cores": cpu / seen["seconds"],
-            "cpu_us": 1e6 * cpu / max(1, answers),
-            "rss_mb": most,
-        }
+        yield psutil.Process(child.pid)
     finally:
         child.terminate()
         try:
-            child.wait(5)
+            child.wait(STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
             child.kill()
-        servers.terminate()
+
+
+def measure(options: ClientOptions, memory_mb: int) -> dict[str, float]:
+    """Measure one run of one sidecar on the first core."""
+    cores = sorted(os.sched_getaffinity(0))
+    block = loopback.LoopbackBlock()
+    try:
+        with (
+            running_servers(block.number, {cores[1 % len(cores)]}),
+            running_sidecar(block.number, memory_mb, cores[0]) as sidecar,
+        ):
+            return measure_sidecar(sidecar, block.number, options, {cores[2 % len(cores)]})
+    finally:
         block.close()
 
 
-def main() -> None:
-    """Measure and print a table: the median of the runs, and least to most of what was served."""
+def measure_sidecar(
+    sidecar: psutil.Process, block: int, options: ClientOptions, client_cores: set[int]
+) -> dict[str, float]:
+    """Measure a sidecar under the clients' load."""
+    here, there = multiprocessing.Pipe()
+    host = loopback.sidecar_host(block, 0)
+    clients = multiprocessing.Process(target=run_clients, daemon=True, args=(host, options, client_cores, there))
+    clients.start()
+    assert here.recv() == "begin"
+    before, max_rss_mb = sidecar.cpu_times(), 0.0
+    while not here.poll(SAMPLE_INTERVAL_S):
+        max_rss_mb = max(max_rss_mb, sidecar.memory_info().rss / 2**20)
+    after, seen = sidecar.cpu_times(), here.recv()
+    cpu_s = after.user + after.system - before.user - before.system
+    clients.join(STOP_TIMEOUT_S)
+    responses = sum(seen.statuses.values())
+    return {
+        "connections": options.connections,
+        "served_per_s": seen.statuses.get(OK, 0) / seen.seconds,
+        "refused": seen.statuses.get(REJECTED, 0),
+        "other": responses - sum(seen.statuses.get(status, 0) for status in (OK, REJECTED)),
+        "p50_ms": seen.p50_ms,
+        "p99_ms": seen.p99_ms,
+        "cores": cpu_s / seen.seconds,
+        "cpu_us": 1e6 * cpu_s / max(1, responses),
+        "rss_mb": max_rss_mb,
+    }
+
+
+def parse_options() -> argparse.Namespace:
+    """Parse the command line."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else None)
     parser.add_argument("--connections", default="1,16,64")
     parser.add_argument("--seconds", type=float, default=4.0)
@@ -277,23 +324,29 @@
     parser.add_argument("--pause-ms", type=float, default=0.0)
     parser.add_argument("--memory-mb", type=int, default=192)
     parser.add_argument("--json", type=Path)
-    told = parser.parse_args()
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Measure and print a table: the median of the runs, and least to most of what was served."""
+    options = parse_options()
     rows = []
     print("| connections | served/s (least to most) | refused | other | p50 ms | p99 ms | CPU µs/request | RSS MB |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
-    for connections in map(int, told.connections.split(",")):
-        runs = [measure(connections, told.seconds, told.pause_ms / 1000, told.memory_mb) for _ in range(told.runs)]
+    for connections in map(int, options.connections.split(",")):
+        clients = ClientOptions(connections, options.seconds, options.pause_ms / 1000)
+        runs = [measure(clients, options.memory_mb) for _ in range(options.runs)]
         rows += runs
-        middle = {name: statistics.median(run[name] for run in runs) for name in runs[0]}
+        median = {name: statistics.median(run[name] for run in runs) for name in runs[0]}
         served = [run["served_per_s"] for run in runs]
         print(
-            f"| {connections} | {middle['served_per_s']:,.0f} ({min(served):,.0f} to {max(served):,.0f}) | "
-            f"{middle['refused']:,.0f} | {middle['other']:,.0f} | {middle['p50_ms']:.2f} | {middle['p99_ms']:.1f} | "
-            f"{middle['cpu_us']:.0f} | {max(run['rss_mb'] for run in runs):.1f} |",
+            f"| {connections} | {median['served_per_s']:,.0f} ({min(served):,.0f} to {max(served):,.0f}) | "
+            f"{median['refused']:,.0f} | {median['other']:,.0f} | {median['p50_ms']:.2f} | {median['p99_ms']:.1f} | "
+            f"{median['cpu_us']:.0f} | {max(run['rss_mb'] for run in runs):.1f} |",
             flush=True,
         )
-    if told.json:
-        told.json.write_text(json.dumps(rows, indent=1))
+    if options.json:
+        options.json.write_text(json.dumps(rows, indent=1))
 
 
 if __name__ == "__main__":
