--- a/lugtally/cli/rehearse.py
+++ b/lugtally/cli/rehearse.py
@@ -155,7 +155,7 @@
         f"the list {schedule.propagation_s:.1f} s late"
     )
     for event in schedule.events:
-        names = ", ".join(schedule.machines[place].name for place in event.places[:6])
+        names = ", ".join(schedule.machines[index].name for index in event.server_indices[:6])
         print(f"{event.at:7.2f} s  {'begin' if event.begins else 'end  '} {event.fault.kind:14} {names}")
     return 0
 
--- a/lugtally/testbed/emulator/fault_script.py
+++ b/lugtally/testbed/emulator/fault_script.py
@@ -53,8 +53,8 @@
         if kind in self._discovery_actions:
             self._discovery_actions[kind](event)
             return
-        for place in event.places:
-            self._server_actions[kind](self._fleet.servers[place], event)
+        for server_index in event.server_indices:
+            self._server_actions[kind](self._fleet.servers[server_index], event)
 
     def _call_later(self, delay: float, callback: Callable[..., None], argument: object) -> None:
         asyncio.get_running_loop().call_later(delay, callback, argument)
--- a/lugtally/testbed/emulator/fleet.py
+++ b/lugtally/testbed/emulator/fleet.py
@@ -20,16 +20,18 @@
 
 
 class EmulatedFleet:
-    """The servers by place, their life cycle, and what the endpoint list says of them."""
+    """The servers by index, their life cycle, and what the endpoint list says of them."""
 
     def __init__(self, specification: ProcessSpecification) -> None:
         self.schedule: Schedule = make_schedule(specification.scenario, specification.seed)
         self._specification = specification
+        self._run_digits = run_digits(specification.seed)
         self._event_log = EventLogWriter(Path(specification.event_log_path))
         self._timer_lag = TimerLag("stand-ins")
         self._context = self._build_context()
         self.servers = {
-            place: EmulatedServer(self._context, machine, place) for place, machine in enumerate(self.schedule.machines)
+            server_index: EmulatedServer(self._context, machine, server_index)
+            for server_index, machine in enumerate(self.schedule.machines)
         }
         self._restarted_ms: dict[str, int] = {}  # by server name
         self.discovery = self._build_discovery()
@@ -83,10 +85,10 @@
             self.announce(server, REMOVED)
 
     def replace(self, server: EmulatedServer) -> None:
-        """Start another machine at the place and address of a server, under a new name."""
+        """Start another machine at the index and address of a server, under a new name."""
         specification = self._specification
-        machine = draw_machine(specification.scenario, specification.seed, server.place, f"{server.name}x")
-        self.servers[server.place] = successor = EmulatedServer(self._context, machine, server.place)
+        machine = draw_machine(specification.scenario, specification.seed, server.server_index, f"{server.name}x")
+        self.servers[server.server_index] = successor = EmulatedServer(self._context, machine, server.server_index)
         self.boot(successor)
 
     def announce(self, server: EmulatedServer, state: str, *, silent: bool = False) -> None:
@@ -95,7 +97,7 @@
         asyncio.get_running_loop().call_later(delay, self.discovery.update, self._entry(server, state))
 
     def _first_servers(self) -> list[EmulatedServer]:
-        return [self.servers[place] for place in range(self._specification.scenario.fleet.servers)]
+        return [self.servers[server_index] for server_index in range(self._specification.scenario.fleet.servers)]
 
     def _entry(self, server: EmulatedServer, state: str) -> EndpointEntry:
         cell = self._specification.scenario.fleet.zones.index(server.zone)
@@ -103,12 +105,12 @@
 
     def _address_of(self, name: str, sidecar: int) -> str:
         """Where a sidecar finds a server."""
-        # One that was replaced has no place any more: its entry removes it, and the address no longer matters.
-        place = next((place for place, server in self.servers.items() if server.name == name), 0)
-        return f"{loopback.server_host(self._specification.loopback_block, place, sidecar)}:{loopback.PORT}"
+        # One that was replaced has no index any more: its entry removes it, and the address no longer matters.
+        server_index = next((server_index for server_index, server in self.servers.items() if server.name == name), 0)
+        return f"{loopback.server_host(self._specification.loopback_block, server_index, sidecar)}:{loopback.PORT}"
 
     def _work_of(self, request_id: str) -> float | None:
-        serial = serial_of(request_id, run_digits(self._specification.seed))
+        serial = serial_of(request_id, self._run_digits)
         try:
             return None if serial is None else self.schedule.arrivals[serial].work
         except IndexError:
--- a/lugtally/testbed/emulator/loopback.py
+++ b/lugtally/testbed/emulator/loopback.py
@@ -44,10 +44,10 @@
     return (FIRST_BLOCK + (start + turn) % BLOCKS for turn in range(BLOCKS))
 
 
-def server_host(block: int, place: int, sidecar: int) -> str:
-    """The host at which a sidecar reaches the server of that place."""
-    assert place < MAX_SERVERS and sidecar < MAX_SIDECARS, "a block holds 240 servers and 254 sidecars"
-    return f"127.{block}.{place + 1}.{sidecar + 1}"
+def server_host(block: int, server_index: int, sidecar: int) -> str:
+    """The host at which a sidecar reaches the server of that index."""
+    assert server_index < MAX_SERVERS and sidecar < MAX_SIDECARS, "a block holds 240 servers and 254 sidecars"
+    return f"127.{block}.{server_index + 1}.{sidecar + 1}"
 
 
 def discovery_host(block: int, sidecar: int) -> str:
--- a/lugtally/testbed/emulator/server.py
+++ b/lugtally/testbed/emulator/server.py
@@ -37,11 +37,11 @@
 class EmulatedServer:
     """A server: a model, the listeners and connections in front of it, and its faults."""
 
-    def __init__(self, context: FleetContext, machine: Machine, place: int) -> None:
+    def __init__(self, context: FleetContext, machine: Machine, server_index: int) -> None:
         self.context = context
         self.name = machine.name
         self.zone = machine.zone
-        self.place = place
+        self.server_index = server_index
         self.faults = EndpointFaults()
         self.running = False
         self.model = ServerModel(machine.traits, context.clock())
@@ -53,7 +53,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = inf
         hosts = [
-            loopback.server_host(context.loopback_block, place, sidecar)
+            loopback.server_host(context.loopback_block, server_index, sidecar)
             for sidecar in range(len(context.sidecar_zones))
         ]
         self._listeners = ServerListeners(hosts, self._accept)
--- a/lugtally/testbed/experiments/sidecar_configuration.py
+++ b/lugtally/testbed/experiments/sidecar_configuration.py
@@ -39,7 +39,7 @@
     return [
         {
             "id": machine.name,
-            "addr": f"{loopback.server_host(block, place, sidecar)}:{loopback.PORT}",
+            "addr": f"{loopback.server_host(block, server_index, sidecar)}:{loopback.PORT}",
             "zone": machine.zone,
             "kind": KIND,
             "cell": fleet.zones.index(machine.zone),
@@ -47,7 +47,7 @@
             "weight": 1.0,
             "started_ms": 0,
         }
-        for place, machine in enumerate(schedule.machines[: fleet.servers])
+        for server_index, machine in enumerate(schedule.machines[: fleet.servers])
     ]
 
 
--- a/lugtally/testbed/reporting/report.py
+++ b/lugtally/testbed/reporting/report.py
@@ -215,7 +215,9 @@
             event.fault.kind,
             event.at,
             _end_of(event, schedule.events),
-            [schedule.machines[place].name for place in event.places] if len(event.places) < all_servers else [],
+            [schedule.machines[server_index].name for server_index in event.server_indices]
+            if len(event.server_indices) < all_servers
+            else [],
         )
         for event in schedule.events
         if event.begins
@@ -231,7 +233,7 @@
             if not event.begins
             and event.fault is begin.fault
             and event.at >= begin.at
-            and set(event.places) == set(begin.places)
+            and set(event.server_indices) == set(begin.server_indices)
         ),
         None,
     )
--- a/lugtally/testbed/scenario/fault_events.py
+++ b/lugtally/testbed/scenario/fault_events.py
@@ -5,49 +5,53 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import numpy as np
+
 from lugtally.testbed.scenario.random_streams import between, stream
 from lugtally.testbed.scenario.scenario import Fault, Scenario
 
 
 @dataclass(frozen=True, slots=True)
 class FaultEvent:
-    """A fault begins or ends at ``at`` seconds, for the servers of these places."""
+    """A fault begins or ends at ``at`` seconds, for the servers of these indices."""
 
     at: float
     begins: bool
     fault: Fault
-    places: tuple[int, ...]
+    server_indices: tuple[int, ...]
 
 
 def draw_fault_events(scenario: Scenario, seed: int, zones: tuple[str, ...]) -> tuple[FaultEvent, ...]:
-    """Draw all events in order of time; ``zones`` are the servers' by place."""
+    """Draw all events in order of time; ``zones`` are the servers' by index."""
     events: list[FaultEvent] = []
-    for index, (fault, places) in enumerate(_choose_places(scenario, seed, zones)):
+    for index, (fault, server_indices) in enumerate(_choose_servers(scenario, seed, zones)):
         if not fault.every_s:
-            events += _begin_and_end(seed, index, fault, fault.at_s, places)
+            events += _begin_and_end(seed, index, fault, fault.at_s, server_indices)
             continue
-        for turn, place in enumerate(places):
-            events += _begin_and_end(seed, index, fault, fault.at_s + turn * fault.every_s, (place,))
+        for turn, server_index in enumerate(server_indices):
+            events += _begin_and_end(seed, index, fault, fault.at_s + turn * fault.every_s, (server_index,))
     return tuple(sorted(events, key=lambda event: event.at))
 
 
-def _choose_places(scenario: Scenario, seed: int, zones: tuple[str, ...]) -> Iterator[tuple[Fault, tuple[int, ...]]]:
+def _choose_servers(scenario: Scenario, seed: int, zones: tuple[str, ...]) -> Iterator[tuple[Fault, tuple[int, ...]]]:
     chosen: list[tuple[int, ...]] = []
-    next_place = scenario.fleet.servers  # of a server that joins
+    next_index = scenario.fleet.servers  # of a server that joins
     for index, fault in enumerate(scenario.faults):
         if fault.kind == "join":
-            places = tuple(range(next_place, next_place + (fault.servers or 1)))
-            next_place = places[-1] + 1
+            server_indices = tuple(range(next_index, next_index + (fault.servers or 1)))
+            next_index = server_indices[-1] + 1
         elif fault.same_as is not None:
-            places = chosen[fault.same_as]
+            server_indices = chosen[fault.same_as]
         else:
-            places = _draw_places(scenario, seed, index, fault, zones)
-        chosen.append(places)
-        yield fault, places
+            server_indices = _draw_servers(scenario, seed, index, fault, zones)
+        chosen.append(server_indices)
+        yield fault, server_indices
 
 
-def _draw_places(scenario: Scenario, seed: int, index: int, fault: Fault, zones: tuple[str, ...]) -> tuple[int, ...]:
-    eligible = [place for place in range(scenario.fleet.servers) if fault.zone in (None, zones[place])]
+def _draw_servers(scenario: Scenario, seed: int, index: int, fault: Fault, zones: tuple[str, ...]) -> tuple[int, ...]:
+    eligible = [
+        server_index for server_index in range(scenario.fleet.servers) if fault.zone in (None, zones[server_index])
+    ]
     if fault.server_share is None and fault.servers is None:
         return tuple(eligible)
     count = fault.servers
@@ -57,25 +61,33 @@
     return tuple(sorted(eligible[int(position)] for position in order[:count]))
 
 
-def _begin_and_end(seed: int, index: int, fault: Fault, start: float, places: tuple[int, ...]) -> list[FaultEvent]:
+def _begin_and_end(
+    seed: int, index: int, fault: Fault, start: float, server_indices: tuple[int, ...]
+) -> list[FaultEvent]:
+    begin = FaultEvent(start, True, fault, server_indices)
     if fault.for_s is None:
-        return [FaultEvent(start, True, fault, places)]
+        return [begin]
+    end = FaultEvent(start + fault.for_s, False, fault, server_indices)
     if fault.on_off_s is None:
-        return [FaultEvent(start, True, fault, places), FaultEvent(start + fault.for_s, False, fault, places)]
+        return [begin, end]
     events: list[FaultEvent] = []
-    for place in places:
-        events += _alternate(seed, index, fault, start, start + fault.for_s, place, fault.on_off_s)
+    for server_index in server_indices:
+        random = stream(seed, "on-off", index, server_index)
+        events += _alternate(random, fault.on_off_s, begin, end, (server_index,))
     return events
 
 
 def _alternate(
-    seed: int, index: int, fault: Fault, start: float, end: float, place: int, on_off_s: tuple[float, float]
+    random: np.random.Generator,
+    on_off_s: tuple[float, float],
+    begin: FaultEvent,
+    end: FaultEvent,
+    server_indices: tuple[int, ...],
 ) -> Iterator[FaultEvent]:
-    """One server goes on and off by itself."""
-    random = stream(seed, "on-off", index, place)
-    now, begins = start, True
-    while now < end:
-        yield FaultEvent(now, begins, fault, (place,))
-        now += between(random, on_off_s)
+    """One server goes on and off by itself, between the begin and the end of the fault."""
+    at, begins = begin.at, True
+    while at < end.at:
+        yield FaultEvent(at, begins, begin.fault, server_indices)
+        at += between(random, on_off_s)
         begins = not begins
-    yield FaultEvent(end, False, fault, (place,))
+    yield FaultEvent(end.at, False, begin.fault, server_indices)
--- a/lugtally/testbed/scenario/schedule.py
+++ b/lugtally/testbed/scenario/schedule.py
@@ -67,10 +67,10 @@
     )
 
 
-def draw_machine(scenario: Scenario, seed: int, place: int, name: str = "") -> Machine:
-    """Draw the server of that place; a replacement at the same place is drawn under its own name."""
+def draw_machine(scenario: Scenario, seed: int, server_index: int, name: str = "") -> Machine:
+    """Draw the server of that index; a replacement at the same index is drawn under its own name."""
     fleet, network = scenario.fleet, scenario.network
-    name = name or f"s-{place:03d}"
+    name = name or f"s-{server_index:03d}"
     random = stream(seed, "server", name)
     speed = between(stream(seed, "speed"), fleet.speed)
     sigma = sqrt(log(1 + fleet.speed_cv**2))
@@ -97,19 +97,19 @@
         handshake_work=between(random, network.handshake_ms) / 1000,
         drops_expired=fleet.drops_expired,
     )
-    return Machine(name, _zone(scenario, place), traits)
+    return Machine(name, _zone(scenario, server_index), traits)
 
 
-def _zone(scenario: Scenario, place: int) -> str:
-    """The zone of a place: spread by place, so that one more server moves none of the others."""
+def _zone(scenario: Scenario, server_index: int) -> str:
+    """The zone of a server: spread by index, so that one more server moves none of the others."""
     fleet = scenario.fleet
-    is_first = (place + 0.5) * fleet.zone_skew % 1 < fleet.zone_skew or len(fleet.zones) == 1
-    return fleet.zones[0] if is_first else fleet.zones[1 + place % (len(fleet.zones) - 1)]
+    is_first = (server_index + 0.5) * fleet.zone_skew % 1 < fleet.zone_skew or len(fleet.zones) == 1
+    return fleet.zones[0] if is_first else fleet.zones[1 + server_index % (len(fleet.zones) - 1)]
 
 
 def _draw_machines(scenario: Scenario, seed: int) -> tuple[Machine, ...]:
     joining = sum(fault.servers or 1 for fault in scenario.faults if fault.kind == "join")
-    return tuple(draw_machine(scenario, seed, place) for place in range(scenario.fleet.servers + joining))
+    return tuple(draw_machine(scenario, seed, server_index) for server_index in range(scenario.fleet.servers + joining))
 
 
 def _rate(scenario: Scenario, machines: tuple[Machine, ...], mean_work: tuple[float, ...]) -> float:
