--- a/benchmarks/gates.py
+++ b/benchmarks/gates.py
@@ -122,9 +122,8 @@
     def update(self, now: float, mean_delay: float, min_delay: float) -> None:
         delay = min(mean_delay, self._last_mean)
         self._last_mean = mean_delay
-        growth = delay - self._last_delay
-        if delay < TARGET_DELAY_S:
-            growth = min(0.0, growth)
+        change_of_delay = delay - self._last_delay
+        growth = change_of_delay if delay >= TARGET_DELAY_S else min(0.0, change_of_delay)
         change = self.alpha * (delay - TARGET_DELAY_S) + self.beta * growth
         scale = 0.25 if self.shed_fraction < 0.01 else 0.5 if self.shed_fraction < 0.1 else 1.0
         self.shed_fraction = min(MAX_SHED_FRACTION, max(0.0, self.shed_fraction + min(0.1, scale * change)))
@@ -156,14 +155,8 @@
         self.shed_fraction = 1 - min(1.0, max(MIN_ADMITTED, 0.7 * admitted + 0.3 * wanted))
 
 
-CONTROLLERS: tuple[Callable[[], AdmissionController], ...] = (
-    AdmissionController,
-    DeadlineOnly,
-    StandingDelay,
-    Pie,
-    Aimd,
-    Gradient,
-)
+MakeController = Callable[[], AdmissionController]
+CONTROLLERS: list[MakeController] = [AdmissionController, DeadlineOnly, StandingDelay, Pie, Aimd, Gradient]
 
 
 @dataclass(frozen=True)
@@ -320,8 +313,7 @@
             return
         wait = self._retry_wait()
         if wait < time_left:
-            retry = item._replace(ready_at=self._now + wait, retries=item.retries + 1)
-            heapq.heappush(self._ready, retry)
+            heapq.heappush(self._ready, item._replace(ready_at=self._now + wait, retries=item.retries + 1))
 
     def _retry_wait(self) -> float:
         if self._workload.clients is Clients.IMMEDIATE:
@@ -374,7 +366,7 @@
     return best
 
 
-def simulate(make: Callable[[], AdmissionController], workload: Workload) -> Result:
+def simulate(make: MakeController, workload: Workload) -> Result:
     """Play a workload with a new controller."""
     return Simulation(make(), workload).run()
 
