--- /dev/null
+++ b/lugtally/testbed/scenario/fault_events.py
@@ -0,0 +1,93 @@
+"""Events of a run's faults: when each begins and ends, and for which servers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import numpy as np
+
+from lugtally.testbed.scenario.random_streams import between, stream
+from lugtally.testbed.scenario.scenario import Fault, Scenario
+
+
+@dataclass(frozen=True, slots=True)
+class FaultEvent:
+    """A fault begins or ends at ``at`` seconds, for the servers of these indices."""
+
+    at: float
+    begins: bool
+    fault: Fault
+    server_indices: tuple[int, ...]
+
+
+def draw_fault_events(scenario: Scenario, seed: int, zones: tuple[str, ...]) -> tuple[FaultEvent, ...]:
+    """Draw all events in order of time; ``zones`` are the servers' by index."""
+    events: list[FaultEvent] = []
+    for index, (fault, server_indices) in enumerate(_choose_servers(scenario, seed, zones)):
+        if not fault.every_s:
+            events += _begin_and_end(seed, index, fault, fault.at_s, server_indices)
+            continue
+        for turn, server_index in enumerate(server_indices):
+            events += _begin_and_end(seed, index, fault, fault.at_s + turn * fault.every_s, (server_index,))
+    return tuple(sorted(events, key=lambda event: event.at))
+
+
+def _choose_servers(scenario: Scenario, seed: int, zones: tuple[str, ...]) -> Iterator[tuple[Fault, tuple[int, ...]]]:
+    chosen: list[tuple[int, ...]] = []
+    next_index = scenario.fleet.servers  # of a server that joins
+    for index, fault in enumerate(scenario.faults):
+        if fault.kind == "join":
+            server_indices = tuple(range(next_index, next_index + (fault.servers or 1)))
+            next_index = server_indices[-1] + 1
+        elif fault.same_as is not None:
+            server_indices = chosen[fault.same_as]
+        else:
+            server_indices = _draw_servers(scenario, seed, index, fault, zones)
+        chosen.append(server_indices)
+        yield fault, server_indices
+
+
+def _draw_servers(scenario: Scenario, seed: int, index: int, fault: Fault, zones: tuple[str, ...]) -> tuple[int, ...]:
+    eligible = [
+        server_index for server_index in range(scenario.fleet.servers) if fault.zone in (None, zones[server_index])
+    ]
+    if fault.server_share is None and fault.servers is None:
+        return tuple(eligible)
+    count = fault.servers
+    if count is None:
+        count = max(1, round((fault.server_share or 0) * len(eligible)))
+    order = stream(seed, "trouble", index).permutation(len(eligible))
+    return tuple(sorted(eligible[int(position)] for position in order[:count]))
+
+
+def _begin_and_end(
+    seed: int, index: int, fault: Fault, start: float, server_indices: tuple[int, ...]
+) -> list[FaultEvent]:
+    begin = FaultEvent(start, True, fault, server_indices)
+    if fault.for_s is None:
+        return [begin]
+    end = FaultEvent(start + fault.for_s, False, fault, server_indices)
+    if fault.on_off_s is None:
+        return [begin, end]
+    events: list[FaultEvent] = []
+    for server_index in server_indices:
+        random = stream(seed, "on-off", index, server_index)
+        events += _alternate(random, fault.on_off_s, begin, end, (server_index,))
+    return events
+
+
+def _alternate(
+    random: np.random.Generator,
+    on_off_s: tuple[float, float],
+    begin: FaultEvent,
+    end: FaultEvent,
+    server_indices: tuple[int, ...],
+) -> Iterator[FaultEvent]:
+    """One server goes on and off by itself, between the begin and the end of the fault."""
+    at, begins = begin.at, True
+    while at < end.at:
+        yield FaultEvent(at, begins, begin.fault, server_indices)
+        at += between(random, on_off_s)
+        begins = not begins
+    yield FaultEvent(end.at, False, begin.fault, server_indices)
--- a/tests/testbed/test_load.py
+++ b/tests/testbed/test_load.py
@@ -12,12 +12,12 @@
 import pytest
 
 from lugtally.testbed.emulator import loopback
-from lugtally.testbed.emulator.fleet import Specification
-from lugtally.testbed.emulator.server import answer_body
-from lugtally.testbed.loadgen.generator import Link
+from lugtally.testbed.emulator.response_body import build_body
+from lugtally.testbed.loadgen.connection import ClientConnection, ResponseHandlers
 from lugtally.testbed.reporting import report
-from lugtally.testbed.scenario import scenario, schedule
-from lugtally.testbed.verification import event_log, verifier
+from lugtally.testbed.scenario import scenario, scenario_file, schedule
+from lugtally.testbed.scenario.specification import ProcessSpecification
+from lugtally.testbed.verification import event_log, records, verifier
 from tests.testbed.offender import _answer, _read
 
 STALL_AT, STALL_S = 1.5, 1.0
@@ -59,9 +59,9 @@
             now = time.monotonic() - base - start
             if STALL_AT <= now < STALL_AT + STALL_S:
                 await asyncio.sleep(STALL_AT + STALL_S - now)
-            writer.write(_answer(200, answer_body(seed, headers["x-correlation-id"], "s-000")))
+            writer.write(_answer(200, build_body(seed, headers["x-correlation-id"], "s-000")))
 
-    server = await asyncio.start_server(serve, loopback.front(block, 0), loopback.PORT)
+    server = await asyncio.start_server(serve, loopback.sidecar_host(block, 0), loopback.PORT)
     assert child.stdin is not None and child.stdout is not None
     assert child.stdout.readline() == b"ready\n"
     start = time.monotonic() - base + 0.3
@@ -72,9 +72,9 @@
 
 
 def test_a_stall_of_a_second_shows_in_full(tmp_path: Path) -> None:
-    told, block = scenario.decode(DAY, "stall.toml"), loopback.Block()
+    day, block = scenario_file.decode(DAY, "stall.toml"), loopback.LoopbackBlock()
     base = time.monotonic()
-    spec = Specification(told, 5, block.number, base, str(tmp_path / "load.jsonl"))
+    spec = ProcessSpecification(day, 5, block.number, base, str(tmp_path / "load.jsonl"))
     (tmp_path / "spec.json").write_bytes(msgspec.json.encode(spec))
     child = subprocess.Popen(
         [sys.executable, "-B", "-m", "lugtally.testbed.loadgen.generator", str(tmp_path / "spec.json")],
@@ -88,12 +88,12 @@
         child.kill()
         child.wait()
         block.close()
-    books = verifier.sort(event_log.read([tmp_path / "load.jsonl"]))
-    drawn = schedule.make(told, 5)
-    assert len(books.tries) == len(drawn.arrivals), "every arrival was sent, whatever the answers did"
-    (latency,) = report._latencies(drawn, books)
+    log = event_log.EventLog(event_log.read_records([tmp_path / "load.jsonl"]))
+    drawn = schedule.make_schedule(day, 5)
+    assert len(log.client_attempts) == len(drawn.arrivals), "every arrival was sent, whatever the answers did"
+    (latency,) = report.measure_latencies(drawn, log)
     # A fifth of the run stalls: those sent then wait evenly between nothing and a second.
-    slow = [t.ended - t.intended for t in books.tries if t.ended - t.intended > STALL_S / 2]
+    slow = [t.ended_at - t.intended_at for t in log.client_attempts if t.ended_at - t.intended_at > STALL_S / 2]
     due = sum(STALL_AT <= a.at < STALL_AT + STALL_S / 2 for a in drawn.arrivals)
     assert len(slow) == pytest.approx(due, abs=4)
     assert latency.percentiles["100"] == pytest.approx(1000 * STALL_S, abs=60)
@@ -103,27 +103,27 @@
 @pytest.mark.parametrize(
     ("late", "word"),
     [
-        (event_log.Late("load", 9, 1.0, 20.0, 1.0), "passed"),
-        (event_log.Late("load", 9, 15.1, 20.0, 1.0), "void"),
-        (event_log.Late("load", 9, 1.0, 251.0, 1.0), "void"),
+        (records.TimerLagReport("load", 9, 1.0, 20.0, 1.0), "passed"),
+        (records.TimerLagReport("load", 9, 15.1, 20.0, 1.0), "void"),
+        (records.TimerLagReport("load", 9, 1.0, 251.0, 1.0), "void"),
     ],
 )
-def test_a_late_kit_makes_a_run_void(late: event_log.Late, word: str) -> None:
-    drawn = schedule.make(scenario.load("quiet"), 1)
-    books = verifier.sort([late, event_log.Late("stand-ins", 9, 1.0, 2.0, 1.0)])
-    assert report.verdict(verifier.judge(books, drawn, 0.0), scenario.Expect())[0] == word
+def test_a_late_kit_makes_a_run_void(late: records.TimerLagReport, word: str) -> None:
+    drawn = schedule.make_schedule(scenario_file.load("quiet"), 1)
+    log = event_log.EventLog([late, records.TimerLagReport("stand-ins", 9, 1.0, 2.0, 1.0)])
+    assert report.judge_run(verifier.verify(log, drawn, 0.0), scenario.Expect())[0] == word
 
 
-def test_a_book_that_breaks_off_makes_a_run_void_and_is_read_up_to_there(tmp_path: Path) -> None:
-    book = event_log.Book(tmp_path / "a.jsonl")
+def test_an_event_log_that_breaks_off_makes_a_run_void_and_is_read_up_to_there(tmp_path: Path) -> None:
+    writer = event_log.EventLogWriter(tmp_path / "a.jsonl")
     for n in range(3):
-        book.write(event_log.Probe(float(n), "s-000", 0))
-    book.close()
+        writer.write(records.HealthCheck(float(n), "s-000", 0))
+    writer.close()
     whole = (tmp_path / "a.jsonl").read_bytes()
     (tmp_path / "a.jsonl").write_bytes(whole[:-5])
-    assert len(event_log.read([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
-    found = verifier.judge(verifier.sort([]), schedule.make(scenario.load("quiet"), 1), 0.0)
-    assert report.verdict(found, scenario.Expect())[0] == "void"
+    assert len(event_log.read_records([tmp_path / "a.jsonl", tmp_path / "none.jsonl"])) == 2
+    found = verifier.verify(event_log.EventLog([]), schedule.make_schedule(scenario_file.load("quiet"), 1), 0.0)
+    assert report.judge_run(found, scenario.Expect())[0] == "void"
 
 
 class _Transport(asyncio.Transport):
@@ -145,23 +145,25 @@
     """One request on a link, and all that the link says of it."""
 
     def __init__(self, name: str) -> None:
-        self.body = answer_body(5, name, "s-000")
+        self.body = build_body(5, name, "s-000")
         self.bytes = _answer(200, self.body)
         self.events: list[tuple[str, bytes]] = []
 
-    def send(self, link: Link) -> None:
+    def send(self, link: ClientConnection) -> None:
         link.send(
             b"GET / HTTP/1.1\r\n\r\n",
-            lambda status, body, advice: self.events.append(("answer", body)),
-            lambda begun: self.events.append(("broke", b"begun" if begun else b"")),
-            lambda: self.events.append(("extra", b"")),
-            lambda body: body == self.body,
+            ResponseHandlers(
+                lambda status, body, retry_after_s: self.events.append(("answer", body)),
+                lambda received: self.events.append(("broke", b"begun" if received else b"")),
+                lambda: self.events.append(("extra", b"")),
+                lambda body: body == self.body,
+            ),
         )
 
 
 @pytest.mark.parametrize("pieces", [1, 2, 150], ids=["at once", "in two", "byte by byte"])
 def test_a_second_answer_that_crosses_the_next_request_is_the_first_ones(pieces: int) -> None:
-    link, transport, first, second = Link(lambda _: None), _Transport(), _Heard("a"), _Heard("b")
+    link, transport, first, second = ClientConnection(lambda _: None), _Transport(), _Heard("a"), _Heard("b")
     link.connection_made(transport)
     first.send(link)
     link.data_received(first.bytes)
@@ -172,11 +174,11 @@
         link.data_received(data[at : at + size])
     assert first.events == [("answer", first.body), ("extra", b"")]
     assert second.events == [("answer", second.body)], "the first one's copy is no answer to it"
-    assert not link.keep, "a connection on which too much came is not used again"
+    assert not link.is_reusable, "a connection on which too much came is not used again"
 
 
-def test_a_foreign_body_is_told_to_the_request_that_is_out() -> None:
-    link, first, second, forged = Link(lambda _: None), _Heard("a"), _Heard("b"), _Heard("c")
+def test_a_foreign_body_is_reported_to_the_request_in_flight() -> None:
+    link, first, second, forged = ClientConnection(lambda _: None), _Heard("a"), _Heard("b"), _Heard("c")
     link.connection_made(_Transport())
     first.send(link)
     link.data_received(first.bytes)
@@ -187,7 +189,7 @@
 
 
 def test_a_connection_that_ends_behind_a_second_answer_left_the_next_request_without_a_byte() -> None:
-    link, first, second = Link(lambda _: None), _Heard("a"), _Heard("b")
+    link, first, second = ClientConnection(lambda _: None), _Heard("a"), _Heard("b")
     link.connection_made(_Transport())
     first.send(link)
     link.data_received(first.bytes)
--- a/tests/testbed/test_runs.py
+++ b/tests/testbed/test_runs.py
@@ -14,11 +14,11 @@
 from click.testing import CliRunner
 
 from lugtally.cli.root import root
-from lugtally.testbed.experiments import experiment, runner
-from lugtally.testbed.reporting import compare, report
-from lugtally.testbed.reporting.report import PASSED, VOID, Report
-from lugtally.testbed.scenario import scenario
-from lugtally.testbed.verification import event_log
+from lugtally.testbed.experiments import experiment, matrix, runner
+from lugtally.testbed.reporting import compare, report, report_file
+from lugtally.testbed.reporting.report import Report, Verdict
+from lugtally.testbed.scenario import scenario, scenario_file
+from lugtally.testbed.verification import event_log, records
 from tests.integration.player import ROOT
 
 DRAIN = """
@@ -44,29 +44,31 @@
 """
 
 
-def played(told: scenario.Scenario, seed: int, folder: Path | None = None, policy: str = runner.MODULE) -> Report:
+def played(day: scenario.Scenario, seed: int, folder: Path | None = None, policy: str = runner.MODULE) -> Report:
     """A run that says something: a busy machine is asked again."""
     for _ in range(3):
-        result = runner.Run(told, seed, folder=folder, policy=policy).play()
-        if result.verdict != VOID:
+        result = runner.Run(day, seed, folder=folder, policy=policy).play()
+        if result.verdict != Verdict.VOID:
             break
     return result
 
 
 def test_a_server_that_falls_silent_in_its_drain_gets_nothing_new_and_all_are_answered(tmp_path: Path) -> None:
-    told = scenario.decode(DRAIN, "drain.toml")
-    result = played(told, 3, tmp_path)
-    assert result.verdict == PASSED, result.reasons
-    records = event_log.read([tmp_path / "world.jsonl", tmp_path / "load.jsonl"])
-    changes = [r for r in records if isinstance(r, event_log.Change) and r.state == "draining"]
+    day = scenario_file.decode(DRAIN, "drain.toml")
+    result = played(day, 3, tmp_path)
+    assert result.verdict == Verdict.PASSED, result.reasons
+    recorded = event_log.read_records([tmp_path / "world.jsonl", tmp_path / "load.jsonl"])
+    changes = [r for r in recorded if isinstance(r, records.EndpointChanged) and r.state == "draining"]
     server, when = changes[0].server, changes[0].at
-    sent = [r.last for r in records if isinstance(r, event_log.Attempt) and r.server == server]
+    sent = [r.last_byte_at for r in recorded if isinstance(r, records.ServerAttempt) and r.server == server]
     assert sent and max(sent) < when + 1.55, "the drain was not noticed"
     assert any(
-        r.outcome in ("gone", "unanswered") for r in records if isinstance(r, event_log.Attempt) and r.server == server
+        r.outcome in ("gone", "unanswered")
+        for r in recorded
+        if isinstance(r, records.ServerAttempt) and r.server == server
     ), "nobody met the silent server"
-    tries = [r for r in records if isinstance(r, event_log.Try)]
-    assert len(tries) > 200 and all(t.ending in ("served", "refused", "failed", "left") for t in tries)
+    tries = [r for r in recorded if isinstance(r, records.ClientAttempt)]
+    assert len(tries) > 200 and all(t.outcome in ("served", "refused", "failed", "left") for t in tries)
 
 
 def test_the_short_day_passes_and_its_reports_can_be_read(tmp_path: Path) -> None:
@@ -79,10 +81,10 @@
             text=True,
             timeout=120,
         )
-        if done.returncode != report.EXIT[VOID]:
+        if done.returncode != report.EXIT_STATUS[Verdict.VOID]:
             break
     assert done.returncode == 0 and done.stdout.startswith("PASSED"), done.stdout + done.stderr
-    (result,) = report.load(file)
+    (result,) = report_file.load(file)
     assert result.findings.service > 0.8 and result.latencies[0].count > 100
     page = html.read_text()
     assert page.count("<svg") == 4 and "PASSED" in page and "http://" not in page.replace("http://www.w3.org", "")
@@ -111,9 +113,9 @@
         stderr=subprocess.PIPE,
         start_new_session=True,
     )
-    book = tmp_path / "kept" / "quiet.module.1" / "world.jsonl"
+    event_log_path = tmp_path / "kept" / "quiet.module.1" / "world.jsonl"
     until = time.monotonic() + 30
-    while time.monotonic() < until and not (book.exists() and book.stat().st_size > 20_000):
+    while time.monotonic() < until and not (event_log_path.exists() and event_log_path.stat().st_size > 20_000):
         time.sleep(0.05)
     family = psutil.Process(child.pid).children(recursive=True)
     assert len(family) == 6, "two parts of the kit and four sidecars"
@@ -121,37 +123,41 @@
     out, _ = child.communicate(timeout=30)
     assert child.returncode == 130 and out.startswith(b"VOID")
     assert not psutil.wait_procs(family, 2)[1], "a process was left"
-    (result,) = report.load(tmp_path / "a.json")
-    assert result.verdict == VOID and result.reasons[0].startswith(report.INTERRUPTED) and result.findings.attempts
+    (result,) = report_file.load(tmp_path / "a.json")
+    assert (
+        result.verdict == Verdict.VOID
+        and result.reasons[0].startswith(report.INTERRUPTED)
+        and result.findings.server_attempts
+    )
 
 
 def _moved(one: Report, seed: int, by: float) -> Report:
     """The same run under another seed, better by so much."""
     copy = msgspec.convert(msgspec.to_builtins(one), Report)
-    copy.seed, copy.verdict = seed, PASSED
+    copy.seed, copy.verdict = seed, Verdict.PASSED
     copy.findings.service += by
     return copy
 
 
 def test_comparisons_are_paired_and_say_where_no_difference_is_seen(tmp_path: Path) -> None:
-    told = scenario.decode(DRAIN.replace("length_s = 6", "length_s = 2.5"), "drain.toml")
-    one = played(told, 1)
+    day = scenario_file.decode(DRAIN.replace("length_s = 6", "length_s = 2.5"), "drain.toml")
+    one = played(day, 1)
     spread = (-0.04, 0.03, -0.02, 0.04, -0.01, 0.02)
     a = [_moved(one, n, s) for n, s in enumerate(spread)]
-    assert compare.compare(a[:3], a[:3])[0].word.startswith("no difference seen: 3 pairs")
+    assert compare.compare(a[:3], a[:3])[0].finding.startswith("no difference seen: 3 pairs")
     noisy = [_moved(one, n, -s) for n, s in enumerate(spread)]
-    assert compare.compare(a, noisy)[0].word == "no difference seen"
+    assert compare.compare(a, noisy)[0].finding == "no difference seen"
     better = [_moved(one, n, s + 0.05 + s / 10) for n, s in enumerate(spread)]
     found = compare.compare(a, better)[0]
-    assert found.word == "B is better" and found.low > 0.04 and found.mean == pytest.approx(0.05, abs=0.004)
-    assert compare.compare(better, a)[0].word == "B is worse"
+    assert found.finding == "B is better" and found.low > 0.04 and found.mean == pytest.approx(0.05, abs=0.004)
+    assert compare.compare(better, a)[0].finding == "B is worse"
     void = [_moved(one, n, 0) for n in range(6)]
     for each in void:
-        each.verdict = VOID
+        each.verdict = Verdict.VOID
     with pytest.raises(compare.CompareError):
         compare.compare(a, void)
-    report.save(a, tmp_path / "a.json")
-    report.save(better, tmp_path / "b.json")
+    report_file.save(a, tmp_path / "a.json")
+    report_file.save(better, tmp_path / "b.json")
     result = CliRunner().invoke(
         root, ["rehearse", "compare", str(tmp_path / "a.json"), str(tmp_path / "b.json")], standalone_mode=False
     )
@@ -164,10 +170,10 @@
         f"name = 'try'\nscenarios = ['{tmp_path}/day.toml']\nseeds = [1]\npolicies = ['module', 'round-robin+retry']\n"
         "[[settings]]\nname = 'base'\n[[settings]]\nname = 'busy'\nset = {'load.rate_per_s' = 70}\n"
     )
-    told = experiment.read(tmp_path / "try.toml")
-    todo = experiment.cells(told)
+    described = experiment.read(tmp_path / "try.toml")
+    todo = experiment.cells_of(described)
     assert len(todo) == 4
-    first = experiment.play(todo[:3], tmp_path / "out", 3)
+    first = matrix.play_cells(todo[:3], tmp_path / "out", 3)
     stamps = {path: path.stat().st_mtime_ns for path in (tmp_path / "out").glob("*.1.json")}
     assert len(first) == len(stamps) == 3
     result = CliRunner().invoke(
