--- a/benchmarks/gates.py
+++ b/benchmarks/gates.py
@@ -87,6 +87,7 @@
     name = "deadline only"
 
     def is_hopeless(self, age: float, time_left: float) -> bool:
+        """Return whether less time is left than the work alone takes."""
         return time_left - age < SERVICE_S
 
 
@@ -100,6 +101,7 @@
         self._below_target_at, self._increases, self._next_increase_at = 0.0, 0, 0.0
 
     def update(self, now: float, mean_delay: float, min_delay: float) -> None:
+        """Reject more the longer even the lowest delay has been over the target."""
         if min_delay < TARGET_DELAY_S:
             self._below_target_at, self._increases = now, 0
             self.shed_fraction = max(0.0, self.shed_fraction - 0.02)
@@ -120,6 +122,7 @@
         self._last_delay = self._last_mean = 0.0
 
     def update(self, now: float, mean_delay: float, min_delay: float) -> None:
+        """Move the share by the standing delay and its growth."""
         delay = min(mean_delay, self._last_mean)
         self._last_mean = mean_delay
         change_of_delay = delay - self._last_delay
@@ -138,6 +141,7 @@
     name = "AIMD"
 
     def update(self, now: float, mean_delay: float, min_delay: float) -> None:
+        """Step up or scale down by the mean delay."""
         admitted = 1 - self.shed_fraction
         admitted = admitted * 0.85 if mean_delay > TARGET_DELAY_S else admitted + 0.01
         self.shed_fraction = 1 - min(1.0, max(MIN_ADMITTED, admitted))
@@ -149,6 +153,7 @@
     name = "gradient"
 
     def update(self, now: float, mean_delay: float, min_delay: float) -> None:
+        """Follow the ratio of target and mean delay."""
         admitted = 1 - self.shed_fraction
         gradient = min(1.0, max(0.5, TARGET_DELAY_S / max(1e-6, mean_delay)))
         wanted = admitted * gradient + 0.02 * sqrt(admitted)
--- a/lugtally/balancing/rules.py
+++ b/lugtally/balancing/rules.py
@@ -7,7 +7,7 @@
 
 
 def may_retry(state: BalancerState, now: int, request: RequestState, moving: bool = False) -> bool:
-    """Rules 1 and 2, before an endpoint is chosen: may it have another attempt (``moving``: instead)?"""
+    """Rules 1 and 2, before an endpoint is chosen: it may have another attempt (``moving``: instead)."""
     if request.id not in state.requests or request.streaming or now >= request.deadline_ns:
         return False
     if len(request.endpoint_ids) >= state.settings.max_attempts:
--- a/lugtally/balancing/stale_connections.py
+++ b/lugtally/balancing/stale_connections.py
@@ -16,7 +16,7 @@
 def should_close_idle(state: BalancerState, unused_ns: int, is_retry: bool) -> bool:
     """Return whether to close idle connections, so as to send on a fresh one."""
     safe_ns = state.stale.safe_unused_ns
-    return bool(safe_ns and (is_retry or unused_ns > safe_ns and state.rng.random() > TRIAL_SHARE))
+    return bool(safe_ns and (is_retry or (unused_ns > safe_ns and state.rng.random() > TRIAL_SHARE)))
 
 
 def record_silence(state: BalancerState, attempt: InFlightAttempt) -> None:
--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -93,9 +93,10 @@
         print(text.decode().rstrip())
         return 0
     for name, value in state.items():
+        text_value = value
         if isinstance(value, dict):
-            value = ", ".join(f"{key} {member}" for key, member in value.items() if not isinstance(member, dict))
-        print(f"{name:14} {value}")
+            text_value = ", ".join(f"{key} {member}" for key, member in value.items() if not isinstance(member, dict))
+        print(f"{name:14} {text_value}")
     return 0
 
 
--- a/lugtally/testbed/emulator/loopback.py
+++ b/lugtally/testbed/emulator/loopback.py
@@ -46,7 +46,8 @@
 
 def server_host(block: int, server_index: int, sidecar: int) -> str:
     """The host at which a sidecar reaches the server of that index."""
-    assert server_index < MAX_SERVERS and sidecar < MAX_SIDECARS, "a block holds 240 servers and 254 sidecars"
+    assert server_index < MAX_SERVERS, f"a block holds {MAX_SERVERS} servers"
+    assert sidecar < MAX_SIDECARS, f"a block holds {MAX_SIDECARS} sidecars"
     return f"127.{block}.{server_index + 1}.{sidecar + 1}"
 
 
--- a/lugtally/testbed/emulator/server.py
+++ b/lugtally/testbed/emulator/server.py
@@ -48,6 +48,7 @@
         self._traits = machine.traits
         self._connections: set[ServerConnection] = set()
         self._connections_made = 0
+        self._accepting: set[asyncio.Task[object]] = set()
         self._requests: dict[Job, EmulatedRequest] = {}
         self._attempts_seen: dict[str, int] = {}  # by request id
         self._timer: asyncio.TimerHandle | None = None
@@ -179,7 +180,9 @@
     def _accept(self, accepted: socket.socket, sidecar: int) -> None:
         self._connections_made += 1
         loop = asyncio.get_running_loop()
-        loop.create_task(loop.connect_accepted_socket(lambda: ServerConnection(self, sidecar), accepted))
+        task = loop.create_task(loop.connect_accepted_socket(lambda: ServerConnection(self, sidecar), accepted))
+        self._accepting.add(task)  # the loop itself holds tasks weakly
+        task.add_done_callback(self._accepting.discard)
 
     def _answer_health_check(self, request: EmulatedRequest, now: float) -> None:
         if self.model.silent:
