--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -157,7 +157,9 @@
             if connection.write(serialize_response(*protocol_error_response(error), close=True)):
                 connection.lingering_close(client_may_send=not isinstance(error, RequestTimeoutError))
         except OSError as error:
-            logger.debug("a front socket broke: {reason}", event="downstream.connection_failed", reason=str(error))
+            logger.debug(
+                "the connection of a client broke: {reason}", event="downstream.connection_failed", reason=str(error)
+            )
         finally:
             connection.close()
             self._open.discard(connection)
--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -28,7 +28,11 @@
     try:
         return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     except OSError as error:
-        logger.warning("no socket for a destination: {reason}", event="upstream.no_descriptor", reason=error.strerror)
+        logger.warning(
+            "no descriptor for a connection to an endpoint: {reason}",
+            event="upstream.no_descriptor",
+            reason=error.strerror,
+        )
         raise AttemptAborted(AttemptOutcome.NO_DESCRIPTOR) from error
 
 
