--- /dev/null
+++ b/tests/discovery/test_watcher.py
@@ -0,0 +1,86 @@
+"""The endpoint watcher: what it converts, and what it retains of endpoints that left."""
+
+from __future__ import annotations
+
+import pytest
+
+from lugtally import balancing, dispatch
+from lugtally.address import Address
+from lugtally.balancing.balancer import Balancer
+from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
+from lugtally.discovery.watcher import EndpointWatcher
+from lugtally.eventloop import EventLoop
+from lugtally.units import NS_PER_MS
+from lugtally.upstream import ConnectionLimits, UpstreamPool
+from tests.dispatch.scripted_balancer import ScriptedBalancer, run_task
+
+DISCOVERY = Address("127.0.0.1", 9)
+
+
+@pytest.fixture
+def loop() -> EventLoop:
+    return EventLoop()
+
+
+@pytest.fixture
+def dispatcher(loop: EventLoop, balancer: ScriptedBalancer) -> dispatch.Dispatcher:
+    return dispatch.Dispatcher(balancing.Settings(), 1, loop)
+
+
+@pytest.fixture
+def upstream(loop: EventLoop) -> UpstreamPool:
+    return UpstreamPool(loop, ConnectionLimits(NS_PER_MS, NS_PER_MS, 9), ())
+
+
+@pytest.fixture
+def endpoint_watcher(loop: EventLoop, dispatcher: dispatch.Dispatcher, upstream: UpstreamPool) -> EndpointWatcher:
+    return EndpointWatcher(loop, dispatcher, upstream, DISCOVERY, ("a",))
+
+
+def test_start_times_are_converted_once(
+    loop: EventLoop,
+    dispatcher: dispatch.Dispatcher,
+    endpoint_watcher: EndpointWatcher,
+    balancer: ScriptedBalancer,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A step of the wall clock used to look like a restart: a warm endpoint would have warmed up again."""
+    started_ms = loop.wall_clock() // NS_PER_MS - 700
+    raw = {
+        "version": 1,
+        "full": True,
+        "servers": [
+            {"id": "s-1", "addr": "127.0.0.1:1", "zone": "b", "state": "ready", "started_ms": started_ms},
+            {"id": "s-2", "addr": "127.0.0.1:2", "zone": "a", "state": "draining", "started_ms": 0},
+        ],
+    }
+    run_task(loop, dispatcher, lambda: endpoint_watcher.start(parse_endpoint_list(raw, "known")))
+    monkeypatch.setattr(EventLoop, "wall_clock", staticmethod(lambda: 5))
+    endpoint_watcher._apply_update(parse_endpoint_list(raw, "known"), balancing.EndpointUpdateKind.FULL)
+    lists = [event.endpoints for event in balancer.events if isinstance(event, balancing.EndpointUpdate)]
+    assert lists[0] == lists[1]
+    assert endpoint_watcher.ready_count == 1
+    assert [(endpoint.id, endpoint.zone, endpoint.state) for endpoint in lists[0]] == [
+        (endpoint_id_of("s-1"), 1, balancing.EndpointState.READY),
+        (endpoint_id_of("s-2"), 0, balancing.EndpointState.DRAINING),
+    ]
+    assert 0 < loop.now() - lists[0][0].started_ns < 60_000 * NS_PER_MS
+    assert lists[0][1].started_ns == 0
+
+
+def test_nothing_is_retained_of_removed_endpoints(
+    endpoint_watcher: EndpointWatcher, upstream: UpstreamPool, balancer: ScriptedBalancer
+) -> None:
+    """On a long day thousands of ids come and go, and an address may return under a new one."""
+    real_balancer = Balancer(balancing.Settings(), 1)
+    for version in range(1, 40):
+        rows = [
+            {"id": f"s-{number}", "addr": "127.0.0.1:1", "zone": "a", "state": state, "started_ms": 1000 * number}
+            for number, state in ((version, "ready"), (version - 1, "gone"))
+        ]
+        kind = balancing.EndpointUpdateKind.FULL if version % 9 == 0 else balancing.EndpointUpdateKind.DELTA
+        endpoint_watcher._apply_update(parse_endpoint_list({"version": version, "servers": rows}, "list"), kind)
+        real_balancer.handle(version, balancer.events[-1])
+    tables = (endpoint_watcher._endpoints, endpoint_watcher._start_times._converted, upstream._addresses)
+    assert [len(table) for table in tables] == [1, 1, 1]
+    assert len(real_balancer.state.endpoints) == 1
--- /dev/null
+++ b/tests/dispatch/scripted_balancer.py
@@ -0,0 +1,51 @@
+"""A balancer that decides by a script, and the running of one task under a dispatcher's timers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from lugtally import balancing, dispatch
+from lugtally.dispatch import dispatcher as dispatcher_module
+from lugtally.eventloop import EventLoop
+from lugtally.units import NS_PER_MS
+
+
+class ScriptedBalancer:
+    """Stands in for the balancer: a request of class 0 starts two attempts; every event is recorded."""
+
+    def __init__(self) -> None:
+        self.events: list[balancing.Event] = []
+
+    def handle(self, now: int, event: balancing.Event) -> list[balancing.Action]:
+        """Two attempts for a request of class 0, and nothing else."""
+        self.events.append(event)
+        if isinstance(event, balancing.Request) and event.class_index == 0:
+            return [
+                balancing.SendAttempt(event.id, 7, NS_PER_MS),
+                balancing.CloseIdleConnections(9),
+                balancing.SendAttempt(event.id, 8, NS_PER_MS),
+            ]
+        return []
+
+
+@pytest.fixture
+def balancer(monkeypatch: pytest.MonkeyPatch) -> ScriptedBalancer:
+    """The scripted balancer that each dispatcher of the test is built with."""
+    scripted = ScriptedBalancer()
+    monkeypatch.setattr(dispatcher_module, "Balancer", lambda *_: scripted)
+    return scripted
+
+
+def run_task(loop: EventLoop, dispatcher: dispatch.Dispatcher, work: Callable[[], object]) -> None:
+    """Run ``work`` as a task of ``loop`` until it is done."""
+
+    def body() -> None:
+        try:
+            work()
+        finally:
+            loop.stop()  # a failed check must fail the test, not hang it
+
+    loop.spawn(body)
+    loop.run(dispatcher.run_due_timers)
--- /dev/null
+++ b/tests/downstream/test_server.py
@@ -0,0 +1,100 @@
+"""The downstream server alone: a fault while it responds, tenants, adopted sockets."""
+
+from __future__ import annotations
+
+import os
+import socket
+from typing import Any
+
+import pytest
+
+from lugtally import balancing, dispatch
+from lugtally.address import Address
+from lugtally.config.balancing_settings import read_settings
+from lugtally.downstream.server import DownstreamConnection, DownstreamServer
+from lugtally.eventloop import EventLoop
+from lugtally.units import NS_PER_MS
+from lugtally.upstream import ConnectionLimits, UpstreamPool
+from tests.dispatch.scripted_balancer import ScriptedBalancer
+from tests.integration.player import SETTINGS, listener
+
+
+@pytest.fixture
+def loop() -> EventLoop:
+    return EventLoop()
+
+
+@pytest.fixture
+def upstream(loop: EventLoop) -> UpstreamPool:
+    return UpstreamPool(loop, ConnectionLimits(NS_PER_MS, NS_PER_MS, 9), ())
+
+
+def test_a_fault_while_answering_still_gives_one_answer(loop: EventLoop) -> None:
+    """It used to close the client's connection without a response: the request was accepted and lost."""
+    downstream = DownstreamServer(loop, Any, Any, (), 9)  # type: ignore[arg-type]
+    downstream._respond = lambda *_: 1 / 0  # type: ignore[method-assign,assignment]
+    server = listener()
+    client = socket.create_connection(server.getsockname())
+    accepted, _ = server.accept()
+    accepted.setblocking(False)
+    client.sendall(b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+
+    def serve() -> None:
+        try:
+            downstream._handle_connection(DownstreamConnection(accepted, loop))
+        finally:
+            loop.stop()
+
+    loop.spawn(serve)
+    loop.run(lambda: None)
+    assert client.recv(4096).startswith(b"HTTP/1.1 500 Internal Server Error\r\n")
+    client.close()
+    server.close()
+
+
+def test_the_server_passes_the_tenant_of_each_request_to_the_balancer(
+    loop: EventLoop, upstream: UpstreamPool, balancer: ScriptedBalancer
+) -> None:
+    """The account reached no decision: all requests passed for those of the first tenant."""
+    dispatcher = dispatch.Dispatcher(balancing.Settings(), 1, loop)
+    classes = (
+        balancing.RequestClass("first", deadline_ns=50 * NS_PER_MS),
+        balancing.RequestClass("second", deadline_ns=50 * NS_PER_MS),
+    )
+    tenants = (balancing.Tenant("a"), balancing.Tenant("b"))
+    downstream = DownstreamServer(loop, dispatcher, upstream, classes, 8, tenants)
+    downstream.listen(Address("127.0.0.1", 0))
+    assert downstream._listener is not None
+    address = downstream._listener.getsockname()
+
+    def send_requests() -> None:
+        for number, account in enumerate(("X-Account: b", "X-Account: a", "X-Account: nobody", "X-Other: b")):
+            with socket.create_connection(address) as client:
+                client.sendall(f"GET /second HTTP/1.1\r\nX-Correlation-Id: r{number}\r\n{account}\r\n\r\n".encode())
+                loop.wait(client.fileno(), 1)
+                assert b"502" in client.recv(4096)
+        loop.stop()
+
+    loop.spawn(send_requests)
+    loop.run(dispatcher.run_due_timers)
+    assert [event.tenant_index for event in balancer.events if isinstance(event, balancing.Request)] == [
+        1,
+        0,
+        dispatch.UNKNOWN_TENANT,
+        dispatch.UNKNOWN_TENANT,
+    ]
+
+
+def test_only_a_listening_tcp_socket_is_adopted(loop: EventLoop, upstream: UpstreamPool) -> None:
+    dispatcher = dispatch.Dispatcher(read_settings(SETTINGS), 1, loop)
+    downstream = DownstreamServer(loop, dispatcher, upstream, (), 8)
+    for sock in (socket.socket(), socket.socket(type=socket.SOCK_DGRAM), *socket.socketpair()):
+        with sock:
+            with pytest.raises(ValueError, match=r"PROXY_SOCKET_FD: .* no listening TCP socket"):
+                downstream.adopt(sock.fileno())
+            os.fstat(sock.fileno())  # a refused descriptor is not closed behind its owner
+    with listener() as inherited:
+        downstream.adopt(inherited.fileno())
+        assert downstream._listener is not None
+        assert downstream._listener.fileno() == inherited.fileno()
+        downstream._listener.detach()
--- /dev/null
+++ b/tests/upstream/test_pool.py
@@ -0,0 +1,159 @@
+"""The upstream pool: attempts that must not go out, connections that must not be reused, load reports."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from lugtally.dispatch.attempt_outcome import AttemptOutcome
+from lugtally.eventloop import EventLoop
+from lugtally.http1 import ForwardedRequest, Message
+from lugtally.units import NS_PER_MS
+from lugtally.upstream import SETTLE_NS, ConnectionLimits, UpstreamPool, safe_idle_timeout_ns
+from tests.integration.player import listener
+
+GET = ForwardedRequest(Message("GET", "/"))
+
+
+@pytest.fixture
+def loop() -> EventLoop:
+    return EventLoop()
+
+
+@pytest.fixture
+def server() -> Iterator[socket.socket]:
+    """The listening socket of endpoint 1."""
+    with listener() as sock:
+        yield sock
+
+
+def pool_for(loop: EventLoop, server: socket.socket, limits: ConnectionLimits) -> UpstreamPool:
+    """A pool that knows ``server`` as endpoint 1."""
+    upstream = UpstreamPool(loop, limits, ())
+    upstream.set_address(1, server.getsockname())
+    return upstream
+
+
+def test_an_attempt_is_not_written_after_its_deadline(loop: EventLoop, server: socket.socket) -> None:
+    upstream = pool_for(loop, server, ConnectionLimits(1000 * NS_PER_MS, 1000 * NS_PER_MS, 9))
+    outcomes: list[AttemptOutcome] = []
+
+    def attempt() -> None:
+        outcomes.append(upstream.execute_attempt(1, GET, loop.now())[0])
+        loop.stop()
+
+    loop.spawn(attempt)
+    loop.run(lambda: None)
+    assert outcomes == [AttemptOutcome.TIMEOUT_BEFORE_SENT]
+    assert upstream.open_connections == 0
+
+
+@pytest.mark.parametrize(
+    ("event", "outcome"),
+    [
+        ("reset", AttemptOutcome.RESET_BEFORE_SENT),
+        ("interrupt", AttemptOutcome.CANCELLED_BEFORE_SENT),
+        ("time", AttemptOutcome.TIMEOUT_BEFORE_SENT),
+    ],
+    ids=["reset", "interrupt", "timeout"],
+)
+def test_a_request_not_wholly_written_never_ran(
+    event: str, outcome: AttemptOutcome, loop: EventLoop, server: socket.socket
+) -> None:
+    """Nobody reads a request that is larger than any socket's buffer, until something ends the writing."""
+    upstream = pool_for(loop, server, ConnectionLimits(60_000 * NS_PER_MS, 60_000 * NS_PER_MS, 1))
+    large_request = ForwardedRequest(Message("POST", "/", body=bytes(64 * 1024 * 1024)))
+    outcomes: list[AttemptOutcome] = []
+
+    def attempt() -> None:
+        deadline_ns = loop.now() + (200 if event == "time" else 60_000) * NS_PER_MS
+        outcomes.append(upstream.execute_attempt(1, large_request, deadline_ns)[0])
+        loop.stop()
+
+    def end_the_writing() -> None:
+        peer, _ = server.accept()
+        loop.sleep(50 * NS_PER_MS)
+        outcomes.append(upstream.execute_attempt(1, large_request, loop.now() + NS_PER_MS)[0])
+        if event == "interrupt":
+            loop.interrupt(task)
+        elif event == "reset":
+            peer.close()  # over unread bytes: a reset
+        loop.sleep(60_000 * NS_PER_MS)
+        peer.close()
+
+    task = loop.spawn(attempt)
+    loop.spawn(end_the_writing)
+    loop.run(lambda: None)
+    assert outcomes == [AttemptOutcome.NO_DESCRIPTOR, outcome]
+    assert upstream.open_connections == 0
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.01], ids=["no pause", "pause of 10 ms"])
+def test_bytes_behind_an_answer_are_no_answer_to_the_next_request(
+    pause_s: float, loop: EventLoop, server: socket.socket
+) -> None:
+    """A second copy that comes a moment after the response used to be served to the next client."""
+    upstream = pool_for(loop, server, ConnectionLimits(1000 * NS_PER_MS, 60_000 * NS_PER_MS, 9))
+    bodies: list[bytes] = []
+
+    def serve_twice() -> None:
+        for body in (b"1", b"2"):
+            loop.wait(server.fileno(), 1)
+            connection, _ = server.accept()
+            loop.wait(connection.fileno(), 1)
+            connection.recv(4096)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body)
+            loop.sleep(int(SETTLE_NS / 5))
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body)
+
+    def attempt_twice() -> None:
+        for _ in range(2):
+            response = upstream.execute_attempt(1, GET, loop.now() + 5000 * NS_PER_MS)[1]
+            bodies.append(response.body if response is not None else b"")
+            loop.sleep(int(pause_s * 1e9))
+        loop.stop()
+
+    loop.spawn(serve_twice)
+    loop.spawn(attempt_twice)
+    loop.run(lambda: None)
+    assert bodies == [b"1", b"2"]
+
+
+def test_a_connection_close_to_its_idle_timeout_is_not_reused(loop: EventLoop, server: socket.socket) -> None:
+    """Idle ones were closed once a second only, so that requests crossed the other side's closing."""
+    limits = ConnectionLimits(1000 * NS_PER_MS, safe_idle_timeout_ns(50 * NS_PER_MS), 9)
+    upstream = pool_for(loop, server, limits)
+    accepted: list[socket.socket] = []
+    outcomes: list[AttemptOutcome] = []
+
+    def serve_twice() -> None:
+        for _ in range(2):
+            loop.wait(server.fileno(), 1)
+            accepted.append(server.accept()[0])
+            loop.wait(accepted[-1].fileno(), 1)
+            accepted[-1].sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    def attempt_twice() -> None:
+        for _ in range(2):
+            outcomes.append(upstream.execute_attempt(1, GET, loop.now() + 5000 * NS_PER_MS)[0])
+            loop.sleep(60 * NS_PER_MS)
+        loop.stop()
+
+    loop.spawn(serve_twice)
+    loop.spawn(attempt_twice)
+    loop.run(lambda: None)
+    assert len(accepted) == 2
+    assert outcomes == [AttemptOutcome.SERVED] * 2
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "[]", "{}", '{"queue":"x"}', '{"queue":1e999}', '{"queue":-1}', '{"queue":' + "9" * 400 + "}", "[" * 5000],
+    ids=["empty", "list", "no field", "text", "infinite", "negative", "400 digits", "deeply nested"],
+)
+def test_a_load_report_that_cannot_be_read_is_none(text: str, loop: EventLoop) -> None:
+    upstream = UpstreamPool(loop, ConnectionLimits(NS_PER_MS, NS_PER_MS, 9), ("queue",))
+    assert upstream.load_report(Message(header_map={"x-backend-load": text})) is None
+    assert upstream.load_report(Message(header_map={"x-backend-load": '{"queue":2}'})) == (2.0,)
