--- /dev/null
+++ b/tests/races/fakes.py
@@ -0,0 +1,253 @@
+"""Fake peers of a sidecar, run by tasks of its own event loop: an event is delayed until the test releases it.
+
+A test is one task, ``script``, and relies on no duration: it waits for each event that must come, and fails where
+one does not come within ``MAX_WAIT_NS``.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import ujson
+
+from lugtally import balancing
+from lugtally.address import Address
+from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
+from lugtally.discovery.watcher import EndpointWatcher
+from lugtally.dispatch import Dispatcher
+from lugtally.downstream.server import DownstreamServer
+from lugtally.eventloop import READABLE, EventLoop, WakeReason
+from lugtally.units import NS_PER_MS, NS_PER_S
+from lugtally.upstream import ConnectionLimits, UpstreamPool
+from tests.integration.player import listener
+
+MAX_WAIT_NS = 10_000 * NS_PER_MS
+ENDPOINT_A, ENDPOINT_B = endpoint_id_of("s-a"), endpoint_id_of("s-b")
+CLASSES = (
+    balancing.RequestClass(
+        "read", balancing.Idempotency.IDEMPOTENT, balancing.DeduplicationScope.ALL, 0, 2 * NS_PER_S, 8 * NS_PER_S
+    ),
+    balancing.RequestClass(
+        "write",
+        balancing.Idempotency.IDEMPOTENCY_KEY,
+        balancing.DeduplicationScope.ALL,
+        4 * NS_PER_S,
+        2 * NS_PER_S,
+        8 * NS_PER_S,
+    ),
+    balancing.RequestClass(
+        "once", balancing.Idempotency.NON_IDEMPOTENT, balancing.DeduplicationScope.ALL, 0, 2 * NS_PER_S, 8 * NS_PER_S
+    ),
+)
+
+Decide = Callable[[balancing.Event], list[balancing.Action]]
+
+
+def send_each_request_to(endpoint_id: int) -> Decide:
+    """Send each request to one endpoint, and fail it when its attempt has finished."""
+
+    def decide(event: balancing.Event) -> list[balancing.Action]:
+        if isinstance(event, balancing.Request):
+            return [balancing.SendAttempt(event.id, endpoint_id, event.time_left_ns)]
+        if isinstance(event, balancing.AttemptFinished) and not event.request_finished:
+            return [balancing.FailRequest(event.request_id)]
+        return []
+
+    return decide
+
+
+class ScriptedBalancer:
+    """Stands in for the balancer: records each event and returns the actions that ``decide`` gives for it."""
+
+    def __init__(self) -> None:
+        self.events: list[balancing.Event] = []
+        self.decide: Decide = lambda _: []
+        self.may_start_attempts = True
+
+    def handle(self, now: int, event: balancing.Event) -> list[balancing.Action]:
+        self.events.append(event)
+        return self.decide(event)
+
+    def may_start(self, now: int, request_id: str, attempt: int) -> bool:
+        """Whether an attempt may start, which the dispatcher checks right before its bytes are written."""
+        return self.may_start_attempts
+
+    def endpoint_updates(self) -> list[tuple[str, dict[int, str]]]:
+        """Kind and states by endpoint id of each update."""
+        return [
+            (event.kind.value, {endpoint.id: endpoint.state.value for endpoint in event.endpoints})
+            for event in self.events
+            if isinstance(event, balancing.EndpointUpdate)
+        ]
+
+    def attempt_results(self) -> list[balancing.AttemptResult]:
+        """Results of the finished attempts, in order."""
+        return [event.result for event in self.events if isinstance(event, balancing.AttemptFinished)]
+
+    def client_disconnects(self) -> list[str]:
+        """Ids of the requests whose clients left."""
+        return [event.request_id for event in self.events if isinstance(event, balancing.ClientDisconnected)]
+
+
+class PeerConnection:
+    """The peer's end of one connection."""
+
+    def __init__(self, loop: EventLoop, sock: socket.socket) -> None:
+        self.loop, self.sock = loop, sock
+        sock.setblocking(False)
+        self.received = b""
+
+    def read(self) -> bytes:
+        """Wait for bytes; none where the connection has ended, even by a reset."""
+        assert self.loop.wait(self.sock.fileno(), READABLE, self.loop.now() + MAX_WAIT_NS) is WakeReason.READY, (
+            "nothing came"
+        )
+        try:
+            return self.sock.recv(65536)
+        except ConnectionResetError:
+            return b""
+
+    def read_more(self) -> bool:
+        """Wait for more; false where the connection has ended instead."""
+        data = self.read()
+        self.received += data
+        return bool(data)
+
+    def read_head(self) -> str:
+        """Read the next message, which has no body; return its first line."""
+        while b"\r\n\r\n" not in self.received:
+            assert self.read_more(), "the connection ended"
+        head, _, self.received = self.received.partition(b"\r\n\r\n")
+        return head.partition(b"\r\n")[0].decode()
+
+    def read_to_end(self) -> bytes:
+        """Read until the connection ends."""
+        received = self.received
+        while data := self.read():
+            received += data
+        return received
+
+    def send(self, data: bytes) -> None:
+        """Write all of the bytes."""
+        self.sock.sendall(data)
+
+    def respond(self, body: bytes = b"ok", status: str = "200 OK") -> None:
+        """Write a whole response."""
+        self.send(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n" % (status.encode(), len(body)) + body)
+
+    def send_endpoint_list(self, version: int, full: bool, *rows: dict[str, Any]) -> None:
+        """Respond as discovery does, indented."""
+        self.respond(ujson.dumps({"version": version, "full": full, "servers": rows}, indent=2).encode())
+
+
+class FakeServer:
+    """A listening server: an upstream server or discovery."""
+
+    def __init__(self, loop: EventLoop) -> None:
+        self.loop = loop
+        self.sock = listener()
+        self.sock.setblocking(False)
+
+    @property
+    def address(self) -> Address:
+        host, port = self.sock.getsockname()
+        return Address(host, port)
+
+    def accept(self) -> PeerConnection:
+        """Wait for the next connection."""
+        assert self.loop.wait(self.sock.fileno(), READABLE, self.loop.now() + MAX_WAIT_NS) is WakeReason.READY, (
+            "nobody came"
+        )
+        return PeerConnection(self.loop, self.sock.accept()[0])
+
+    def is_idle(self) -> bool:
+        """Whether no connection waits, as far as the kernel knows by now."""
+        try:
+            self.sock.accept()[0].close()
+        except BlockingIOError:
+            return True
+        return False
+
+
+class Sidecar:
+    """The network code round a scripted balancer (or the real one), with fake servers of each kind."""
+
+    def __init__(self, balancer: Any = None, *, max_clients: int = 64) -> None:
+        self.loop = EventLoop()
+        self.balancer = balancer or ScriptedBalancer()
+        settings = balancing.Settings(CLASSES, max_attempts=4)
+        self.dispatcher = Dispatcher(settings, 1, self.loop, lambda *_: self.balancer)
+        self.limits = ConnectionLimits(2000 * NS_PER_MS, 60_000 * NS_PER_MS, 64)
+        self.upstream = UpstreamPool(self.loop, self.limits, ())
+        self.discovery, self.second_discovery = FakeServer(self.loop), FakeServer(self.loop)
+        self.server = FakeServer(self.loop)
+        self.endpoint_watcher = EndpointWatcher(
+            self.loop, self.dispatcher, self.upstream, self.discovery.address, ("a",)
+        )
+        self.dispatcher.set_handlers(self.upstream.close_idle_connections, self.endpoint_watcher.watch)
+        self.downstream = DownstreamServer(self.loop, self.dispatcher, self.upstream, CLASSES, max_clients)
+        self.stopped = False
+
+    def endpoint_row(self, name: str, state: str = "ready", **fields: Any) -> dict[str, Any]:
+        """One row of an endpoint list; each has the address of the one upstream server."""
+        host, port = self.server.address
+        return {"id": name, "addr": f"{host}:{port}", "zone": "a", "cell": 1, "state": state, "started_ms": 0, **fields}
+
+    def listen(self) -> Address:
+        """Accept clients; return the address."""
+        self.downstream.listen(Address("127.0.0.1", 0))
+        assert self.downstream._listener is not None
+        host, port = self.downstream._listener.getsockname()
+        return Address(host, port)
+
+    def has_closed_listener(self) -> bool:
+        """Whether the listening socket was opened and is closed again."""
+        return self.downstream._listener is not None and self.downstream._listener.fileno() < 0
+
+    def listen_with_one_endpoint(self) -> Address:
+        """Accept clients, with one endpoint listed and each request sent there."""
+        self.balancer.decide = send_each_request_to(ENDPOINT_A)
+        endpoints = {"version": 1, "full": True, "servers": [self.endpoint_row("s-a")]}
+        self.endpoint_watcher.start(parse_endpoint_list(endpoints, "known"))
+        return self.listen()
+
+    def client(self, address: Address) -> PeerConnection:
+        """Open a new client connection."""
+        return PeerConnection(self.loop, socket.create_connection(address))
+
+    def wait_until(self, done: Callable[[], bool]) -> None:
+        """Let the other tasks run until ``done`` holds."""
+        deadline_ns = self.loop.now() + MAX_WAIT_NS
+        while not done():
+            assert self.loop.now() < deadline_ns, "it never came to that"
+            self.loop.sleep(NS_PER_MS)
+
+    def run(self, script: Callable[[], None]) -> None:
+        """Run the script as a task until it ends; the loop may stop before, where the sidecar ends itself."""
+        failed: list[BaseException] = []
+
+        def body() -> None:
+            try:
+                script()
+            except BaseException as error:
+                failed.append(error)
+            finally:
+                self.stopped = True
+                self.loop.stop()
+
+        self.loop.spawn(body)
+        self.loop.run(self.dispatcher.run_due_timers)
+        for server in (self.discovery, self.second_discovery, self.server):
+            server.sock.close()
+        if failed:
+            raise failed[0]
+        assert self.stopped, "the loop stopped before the script was over"
+
+
+def request(path: str, request_id: str = "r1", *, method: str = "GET", headers: str = "") -> bytes:
+    """Serialize a valid request; ``headers`` are further lines, each with its end."""
+    return (
+        f"{method} /{path} HTTP/1.1\r\nHost: s\r\nX-Correlation-Id: {request_id}\r\nX-Time-Left: 5.000\r\n{headers}\r\n"
+    ).encode()
--- a/tests/races/test_discovery.py
+++ b/tests/races/test_discovery.py
@@ -1,7 +1,7 @@
 """Crossings round discovery: a watch that dies in any way, a move, lists that are not what they should be.
 
-A change counts as told 6 s after discovery had it and could be reached.  Where the next call must come at once, the
-module in these tests never asks again; where a pause is due, the module's own pauses are measured without a socket.
+A change is due 6 s after discovery had it and could be reached.  Where the next call must come at once, the balancer
+in these tests never requests another; where a backoff is due, the real balancer's is measured without a socket.
 """
 
 from __future__ import annotations
@@ -13,32 +13,30 @@
 
 from lugtally import balancing
 from lugtally.balancing.balancer import Balancer
-from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
+from lugtally.config.endpoint_list import parse_endpoint_list
 from lugtally.discovery import timing
 from lugtally.eventloop import Event, WakeReason
 from lugtally.units import NS_PER_MS
-from tests.races.parties import Link, Sidecar
+from tests.races.fakes import ENDPOINT_A, ENDPOINT_B, PeerConnection, Sidecar
 
-A, B = endpoint_id_of("s-a"), endpoint_id_of("s-b")
 
-
-def begun(sidecar: Sidecar) -> None:
-    """Start with the kept list of version 1 and let the module ask once, never again."""
-    kept = {"version": 1, "full": True, "servers": [sidecar.row("s-a"), sidecar.row("s-b")]}
-    sidecar.watch.start(parse_endpoint_list(kept, "known"))
-    sidecar.watch.watch()
+def start_watch(sidecar: Sidecar) -> None:
+    """Start with the cached list of version 1 and let the balancer request one watch, never another."""
+    cached = {"version": 1, "full": True, "servers": [sidecar.endpoint_row("s-a"), sidecar.endpoint_row("s-b")]}
+    sidecar.endpoint_watcher.start(parse_endpoint_list(cached, "known"))
+    sidecar.endpoint_watcher.watch()
 
 
 def test_the_time_to_a_fresh_list_is_one_sum_with_margin() -> None:
     """11.5 s to notice a silence, then a pause of up to 8 s, gave drains 12 s and more after they were told."""
     margin = timing.UPDATE_DELIVERY_LIMIT_NS // 12
-    assert timing.SILENT_WATCH_TO_UPDATE_NS <= timing.UPDATE_DELIVERY_LIMIT_NS - margin
-    assert timing.DISCOVERY_RETURN_TO_UPDATE_NS <= timing.UPDATE_DELIVERY_LIMIT_NS - margin
+    assert timing.UPDATE_DELIVERY_LIMIT_NS - margin >= timing.SILENT_WATCH_TO_UPDATE_NS
+    assert timing.UPDATE_DELIVERY_LIMIT_NS - margin >= timing.DISCOVERY_RETURN_TO_UPDATE_NS
 
 
 @pytest.fixture
-def soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The same links in a fraction of their time: a silence is silence however long one waits for it."""
+def short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The same waits in a fraction of their time: a silence is silence however long one waits for it."""
     for name, value in (
         ("WATCH_HOLD_MS", 30),
         ("RESPONSE_TIMEOUT_NS", 30 * NS_PER_MS),
@@ -47,7 +45,7 @@
         monkeypatch.setattr(timing, name, value)
 
 
-@pytest.mark.usefixtures("soon")
+@pytest.mark.usefixtures("short_timeouts")
 @pytest.mark.parametrize(
     "death", ["silent at once", "silent later", "half an answer", "reset at rest", "end in a call", "cut answer"]
 )
@@ -55,36 +53,36 @@
     sidecar = Sidecar()
 
     def script() -> None:
-        begun(sidecar)
-        link = sidecar.discovery.link()
-        assert link.head() == "GET /catalog/members?from=1&hold_ms=30 HTTP/1.1"
+        start_watch(sidecar)
+        connection = sidecar.discovery.accept()
+        assert connection.read_head() == "GET /catalog/members?from=1&hold_ms=30 HTTP/1.1"
         if death != "silent at once":
-            link.list(2, False)
-            assert link.head() == "GET /catalog/members?from=2&hold_ms=30 HTTP/1.1"
+            connection.send_endpoint_list(2, False)
+            assert connection.read_head() == "GET /catalog/members?from=2&hold_ms=30 HTTP/1.1"
         if death == "half an answer":
-            link.send(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")
+            connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")
         elif death == "cut answer":
-            link.send(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")
-            link.sock.close()
+            connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")
+            connection.sock.close()
         elif death == "end in a call":
-            link.sock.close()
+            connection.sock.close()
         elif death == "reset at rest":
-            link.list(2, False)
-            link.sock.close()
+            connection.send_endpoint_list(2, False)
+            connection.sock.close()
         version = 1 if death == "silent at once" else 2
-        fresh = sidecar.discovery.link()
-        assert fresh.head() == f"GET /catalog/members?from={version}&hold_ms=30 HTTP/1.1"
-        fresh.list(3, False, sidecar.row("s-b", "draining"))
-        fresh.head()
+        fresh = sidecar.discovery.accept()
+        assert fresh.read_head() == f"GET /catalog/members?from={version}&hold_ms=30 HTTP/1.1"
+        fresh.send_endpoint_list(3, False, sidecar.endpoint_row("s-b", "draining"))
+        fresh.read_head()
 
-    sidecar.play(script)
-    assert sidecar.module.lists()[-1] == ("changes", {B: "draining"})
-    assert not [kind for kind, _ in sidecar.module.lists() if kind == "failed"]
+    sidecar.run(script)
+    assert sidecar.balancer.endpoint_updates()[-1] == ("changes", {ENDPOINT_B: "draining"})
+    assert not [kind for kind, _ in sidecar.balancer.endpoint_updates() if kind == "failed"]
 
 
-@pytest.mark.usefixtures("soon")
+@pytest.mark.usefixtures("short_timeouts")
 @pytest.mark.parametrize("death", ["503", "first answer cut", "no JSON", "silent twice", "refused", "never up"])
-def test_a_call_that_fails_is_told_to_the_module_which_paces_the_next(death: str) -> None:
+def test_a_failed_call_is_reported_to_the_balancer_which_paces_the_next(death: str) -> None:
     sidecar = Sidecar()
     refused = sidecar.discovery.address
 
@@ -94,118 +92,122 @@
         elif death == "never up":
             # Who listens and never accepts lets a few in: fill these places.
             sidecar.discovery.sock.listen(0)
-            fillers = [Link(sidecar.loop, socket.socket()) for _ in range(4)]
+            fillers = [PeerConnection(sidecar.loop, socket.socket()) for _ in range(4)]
             for filler in fillers:
                 filler.sock.connect_ex(refused)
-        begun(sidecar)
+        start_watch(sidecar)
         if death not in ("refused", "never up"):
-            link = sidecar.discovery.link()
-            link.head()
+            connection = sidecar.discovery.accept()
+            connection.read_head()
             if death == "503":
-                link.answer(b"", "503 Busy")
+                connection.respond(b"", "503 Busy")
             elif death == "first answer cut":
-                link.sock.close()
+                connection.sock.close()
             elif death == "no JSON":
-                link.answer(b"<html>")
+                connection.respond(b"<html>")
             else:
-                sidecar.discovery.link().head()
-        sidecar.until(lambda: sidecar.module.lists()[-1][0] == "failed")
-        assert death in ("refused", "never up") or sidecar.discovery.idle(), "it did not wait for the module"
-        sidecar.watch.watch()
+                sidecar.discovery.accept().read_head()
+        sidecar.wait_until(lambda: sidecar.balancer.endpoint_updates()[-1][0] == "failed")
+        assert death in ("refused", "never up") or sidecar.discovery.is_idle(), "it did not wait for the balancer"
+        sidecar.endpoint_watcher.watch()
         if death not in ("refused", "never up"):
-            assert "from=1&" in sidecar.discovery.link().head(), "changes are asked for, not the whole list"
+            assert "from=1&" in sidecar.discovery.accept().read_head(), "changes are requested, not the whole list"
 
-    sidecar.play(script)
-    assert [kind for kind, _ in sidecar.module.lists()].count("failed") == 1
+    sidecar.run(script)
+    assert [kind for kind, _ in sidecar.balancer.endpoint_updates()].count("failed") == 1
 
 
-def test_the_modules_pauses_stay_within_their_part_of_the_sum() -> None:
-    told = balancing.Settings(subscribe_to_endpoints=True, max_poll_interval_ns=timing.MAX_BACKOFF_NS)
-    pauses = []
+def test_the_modules_pauses_stay_within_their_share_of_the_sum() -> None:
+    settings = balancing.Settings(subscribe_to_endpoints=True, max_poll_interval_ns=timing.MAX_BACKOFF_NS)
+    delays_ns = []
     for seed in range(40):
-        module = Balancer(told, seed)
+        balancer = Balancer(settings, seed)
         for _ in range(12):
-            wakes = [
-                a
-                for a in module.handle(1, balancing.EndpointUpdate(balancing.EndpointUpdateKind.FAILED, []))
-                if isinstance(a, balancing.SetTimer)
+            timers = [
+                action
+                for action in balancer.handle(1, balancing.EndpointUpdate(balancing.EndpointUpdateKind.FAILED, []))
+                if isinstance(action, balancing.SetTimer)
             ]
-            pauses.append(wakes[0].delay_ns)
-    assert max(pauses) <= timing.MAX_BACKOFF_NS
+            delays_ns.append(timers[0].delay_ns)
+    assert max(delays_ns) <= timing.MAX_BACKOFF_NS
     # Hundreds that lost discovery at once must not come back in step.
-    assert max(pauses) - min(pauses) > timing.MAX_BACKOFF_NS / 2
+    assert max(delays_ns) - min(delays_ns) > timing.MAX_BACKOFF_NS / 2
 
 
-@pytest.mark.usefixtures("soon")
-def test_a_move_in_the_pause_after_a_failure_asks_the_new_discovery_at_once() -> None:
+@pytest.mark.usefixtures("short_timeouts")
+def test_a_move_in_the_pause_after_a_failure_polls_the_new_discovery_at_once() -> None:
     """The follower of the old one, waking last, took the wake-up meant for the new one's."""
     sidecar = Sidecar()
 
     def script() -> None:
-        begun(sidecar)
-        link = sidecar.discovery.link()
-        link.head()
-        link.answer(b"", "503 Busy")
-        sidecar.until(lambda: sidecar.module.lists()[-1][0] == "failed")
-        sidecar.watch.move_to(sidecar.second.address)
-        moved = sidecar.second.link()
-        assert moved.head() == "GET /catalog/members HTTP/1.1"
-        moved.list(1, True, sidecar.row("s-a"))
-        moved.head()
+        start_watch(sidecar)
+        connection = sidecar.discovery.accept()
+        connection.read_head()
+        connection.respond(b"", "503 Busy")
+        sidecar.wait_until(lambda: sidecar.balancer.endpoint_updates()[-1][0] == "failed")
+        sidecar.endpoint_watcher.move_to(sidecar.second_discovery.address)
+        moved = sidecar.second_discovery.accept()
+        assert moved.read_head() == "GET /catalog/members HTTP/1.1"
+        moved.send_endpoint_list(1, True, sidecar.endpoint_row("s-a"))
+        moved.read_head()
         # A wake-up meant for the old pause finds the new watch at work.
-        sidecar.watch.watch()
+        sidecar.endpoint_watcher.watch()
         moved.sock.close()
-        again = sidecar.second.link()
-        again.answer(b"", "503 Busy")
-        sidecar.until(lambda: sidecar.module.lists()[-1][0] == "failed")
+        again = sidecar.second_discovery.accept()
+        again.respond(b"", "503 Busy")
+        sidecar.wait_until(lambda: sidecar.balancer.endpoint_updates()[-1][0] == "failed")
         for _ in range(5):
             sidecar.loop.sleep(0)
-        assert sidecar.second.idle(), "a wake-up from before the failure let the next call go without a pause"
+        assert sidecar.second_discovery.is_idle(), (
+            "a wake-up from before the failure let the next call go without a pause"
+        )
 
-    sidecar.play(script)
-    assert sidecar.module.lists()[-2] == ("whole", {A: "up"})
+    sidecar.run(script)
+    assert sidecar.balancer.endpoint_updates()[-2] == ("whole", {ENDPOINT_A: "up"})
 
 
-@pytest.mark.usefixtures("soon")
+@pytest.mark.usefixtures("short_timeouts")
 def test_a_list_that_comes_in_the_instant_of_a_move_counts_for_nothing() -> None:
     sidecar = Sidecar()
 
     def script() -> None:
-        begun(sidecar)
-        link = sidecar.discovery.link()
-        link.head()
-        link.list(9, True, sidecar.row("s-b", "draining"))  # readable at the next poll, as the move is
-        sidecar.watch.move_to(sidecar.second.address)
-        moved = sidecar.second.link()
-        assert moved.head() == "GET /catalog/members HTTP/1.1"
-        moved.list(4, True, sidecar.row("s-a"))
-        assert "from=4&" in moved.head()
-
-    sidecar.play(script)
-    assert [kind for kind, _ in sidecar.module.lists()] == ["kept", "whole"]
-
-
-@pytest.mark.usefixtures("soon")
-def test_lower_versions_show_that_discovery_has_begun_anew() -> None:
+        start_watch(sidecar)
+        connection = sidecar.discovery.accept()
+        connection.read_head()
+        connection.send_endpoint_list(
+            9, True, sidecar.endpoint_row("s-b", "draining")
+        )  # readable at the next poll, as the move is
+        sidecar.endpoint_watcher.move_to(sidecar.second_discovery.address)
+        moved = sidecar.second_discovery.accept()
+        assert moved.read_head() == "GET /catalog/members HTTP/1.1"
+        moved.send_endpoint_list(4, True, sidecar.endpoint_row("s-a"))
+        assert "from=4&" in moved.read_head()
+
+    sidecar.run(script)
+    assert [kind for kind, _ in sidecar.balancer.endpoint_updates()] == ["kept", "whole"]
+
+
+@pytest.mark.usefixtures("short_timeouts")
+def test_lower_versions_show_that_discovery_has_restarted() -> None:
     """Its changes would not follow the list at hand: a drain among them has to come with the whole list."""
     sidecar = Sidecar()
 
     def script() -> None:
-        begun(sidecar)
-        link = sidecar.discovery.link()
-        link.head()
-        link.list(41, False)
-        assert "from=41&" in link.head()
-        link.list(3, False)
-        assert link.head() == "GET /catalog/members HTTP/1.1"
-        link.list(4, True, sidecar.row("s-b", "draining"))
-        assert "from=4&" in link.head()
+        start_watch(sidecar)
+        connection = sidecar.discovery.accept()
+        connection.read_head()
+        connection.send_endpoint_list(41, False)
+        assert "from=41&" in connection.read_head()
+        connection.send_endpoint_list(3, False)
+        assert connection.read_head() == "GET /catalog/members HTTP/1.1"
+        connection.send_endpoint_list(4, True, sidecar.endpoint_row("s-b", "draining"))
+        assert "from=4&" in connection.read_head()
 
-    sidecar.play(script)
-    assert sidecar.module.lists()[-1] == ("whole", {B: "draining"})
+    sidecar.run(script)
+    assert sidecar.balancer.endpoint_updates()[-1] == ("whole", {ENDPOINT_B: "draining"})
 
 
-@pytest.mark.usefixtures("soon")
+@pytest.mark.usefixtures("short_timeouts")
 @pytest.mark.parametrize("bad", [{"cell": "x"}, {"addr": "nowhere"}, {"started_ms": 1e999}, {"state": 4}, {"id": 7}])
 @pytest.mark.parametrize("full", [True, False])
 def test_one_bad_row_does_not_hide_the_drains_of_others(bad: dict[str, Any], full: bool) -> None:
@@ -213,20 +215,23 @@
     sidecar = Sidecar()
 
     def script() -> None:
-        begun(sidecar)
-        link = sidecar.discovery.link()
-        link.head()
-        link.list(2, full, sidecar.row("s-b", "draining"), sidecar.row("s-a", **bad))
-        assert "from=2&" in link.head()
-
-    sidecar.play(script)
-    kind, states = sidecar.module.lists()[-1]
-    kept = {} if "id" in bad else {A: "up"}  # a row without its id is nobody's
-    assert kind == ("whole" if full else "changes") and states == {B: "draining", **kept}
-    assert sidecar.watch.ready_count == (0 if full and "id" in bad else 1)
-
-
-@pytest.mark.usefixtures("soon")
+        start_watch(sidecar)
+        connection = sidecar.discovery.accept()
+        connection.read_head()
+        connection.send_endpoint_list(
+            2, full, sidecar.endpoint_row("s-b", "draining"), sidecar.endpoint_row("s-a", **bad)
+        )
+        assert "from=2&" in connection.read_head()
+
+    sidecar.run(script)
+    kind, states = sidecar.balancer.endpoint_updates()[-1]
+    sound = {} if "id" in bad else {ENDPOINT_A: "up"}  # a row without its id is nobody's
+    assert kind == ("whole" if full else "changes")
+    assert states == {ENDPOINT_B: "draining", **sound}
+    assert sidecar.endpoint_watcher.ready_count == (0 if full and "id" in bad else 1)
+
+
+@pytest.mark.usefixtures("short_timeouts")
 @pytest.mark.parametrize(
     "body",
     [
@@ -242,78 +247,84 @@
     sidecar = Sidecar()
 
     def script() -> None:
-        begun(sidecar)
-        link = sidecar.discovery.link()
-        link.head()
-        link.answer(body)
-        sidecar.until(lambda: sidecar.module.lists()[-1][0] == "failed")
-        sidecar.watch.watch()
-        assert "from=1&" in sidecar.discovery.link().head()
-
-    sidecar.play(script)
-    assert [kind for kind, _ in sidecar.module.lists()] == ["kept", "failed"] and sidecar.watch.ready_count == 2
-
-
-@pytest.mark.usefixtures("soon")
-def test_an_answer_that_could_not_be_taken_is_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The version counts as held only once the list has been."""
+        start_watch(sidecar)
+        connection = sidecar.discovery.accept()
+        connection.read_head()
+        connection.respond(body)
+        sidecar.wait_until(lambda: sidecar.balancer.endpoint_updates()[-1][0] == "failed")
+        sidecar.endpoint_watcher.watch()
+        assert "from=1&" in sidecar.discovery.accept().read_head()
+
+    sidecar.run(script)
+    assert [kind for kind, _ in sidecar.balancer.endpoint_updates()] == [
+        "kept",
+        "failed",
+    ]
+    assert sidecar.endpoint_watcher.ready_count == 2
+
+
+@pytest.mark.usefixtures("short_timeouts")
+def test_an_update_that_could_not_be_applied_is_requested_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The version counts as applied only when its list has been."""
     sidecar = Sidecar()
-    take = PoolTake(sidecar)
+    failing_apply = FailingApply(sidecar)
 
     def script() -> None:
-        begun(sidecar)
-        link = sidecar.discovery.link()
-        link.head()
-        monkeypatch.setattr(sidecar.watch, "_apply_update", take.fail_once)
-        link.list(2, False, sidecar.row("s-b", "draining"))
-        sidecar.until(lambda: sidecar.module.lists()[-1][0] == "failed")
-        sidecar.watch.watch()
-        link = sidecar.discovery.link()
-        assert "from=1&" in link.head()
-        link.list(2, False, sidecar.row("s-b", "draining"))
-        assert "from=2&" in link.head()
+        start_watch(sidecar)
+        connection = sidecar.discovery.accept()
+        connection.read_head()
+        monkeypatch.setattr(sidecar.endpoint_watcher, "_apply_update", failing_apply.apply)
+        connection.send_endpoint_list(2, False, sidecar.endpoint_row("s-b", "draining"))
+        sidecar.wait_until(lambda: sidecar.balancer.endpoint_updates()[-1][0] == "failed")
+        sidecar.endpoint_watcher.watch()
+        connection = sidecar.discovery.accept()
+        assert "from=1&" in connection.read_head()
+        connection.send_endpoint_list(2, False, sidecar.endpoint_row("s-b", "draining"))
+        assert "from=2&" in connection.read_head()
 
-    sidecar.play(script)
-    assert sidecar.module.lists()[-1] == ("changes", {B: "draining"})
+    sidecar.run(script)
+    assert sidecar.balancer.endpoint_updates()[-1] == ("changes", {ENDPOINT_B: "draining"})
 
 
-class PoolTake:
-    """Fails the first time that a list is taken."""
+class FailingApply:
+    """Fails the first time that a list is applied."""
 
     def __init__(self, sidecar: Sidecar) -> None:
-        self.take = sidecar.watch._apply_update
+        self.apply_update = sidecar.endpoint_watcher._apply_update
         self.failed = False
 
-    def fail_once(self, pool: object, kind: str) -> None:
+    def apply(self, endpoint_list: object, kind: str) -> None:
         if not self.failed:
             self.failed = True
-            raise KeyError("a fault of ours")
-        self.take(pool, kind)  # type: ignore[arg-type]
+            raise KeyError("a fault of the watcher")
+        self.apply_update(endpoint_list, kind)  # type: ignore[arg-type]
 
 
-def test_servers_whose_cell_or_zone_is_not_told_share_no_group() -> None:
+def test_servers_whose_cell_or_zone_is_unknown_share_no_group() -> None:
     """Unknown cells all read 0: a keyed repeat could go where its first try is not known."""
     rows = [{"id": name, "addr": "127.0.0.1:1", "state": "ready"} for name in ("s-a", "s-b")]
     cells = [row.cell for row in parse_endpoint_list({"version": 1, "servers": rows}, "known").records]
     assert len(set(cells)) == 2
     sidecar = Sidecar()
-    sidecar.play(lambda: sidecar.watch.start(parse_endpoint_list({"version": 1, "servers": rows}, "known")))
-    lines = next(e.endpoints for e in sidecar.module.told if isinstance(e, balancing.EndpointUpdate))
-    assert len({line.zone for line in lines}) == 2
+    sidecar.run(lambda: sidecar.endpoint_watcher.start(parse_endpoint_list({"version": 1, "servers": rows}, "known")))
+    endpoints = next(
+        event.endpoints for event in sidecar.balancer.events if isinstance(event, balancing.EndpointUpdate)
+    )
+    assert len({endpoint.zone for endpoint in endpoints}) == 2
 
 
 def test_two_tasks_may_wait_for_one_signal() -> None:
     """Whoever woke first forgot the other, which then slept for good."""
     sidecar = Sidecar()
-    signal = Event(sidecar.loop)
-    woken: list[WakeReason] = []
+    event = Event(sidecar.loop)
+    reasons: list[WakeReason] = []
 
     def script() -> None:
-        sidecar.loop.spawn(lambda: woken.append(signal.wait(sidecar.loop.now() + NS_PER_MS)))
-        sidecar.loop.spawn(lambda: woken.append(signal.wait()))
-        sidecar.until(lambda: len(woken) == 1)
-        signal.set()
-        sidecar.until(lambda: len(woken) == 2)
-
-    sidecar.play(script)
-    assert woken == [WakeReason.TIMEOUT, WakeReason.READY]
+        sidecar.loop.spawn(lambda: reasons.append(event.wait(sidecar.loop.now() + NS_PER_MS)))
+        sidecar.loop.spawn(lambda: reasons.append(event.wait()))
+        sidecar.wait_until(lambda: len(reasons) == 1)
+        event.set()
+        sidecar.wait_until(lambda: len(reasons) == 2)
+
+    sidecar.run(script)
+    assert reasons == [WakeReason.TIMEOUT, WakeReason.READY]
