--- a/tests/http1/test_body_framing.py
+++ b/tests/http1/test_body_framing.py
@@ -14,8 +14,8 @@
 from tests.integration.player import SETTINGS
 
 
-def chunked(parts: list[bytes], trailer: bytes = b"") -> bytes:
-    return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts if part) + b"0\r\n" + trailer + b"\r\n"
+def chunked(pieces: list[bytes], trailer: bytes = b"") -> bytes:
+    return b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces if piece) + b"0\r\n" + trailer + b"\r\n"
 
 
 def feed_in_pieces(frame: BodyFraming, data: bytes, ends: list[int]) -> int:
@@ -38,9 +38,9 @@
     st.binary(max_size=40),
 )
 def test_a_chunked_body_ends_where_its_last_chunk_does_in_any_pieces(
-    parts: list[bytes], ends: list[int], behind: bytes
+    pieces: list[bytes], ends: list[int], behind: bytes
 ) -> None:
-    body = chunked(parts, b"X-Sum: 1\r\n")
+    body = chunked(pieces, b"X-Sum: 1\r\n")
     frame = BodyFraming(chunked=True)
     assert feed_in_pieces(frame, body + behind, ends) == len(body)
     assert frame.done
--- a/tests/races/test_closing.py
+++ b/tests/races/test_closing.py
@@ -33,7 +33,7 @@
 
 
 @pytest.mark.parametrize("body", [60_000, 100_004])
-@pytest.mark.parametrize("draining", [False, True])
+@pytest.mark.parametrize("draining", [False, True], ids=["connection close", "draining"])
 def test_a_client_that_sends_on_still_gets_all_of_the_answer_that_closes(body: int, draining: bool) -> None:
     """Closing over unread bytes resets the connection, and the reset takes along what is still on its way."""
     sidecar = Sidecar()
--- a/tests/races/test_discovery.py
+++ b/tests/races/test_discovery.py
@@ -208,8 +208,12 @@
 
 
 @pytest.mark.usefixtures("short_timeouts")
-@pytest.mark.parametrize("bad", [{"cell": "x"}, {"addr": "nowhere"}, {"started_ms": 1e999}, {"state": 4}, {"id": 7}])
-@pytest.mark.parametrize("full", [True, False])
+@pytest.mark.parametrize(
+    "bad",
+    [{"cell": "x"}, {"addr": "nowhere"}, {"started_ms": 1e999}, {"state": 4}, {"id": 7}],
+    ids=["cell", "addr", "started_ms", "state", "id"],
+)
+@pytest.mark.parametrize("full", [True, False], ids=["full list", "changes"])
 def test_one_bad_row_does_not_hide_the_drains_of_others(bad: dict[str, Any], full: bool) -> None:
     """A whole list was dropped for one row: its drains were never heard of."""
     sidecar = Sidecar()
@@ -242,6 +246,7 @@
         b'{"version":2,"full":true,"servers":[{"id":"s-a"}]}',
         b'{"version":true,"servers":[]}',
     ],
+    ids=["no object", "version as text", "servers as number", "no JSON", "no sound row", "version as boolean"],
 )
 def test_a_list_without_one_sound_row_leaves_the_list_at_hand(body: bytes) -> None:
     sidecar = Sidecar()
