--- a/tests/races/test_discovery.py
+++ b/tests/races/test_discovery.py
@@ -28,7 +28,7 @@
 
 
 def test_the_time_to_a_fresh_list_is_one_sum_with_margin() -> None:
-    """11.5 s to notice a silence, then a pause of up to 8 s, gave drains 12 s and more after they were told."""
+    """11.5 s to notice a silence, then a pause of up to 8 s, delivered drains after 12 s and more."""
     margin = timing.UPDATE_DELIVERY_LIMIT_NS // 12
     assert timing.UPDATE_DELIVERY_LIMIT_NS - margin >= timing.SILENT_WATCH_TO_UPDATE_NS
     assert timing.UPDATE_DELIVERY_LIMIT_NS - margin >= timing.DISCOVERY_RETURN_TO_UPDATE_NS
