--- a/tests/balancing/fleet.py
+++ b/tests/balancing/fleet.py
@@ -1,264 +1,253 @@
-"""A plain world of many sidecars: many instances of the module, and the kit's model of pledge servers, without sockets.
+"""A simulated fleet: many balancers and the testbed's server model, without sockets.
 
-It is deterministic: one heap of events, one random source, fixed seeds.  The instances share nothing but the servers
-and their list.
+It is deterministic: one heap of events, one random source, fixed seeds.  The balancers share nothing but the servers
+and the endpoint list.
 """
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import inf
 from random import Random
 
 from lugtally import Balancer, balancing
-from lugtally.testbed.emulator.server_model import Admission, Job, ServerModel, ServerTraits
-from tests.balancing.world import MS, S
-
-TRAITS = ServerTraits(initial_capacity=0.3, warm_up_s=8.0)
-
-
-@dataclass
-class Machine:
-    """One server, and when something was sent to it."""
-
-    line: balancing.Endpoint
-    server: ServerModel
-    sends: list[int] = field(default_factory=list)
-    report: float | None = None  # the held requests that its answers tell, as of its last refresh
-    jobs: dict[Job, tuple[int, str, int]] = field(default_factory=dict)  # instance, request, attempt
-    due: float = inf  # the turn that is called for
-
-
-@dataclass
-class Asked:
-    """One request of one instance."""
-
-    cls: int
-    tenant: int
-    work: float
-    where: list[int] = field(default_factory=list)
-    out: dict[int, tuple[int, Job | None]] = field(default_factory=dict)  # attempt -> when sent, its job
-    ended: str = ""
+from lugtally.testbed.emulator.server_model import Admission, Job, ServerModel
+from lugtally.units import NS_PER_MS, NS_PER_S
+from tests.balancing.fleet_records import (
+    AttemptKey,
+    FleetRequest,
+    FleetServer,
+    FleetSettings,
+    RequestOutcome,
+    SentAttempt,
+)
 
 
 class Fleet:
     """Sidecars, servers, and the events between them."""
 
-    def __init__(
-        self,
-        told: balancing.Settings,
-        sidecars: int,
-        servers: int,
-        *,
-        rate: float,
-        work: tuple[float, ...],
-        shares: tuple[float, ...] = (1.0,),
-        seed: int = 1,
-        traits: tuple[ServerTraits, ...] = (TRAITS,),
-        reports: tuple[int, int] | None = None,
-        tenants: tuple[float, ...] = (1.0,),
-    ) -> None:
-        """``work`` in seconds of a core and ``shares`` of the requests are by class, ``tenants`` shares by tenant.
-
-        Server ``n`` has ``traits[n % len(traits)]``.  With ``reports`` each answer carries the requests held
-        there, refreshed every ``reports[0]`` and seen ``reports[1]`` later (nanoseconds, each drawn from half
-        to one and a half of it).
-        """
-        self.told, self.rng, self.now = told, Random(seed), 1000 * S
-        self.traits, self.reports = traits, reports
-        self.machines = {n: self._machine(n) for n in range(1, servers + 1)}
-        self.work, self.shares, self.tenants = work, shares, tenants
-        self.asked: dict[tuple[int, str], Asked] = {}
-        self.tally: dict[str, int] = defaultdict(int)
+    def __init__(self, settings: FleetSettings) -> None:
+        self.settings, self.random, self.now = settings, Random(settings.seed), 1000 * NS_PER_S
+        self.servers = {number: self._make_server(number) for number in range(1, settings.servers + 1)}
+        self.requests: dict[tuple[int, str], FleetRequest] = {}
+        self.class_counts: Counter[tuple[RequestOutcome, int]] = Counter()
+        self.tenant_counts: Counter[tuple[RequestOutcome, int]] = Counter()
+        self.attempt_count = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
-        self._count = 0
+        self._sequence = 0  # of events, requests and restarts: orders events that are due together
         # Traffic is uneven: the busiest sidecar carries several times the mean, some next to nothing.
-        parts = [self.rng.gammavariate(1.2, 1.0) for _ in range(sidecars)]
-        self.rates = [rate * part / sum(parts) for part in parts]
-        self.balancers = [Balancer(told, seed * 1000 + n) for n in range(sidecars)]
-        if reports is not None:
-            for machine in self.machines.values():
-                self._refresh(machine)
-        for at in range(sidecars):
-            self.tell(at, balancing.EndpointUpdateKind.CACHED)
-            self._after(self._gap(at), lambda at=at: self._arrive(at))  # type: ignore[misc]
-
-    def run(self, span: int) -> None:
+        weights = [self.random.gammavariate(1.2, 1.0) for _ in range(settings.sidecars)]
+        self.request_rates = [settings.request_rate * weight / sum(weights) for weight in weights]
+        self.balancers = [
+            Balancer(settings.balancing, settings.seed * 1000 + sidecar) for sidecar in range(settings.sidecars)
+        ]
+        if settings.load_reports is not None:
+            for server in self.servers.values():
+                self._refresh_load_report(server)
+        for sidecar in range(settings.sidecars):
+            self.send_endpoint_list(sidecar, balancing.EndpointUpdateKind.CACHED)
+            self._schedule(self._draw_gap_ns(sidecar), lambda sidecar=sidecar: self._arrive(sidecar))  # type: ignore[misc]
+
+    def run(self, duration_ns: int) -> None:
         """Let time go by."""
-        until = self.now + span
+        until = self.now + duration_ns
         while self._events and self._events[0][0] <= until:
             self.now, _, event = heappop(self._events)
             event()
         self.now = until
 
     def replace(self, old: list[int], new: list[int]) -> None:
-        """Servers are replaced by ones that start now; every sidecar is told at once."""
+        """Replace servers by ones that start now; every sidecar gets the new list at once."""
         for number in old:
-            del self.machines[number]
+            del self.servers[number]
         for number in new:
-            self.machines[number] = self._machine(number, self.now)
-            if self.reports is not None:
-                self._refresh(self.machines[number])
-        for at in range(len(self.balancers)):
-            self.tell(at, balancing.EndpointUpdateKind.FULL)
+            self.servers[number] = self._make_server(number, self.now)
+            if self.settings.load_reports is not None:
+                self._refresh_load_report(self.servers[number])
+        for sidecar in range(len(self.balancers)):
+            self.send_endpoint_list(sidecar, balancing.EndpointUpdateKind.FULL)
 
     def restart(self, share: float) -> None:
-        """That share of the instances, the busiest first, begins anew with the list as it was and nothing learnt."""
-        order = sorted(range(len(self.balancers)), key=lambda at: -self.rates[at])
-        for at in order[: round(share * len(order))]:
-            self._count += 1
-            for name in [name for other, name in self.asked if other == at and not self.asked[at, name].ended]:
-                self._end(at, name, "lost")
-            self.balancers[at] = Balancer(self.told, self._count)
-            self.tell(at, balancing.EndpointUpdateKind.CACHED)
-
-    def _machine(self, number: int, started: int = 0) -> Machine:
-        line = balancing.Endpoint(number, zone=number % 2, started_ns=started)
-        traits = self.traits[number % len(self.traits)]
-        return Machine(line, ServerModel(traits, self.now / S, cold=started > 0))
-
-    def _refresh(self, machine: Machine) -> None:
-        """Its report is read off now and seen a while later; then the next one is due."""
-        assert self.reports is not None
-        every, late = self.reports
-        self._turn(machine)
-        held = float(machine.server.in_flight)
-
-        def seen() -> None:
-            machine.report = held
-
-        self._after(int(late * self.rng.uniform(0.5, 1.5)), seen)
-        if machine.line.id in self.machines:
-            self._after(int(every * self.rng.uniform(0.5, 1.5)), lambda: self._refresh(machine))
-
-    def held(self) -> list[int]:
-        """What the servers truly hold now, by id."""
-        for machine in self.machines.values():
-            self._turn(machine)
-        return [self.machines[n].server.in_flight for n in sorted(self.machines)]
-
-    def slow_all(self, by: float) -> None:
-        """Something that all servers depend on makes each of them slower by that much (1: not at all)."""
-        for machine in self.machines.values():
-            self._turn(machine)
-            machine.server.slowdown = by
-
-    def choked(self) -> int:
-        """How many servers are choked now."""
-        return sum(m.server.choked_since >= 0 for m in self.machines.values())
-
-    def tell(self, at: int, kind: balancing.EndpointUpdateKind) -> None:
-        """Give one instance the list."""
-        self._feed(at, balancing.EndpointUpdate(kind, [m.line for m in self.machines.values()]))
+        """Restart that share of the sidecars, the busiest first, with the cached list and nothing learnt."""
+        busiest_first = sorted(range(len(self.balancers)), key=lambda sidecar: -self.request_rates[sidecar])
+        for sidecar in busiest_first[: round(share * len(busiest_first))]:
+            self._sequence += 1
+            for request_id in self._unfinished(sidecar):
+                self._end(sidecar, request_id, RequestOutcome.LOST)
+            self.balancers[sidecar] = Balancer(self.settings.balancing, self._sequence)
+            self.send_endpoint_list(sidecar, balancing.EndpointUpdateKind.CACHED)
+
+    def in_flight(self) -> list[int]:
+        """Return the requests that each server truly has in flight now, by ascending server id."""
+        for server in self.servers.values():
+            self._advance(server)
+        return [self.servers[number].model.in_flight for number in sorted(self.servers)]
+
+    def slow_down_all(self, factor: float) -> None:
+        """Make each server slower by ``factor`` (1: not at all), as a shared dependency would."""
+        for server in self.servers.values():
+            self._advance(server)
+            server.model.slowdown = factor
+
+    def choked_count(self) -> int:
+        """Return how many servers are choked now."""
+        return sum(server.model.choked_since >= 0 for server in self.servers.values())
+
+    def send_endpoint_list(self, sidecar: int, kind: balancing.EndpointUpdateKind) -> None:
+        """Give one sidecar the endpoint list."""
+        self._feed(sidecar, balancing.EndpointUpdate(kind, [server.endpoint for server in self.servers.values()]))
+
+    def _make_server(self, number: int, started_ns: int = 0) -> FleetServer:
+        endpoint = balancing.Endpoint(number, zone=number % 2, started_ns=started_ns)
+        traits = self.settings.server_traits[number % len(self.settings.server_traits)]
+        return FleetServer(endpoint, ServerModel(traits, self.now / NS_PER_S, cold=started_ns > 0))
+
+    def _refresh_load_report(self, server: FleetServer) -> None:
+        """Read a server's load now, let it be seen after the delay, and schedule the next refresh."""
+        timing = self.settings.load_reports
+        assert timing is not None
+        self._advance(server)
+        in_flight = float(server.model.in_flight)
+
+        def publish() -> None:
+            server.reported_in_flight = in_flight
+
+        self._schedule(int(timing.mean_delay_ns * self.random.uniform(0.5, 1.5)), publish)
+        if server.endpoint.id in self.servers:
+            interval_ns = int(timing.mean_interval_ns * self.random.uniform(0.5, 1.5))
+            self._schedule(interval_ns, lambda: self._refresh_load_report(server))
+
+    def _unfinished(self, sidecar: int) -> list[str]:
+        return [
+            request_id
+            for (other, request_id), request in self.requests.items()
+            if other == sidecar and request.outcome is None
+        ]
 
     # ------------------------------------------------------------ the events
 
-    def _after(self, span: int, event: Callable[[], None]) -> None:
-        self._count += 1
-        heappush(self._events, (self.now + span, self._count, event))
-
-    def _gap(self, at: int) -> int:
-        return int(self.rng.expovariate(self.rates[at]) * S)
-
-    def _arrive(self, at: int) -> None:
-        self._after(self._gap(at), lambda: self._arrive(at))
-        self._count += 1
-        name = f"r{self._count}"
-        number = self.rng.choices(range(len(self.shares)), self.shares)[0]
-        tenant = self.rng.choices(range(len(self.tenants)), self.tenants)[0] if len(self.tenants) > 1 else 0
-        left = self.told.classes[number].deadline_ns
-        self.asked[at, name] = Asked(number, tenant, self.rng.gammavariate(0.5, 2) * self.work[number])
-        self.tally[f"asked {number}"] += 1
-        self.tally[f"tenant {tenant} asked"] += 1
-        self._feed(at, balancing.Request(name, number, tenant, left))
-
-    def _feed(self, at: int, event: balancing.Event) -> None:
-        for action in self.balancers[at].handle(self.now, event):
+    def _schedule(self, delay_ns: int, event: Callable[[], None]) -> None:
+        self._sequence += 1
+        heappush(self._events, (self.now + delay_ns, self._sequence, event))
+
+    def _draw_gap_ns(self, sidecar: int) -> int:
+        return int(self.random.expovariate(self.request_rates[sidecar]) * NS_PER_S)
+
+    def _arrive(self, sidecar: int) -> None:
+        settings = self.settings
+        self._schedule(self._draw_gap_ns(sidecar), lambda: self._arrive(sidecar))
+        self._sequence += 1
+        request_id = f"r{self._sequence}"
+        class_index = self.random.choices(range(len(settings.class_shares)), settings.class_shares)[0]
+        tenant = 0
+        if len(settings.tenant_shares) > 1:
+            tenant = self.random.choices(range(len(settings.tenant_shares)), settings.tenant_shares)[0]
+        work_s = self.random.gammavariate(0.5, 2) * settings.work_s[class_index]
+        request = FleetRequest(class_index, tenant, work_s)
+        self.requests[sidecar, request_id] = request
+        self._count(request, RequestOutcome.ARRIVED)
+        time_left_ns = settings.balancing.classes[class_index].deadline_ns
+        self._feed(sidecar, balancing.Request(request_id, class_index, tenant, time_left_ns))
+
+    def _feed(self, sidecar: int, event: balancing.Event) -> None:
+        for action in self.balancers[sidecar].handle(self.now, event):
             if isinstance(action, balancing.SendAttempt):
-                self._send(at, action)
-            elif isinstance(action, balancing.RejectRequest | balancing.FailRequest):
-                self._end(at, action.request_id, "refused" if isinstance(action, balancing.RejectRequest) else "failed")
+                self._send(sidecar, action)
+            elif isinstance(action, balancing.RejectRequest):
+                self._end(sidecar, action.request_id, RequestOutcome.REJECTED)
+            elif isinstance(action, balancing.FailRequest):
+                self._end(sidecar, action.request_id, RequestOutcome.FAILED)
             elif isinstance(action, balancing.SetTimer):
-                token = action.token
-                self._after(action.delay_ns, lambda token=token: self._feed(at, balancing.TimerFired(token)))  # type: ignore[misc]
+                fired = balancing.TimerFired(action.token)
+                self._schedule(action.delay_ns, lambda fired=fired: self._feed(sidecar, fired))  # type: ignore[misc]
             elif isinstance(action, balancing.CancelAttempt):
-                self._answer(at, action.request_id, action.attempt, balancing.AttemptResult.CANCELLED)
-
-    def _send(self, at: int, action: balancing.SendAttempt) -> None:
-        asked = self.asked[at, action.request_id]
-        attempt = len(asked.where)
-        asked.where.append(action.endpoint_id)
-        self.tally["sends"] += 1
-        machine = self.machines.get(action.endpoint_id)
-        job = Job(f"{at} {action.request_id} {attempt}", asked.work, sidecar=at) if machine else None
-        asked.out[attempt] = self.now, job
-        if machine is None or job is None:
-            self._after(MS, lambda: self._answer(at, action.request_id, attempt, balancing.AttemptResult.NO_CONNECTION))
+                key = AttemptKey(sidecar, action.request_id, action.attempt)
+                self._finish_attempt(key, balancing.AttemptResult.CANCELLED)
+
+    def _send(self, sidecar: int, action: balancing.SendAttempt) -> None:
+        request = self.requests[sidecar, action.request_id]
+        key = AttemptKey(sidecar, action.request_id, len(request.endpoint_ids))
+        request.endpoint_ids.append(action.endpoint_id)
+        self.attempt_count += 1
+        server = self.servers.get(action.endpoint_id)
+        if server is None:
+            request.open_attempts[key.attempt] = SentAttempt(self.now, None)
+            self._finish_attempt_after(NS_PER_MS, key, balancing.AttemptResult.NO_CONNECTION)
             return
-        machine.sends.append(self.now)
-        self._turn(machine)
-        if machine.server.offer(self.now / S, job) is not Admission.ADMITTED:
-            self._after(MS, lambda: self._answer(at, action.request_id, attempt, balancing.AttemptResult.REJECTED))
+        job = Job(f"{sidecar} {key.request_id} {key.attempt}", request.work_s, sidecar=sidecar)
+        request.open_attempts[key.attempt] = SentAttempt(self.now, job)
+        server.send_times_ns.append(self.now)
+        self._advance(server)
+        if server.model.offer(self.now / NS_PER_S, job) is not Admission.ADMITTED:
+            self._finish_attempt_after(NS_PER_MS, key, balancing.AttemptResult.REJECTED)
             return
-        machine.jobs[job] = at, action.request_id, attempt
-        self._after(
-            action.timeout_ns, lambda: self._answer(at, action.request_id, attempt, balancing.AttemptResult.TIMEOUT)
-        )
-        self._call(machine)
+        server.attempts[job] = key
+        self._finish_attempt_after(action.timeout_ns, key, balancing.AttemptResult.TIMEOUT)
+        self._schedule_wake(server)
 
-    def _turn(self, machine: Machine) -> None:
+    def _advance(self, server: FleetServer) -> None:
         """Let a server work until now, and answer what has ended."""
-        for job in machine.server.advance(self.now / S):
-            if job in machine.jobs:  # else it was called off in the same moment
-                self._answer(*machine.jobs.pop(job), balancing.AttemptResult.OK)
+        for job in server.model.advance(self.now / NS_PER_S):
+            if job in server.attempts:  # else it was cancelled in the same moment
+                self._finish_attempt(server.attempts.pop(job), balancing.AttemptResult.OK)
 
-    def _call(self, machine: Machine) -> None:
+    def _schedule_wake(self, server: FleetServer) -> None:
         """Come back when something ends at a server."""
-        due = machine.server.next_due()
-        if due == inf or machine.due <= due:
+        due_s = server.model.next_due()
+        if due_s == inf or server.next_wake_s <= due_s:
             return
-        machine.due = due
+        server.next_wake_s = due_s
+
+        def wake() -> None:
+            if server.next_wake_s == due_s:
+                server.next_wake_s = inf
+            self._advance(server)
+            self._schedule_wake(server)
 
-        def turn() -> None:
-            if machine.due == due:
-                machine.due = inf
-            self._turn(machine)
-            self._call(machine)
+        self._schedule(max(0, int((due_s - self.now / NS_PER_S) * NS_PER_S) + 1), wake)
 
-        self._after(max(0, int((due - self.now / S) * S) + 1), turn)
+    def _finish_attempt_after(self, delay_ns: int, key: AttemptKey, result: balancing.AttemptResult) -> None:
+        self._schedule(delay_ns, lambda: self._finish_attempt(key, result))
 
-    def _answer(self, at: int, name: str, attempt: int, result: balancing.AttemptResult) -> None:
-        asked = self.asked[at, name]
-        if attempt not in asked.out:
+    def _finish_attempt(self, key: AttemptKey, result: balancing.AttemptResult) -> None:
+        """End an attempt that is still open: free its server and give the balancer the result."""
+        request = self.requests[key.sidecar, key.request_id]
+        if key.attempt not in request.open_attempts:
             return
-        sent, job = asked.out.pop(attempt)
-        machine = self.machines.get(asked.where[attempt])
-        if result is not balancing.AttemptResult.OK and machine is not None and job in machine.jobs:
-            del machine.jobs[job]
-            self._turn(machine)
-            machine.server.cancel(self.now / S, job)
-            self._call(machine)
-        won = result is balancing.AttemptResult.OK and not asked.ended
+        sent_ns, job = request.open_attempts.pop(key.attempt)
+        endpoint_id = request.endpoint_ids[key.attempt]
+        server = self.servers.get(endpoint_id)
+        succeeded = result is balancing.AttemptResult.OK
+        if not succeeded and server is not None and job in server.attempts:
+            del server.attempts[job]
+            self._advance(server)
+            server.model.cancel(self.now / NS_PER_S, job)
+            self._schedule_wake(server)
+        is_first_answer = succeeded and request.outcome is None
         report = None
-        if machine is not None and machine.report is not None and result is balancing.AttemptResult.OK:
-            report = (machine.report,)
+        if server is not None and server.reported_in_flight is not None and succeeded:
+            report = (server.reported_in_flight,)
+        finished = is_first_answer or request.outcome is not None
+        duration_ns = self.now - sent_ns
         event = balancing.AttemptFinished(
-            name, attempt, asked.where[attempt], result, won or bool(asked.ended), self.now - sent, report
+            key.request_id, key.attempt, endpoint_id, result, finished, duration_ns, report
         )
-        self._feed(at, event)
-        if won:
-            self._end(
-                at, name, "late" if self.now - sent > self.told.classes[asked.cls].latency_objective_ns else "served"
-            )
-
-    def _end(self, at: int, name: str, how: str) -> None:
-        asked = self.asked[at, name]
-        if not asked.ended:
-            asked.ended = how
-            self.tally[f"{how} {asked.cls}"] += 1
-            self.tally[f"tenant {asked.tenant} {how}"] += 1
-            for attempt in list(asked.out):
-                self._answer(at, name, attempt, balancing.AttemptResult.CANCELLED)
+        self._feed(key.sidecar, event)
+        if is_first_answer:
+            objective_ns = self.settings.balancing.classes[request.class_index].latency_objective_ns
+            outcome = RequestOutcome.LATE if duration_ns > objective_ns else RequestOutcome.SERVED
+            self._end(key.sidecar, key.request_id, outcome)
+
+    def _end(self, sidecar: int, request_id: str, outcome: RequestOutcome) -> None:
+        request = self.requests[sidecar, request_id]
+        if request.outcome is None:
+            request.outcome = outcome
+            self._count(request, outcome)
+            for attempt in list(request.open_attempts):
+                self._finish_attempt(AttemptKey(sidecar, request_id, attempt), balancing.AttemptResult.CANCELLED)
+
+    def _count(self, request: FleetRequest, outcome: RequestOutcome) -> None:
+        self.class_counts[outcome, request.class_index] += 1
+        self.tenant_counts[outcome, request.tenant] += 1
--- /dev/null
+++ b/tests/balancing/test_outlier_detection.py
@@ -0,0 +1,128 @@
+"""Outlier detection: one test for each failure of a server or fleet that earned a rule."""
+
+from __future__ import annotations
+
+from lugtally import balancing
+from lugtally.balancing import outlier_detection
+from lugtally.balancing.latency import CONGESTED_RATIO
+from lugtally.balancing.outlier_detection import MAX_EJECTED_SHARE
+from lugtally.units import NS_PER_MS, NS_PER_S
+from tests.balancing.world import World, make_endpoints, serve_requests, settings, start_world
+
+
+def keep_silent(world: World, endpoint_id: int, count: int) -> None:
+    """Send requests, some ``count`` of which end unanswered at ``endpoint_id`` while others are answered."""
+    for _ in range(count * 12):
+        name = f"s{len(world.requests)}"
+        world.send_request(name, time_left_ns=400 * NS_PER_MS)
+        for index, attempt in enumerate(world.requests[name].attempts):
+            if attempt.endpoint_id != endpoint_id:
+                world.pass_time(30 * NS_PER_MS)
+                if not world.requests[name].finished:
+                    world.end(name, index, balancing.AttemptResult.OK)
+        world.pass_time(10 * NS_PER_MS)
+
+
+def test_a_silent_server_is_ejected_and_tried_again_later() -> None:
+    """After its last request had timed out, a silent server stayed ejected for good."""
+    world = start_world(settings(hedging_allowed=False), make_endpoints(10))
+    serve_requests(world, 60)
+    start = world.now
+    keep_silent(world, 3, 20)
+    sent = [sent_ns for sent_ns, endpoint_id in world.sends if endpoint_id == 3 and sent_ns > start]
+    assert 1 <= len(sent) <= 5, "of 240 requests; an equal share would be 24"
+    world.pass_time(60 * NS_PER_S)
+    serve_requests(world, 120)
+    assert any(endpoint_id == 3 for sent_ns, endpoint_id in world.sends if sent_ns > world.now - 20 * NS_PER_S)
+
+
+def test_a_server_that_answers_again_is_found_within_seconds() -> None:
+    """After a silence servers were ejected for up to 16 s, while the others carried too much."""
+    world = start_world(settings(max_attempts=1), make_endpoints(10))
+    endpoint = world.balancer.state.subset.members[0]
+    for _ in range(9):
+        world.now = max(world.now, endpoint.ejected_until_ns)
+        outlier_detection.eject(world.balancer.state, world.now, endpoint)
+        assert world.now < endpoint.ejected_until_ns <= world.now + 5 * NS_PER_S
+
+
+def test_servers_that_reject_everything_are_ejected_though_half_of_the_fleet_is_ejected() -> None:
+    """Slow servers made up the half that may be ejected, and two that had just stopped got 450 requests."""
+    for result in balancing.AttemptResult.NO_CONNECTION, balancing.AttemptResult.REJECTED:
+        world = start_world(settings(max_attempts=1), make_endpoints(10))
+        for endpoint in world.balancer.state.subset.members[:5]:
+            endpoint.ejected_until_ns = world.now + 60 * NS_PER_S
+        dead = world.balancer.state.subset.members[5].id
+        for number in range(60):
+            world.send_request(f"x{number}")
+            world.now += 5 * NS_PER_MS
+            for attempt in world.requests[f"x{number}"].attempts:
+                world.end(f"x{number}", 0, result if attempt.endpoint_id == dead else balancing.AttemptResult.OK)
+        assert sum(endpoint_id == dead for _, endpoint_id in world.sends) <= 2
+
+
+def test_late_responses_of_a_whole_fleet_eject_nobody() -> None:
+    """Congestion makes every server late; half the fleet used to be ejected for it."""
+    world = start_world(settings(hedging_allowed=False, max_attempts=1), make_endpoints(10))
+    serve_requests(world, 40)
+    for number in range(30):
+        world.send_request(f"late{number}", time_left_ns=100 * NS_PER_MS)
+        world.send_request(f"good{number}", time_left_ns=NS_PER_S)
+        world.pass_time(60 * NS_PER_MS)
+        for attempt in world.requests[f"good{number}"].attempts:
+            world.balancer.state.endpoints[attempt.endpoint_id].last_response_ns = world.now
+        for name in [f"late{number}"]:
+            for attempt in world.requests[name].attempts:  # its server answers somebody meanwhile
+                world.balancer.state.endpoints[attempt.endpoint_id].last_response_ns = world.now
+        world.pass_time(60 * NS_PER_MS)
+    assert not any(endpoint.ejected_until_ns > world.now for endpoint in world.balancer.state.subset.members)
+
+
+def test_errors_in_a_row_eject_but_never_more_than_the_cap() -> None:
+    world = start_world(settings(max_attempts=1), make_endpoints(10))
+    for number in range(200):
+        name = f"e{number}"
+        world.send_request(name)
+        if world.requests[name].attempts:
+            world.end(name, 0, balancing.AttemptResult.RESET)
+        world.pass_time(5 * NS_PER_MS)
+    ejected = sum(endpoint.ejected_until_ns > world.now for endpoint in world.balancer.state.subset.members)
+    assert 0 < ejected <= MAX_EJECTED_SHARE * 10
+
+
+def test_single_broken_responses_among_good_ones_eject_nobody() -> None:
+    """One response in twenty was broken, at any server alike: half of a healthy fleet was always ejected."""
+    world = start_world(settings(max_attempts=1), make_endpoints(10))
+    ejected = 0
+    for number in range(300):
+        world.send_request(f"x{number}")
+        world.now += 20 * NS_PER_MS
+        world.end(f"x{number}", 0, balancing.AttemptResult.RESET if number % 20 == 0 else balancing.AttemptResult.OK)
+        ejected += any(endpoint.ejected_until_ns > world.now for endpoint in world.balancer.state.subset.members)
+    assert ejected < 15
+
+
+def test_one_refused_connection_costs_a_server_about_a_second() -> None:
+    world = start_world(settings(max_attempts=1), make_endpoints(10))
+    world.send_request("a")
+    world.end("a", 0, balancing.AttemptResult.NO_CONNECTION)
+    until = [endpoint.ejected_until_ns for endpoint in world.balancer.state.subset.members if endpoint.ejected_until_ns]
+    assert len(until) == 1
+    assert until[0] <= world.now + 1.2 * NS_PER_S
+
+
+def test_slow_servers_are_ejected_lowest_id_first() -> None:
+    """Servers that are slow even one request at a time are ejected for a while, the same ones at every balancer."""
+    world = start_world(settings(), make_endpoints(10))
+    serve_requests(world, 40)
+    for endpoint in world.balancer.state.subset.members:
+        endpoint.concurrency_limit, endpoint.slowness, endpoint.samples, endpoint.last_response_ns = (
+            1.0,
+            2 * CONGESTED_RATIO,
+            20,
+            world.now,
+        )
+    world.balancer._refresh(world.now)
+    assert {
+        endpoint.id for endpoint in world.balancer.state.subset.members if endpoint.ejected_until_ns > world.now
+    } == {1, 2, 3, 4, 5}
--- /dev/null
+++ b/tests/balancing/test_picker.py
@@ -0,0 +1,82 @@
+"""The subset of endpoints, and the pick among them by load, zone and load report."""
+
+from __future__ import annotations
+
+from lugtally import balancing
+from lugtally.units import NS_PER_MS, NS_PER_S
+from tests.balancing.world import IDEMPOTENT, make_endpoints, settings, start_world
+
+
+def test_subset_has_ten_members_and_redraws_those_that_drain() -> None:
+    world = start_world(settings(fleet_size=20), make_endpoints(40))
+    first = {endpoint.id for endpoint in world.balancer.state.subset.members}
+    assert len(first) == 10
+    draining = sorted(first)[:3]
+    world.feed(
+        balancing.EndpointUpdate(
+            balancing.EndpointUpdateKind.DELTA,
+            [balancing.Endpoint(number, state=balancing.EndpointState.DRAINING) for number in draining],
+        )
+    )
+    second = {endpoint.id for endpoint in world.balancer.state.subset.members}
+    assert len(second) == 10
+    assert not second & set(draining)
+    assert first - set(draining) < second
+
+
+def test_subset_grows_with_own_requests_in_flight() -> None:
+    """A balancer that carries most of the traffic overloaded its ten random members."""
+    world = start_world(settings(fleet_size=20), make_endpoints(40))
+    for number in range(14):
+        world.send_request(f"a{number}", time_left_ns=5 * NS_PER_S)
+        world.pass_time(100 * NS_PER_MS)
+    assert len(world.balancer.state.subset.members) > 10
+
+
+def test_pick_prefers_fewer_own_requests_in_flight() -> None:
+    world = start_world(settings(fleet_size=1), make_endpoints(10))
+    for number in range(10):
+        world.send_request(f"a{number}")
+    spread = [len(endpoint.in_flight) for endpoint in world.balancer.state.subset.members]
+    assert sum(spread) == 10
+    assert max(spread) <= 2
+
+
+def test_equal_servers_are_distinguished_by_load_reports_that_latencies_confirm() -> None:
+    """Quiet sidecars have nothing in flight at either of two servers; idle but late is a lie."""
+
+    def send_share(report: float, duration_ns: int) -> float:
+        world = start_world(settings(load_report_fields=("queue",)), make_endpoints(10))
+        sends = 0
+        for number in range(400):
+            world.send_request(f"a{number}")
+            for attempt in world.requests[f"a{number}"].attempts:
+                differs = attempt.endpoint_id == 1
+                world.now += duration_ns if differs else 40 * NS_PER_MS
+                world.requests[f"a{number}"].finished = True
+                world.feed(
+                    balancing.AttemptFinished(
+                        f"a{number}",
+                        0,
+                        attempt.endpoint_id,
+                        balancing.AttemptResult.OK,
+                        True,
+                        duration_ns if differs else 40 * NS_PER_MS,
+                        (report if differs else 1.0,),
+                    )
+                )
+                sends += differs and number > 50
+        return sends / 350
+
+    assert send_share(6.0, 40 * NS_PER_MS) < 0.07, "a reported queue is shunned"
+    assert send_share(0.0, 100 * NS_PER_MS) < 0.07, "so is one that reports idle but answers late"
+
+
+def test_servers_of_other_zones_are_used_when_those_of_the_own_zone_are_full() -> None:
+    """The own zone was preferred even while its servers were full."""
+    world = start_world(settings(IDEMPOTENT, cross_zone_cost=0.1, fleet_size=1), make_endpoints(12))
+    for number in range(20):
+        world.send_request(f"a{number}")
+    zones = [world.endpoints[endpoint_id].zone for _, endpoint_id in world.sends]
+    assert zones.count(0) >= 6
+    assert len(zones) - zones.count(0) >= 6
--- a/tests/balancing/test_rules_random.py
+++ b/tests/balancing/test_rules_random.py
@@ -1,4 +1,4 @@
-"""Random lives: whatever happens, in whatever order, the four rules hold and nothing is raised."""
+"""Random sequences of events: whatever happens, in whatever order, the four rules hold and nothing is raised."""
 
 from __future__ import annotations
 
@@ -10,83 +10,85 @@
 from hypothesis import strategies as st
 
 from lugtally import balancing
-from tests.balancing.world import MS, SAFE, UNSAFE, S, World, keyed, lines
-from tests.balancing.world import settings as told
+from lugtally.units import NS_PER_MS, NS_PER_S
+from tests.balancing.world import IDEMPOTENT, NON_IDEMPOTENT, World, make_endpoints, with_idempotency_key
+from tests.balancing.world import settings as make_settings
 
 DRAWS = 1  # the examples must not change with the text of a test, as they would by its digest
 
 CLASSES = (
-    SAFE,
-    UNSAFE,
-    keyed(balancing.DeduplicationScope.ALL, 400 * MS),
-    keyed(balancing.DeduplicationScope.ZONE),
-    keyed(balancing.DeduplicationScope.CELL, 300 * MS),
-    replace(SAFE, stream=True),
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    with_idempotency_key(balancing.DeduplicationScope.ALL, 400 * NS_PER_MS),
+    with_idempotency_key(balancing.DeduplicationScope.ZONE),
+    with_idempotency_key(balancing.DeduplicationScope.CELL, 300 * NS_PER_MS),
+    replace(IDEMPOTENT, stream=True),
 )
 RESULTS = list(balancing.AttemptResult)
 
-STEP = st.one_of(
-    st.tuples(st.just("ask"), st.integers(0, len(CLASSES)), st.integers(1, 1200)),
-    st.tuples(st.just("ask"), st.integers(0, len(CLASSES)), st.integers(1, 1200)),
+OPERATION = st.one_of(
+    st.tuples(st.just("request"), st.integers(0, len(CLASSES)), st.integers(1, 1200)),
+    st.tuples(st.just("request"), st.integers(0, len(CLASSES)), st.integers(1, 1200)),
     st.tuples(st.just("end"), st.integers(0, 200), st.integers(0, len(RESULTS) - 1)),
     st.tuples(st.just("end"), st.integers(0, 200), st.integers(0, len(RESULTS) - 1)),
     st.tuples(st.just("wait"), st.integers(0, 400), st.just(0)),
     st.tuples(st.just("list"), st.integers(0, 40), st.integers(0, 5)),
-    st.tuples(st.just("left"), st.integers(0, 200), st.just(0)),
-    st.tuples(st.just("byte"), st.integers(0, 200), st.just(0)),
-    st.tuples(st.just("odd"), st.integers(0, 6), st.just(0)),
+    st.tuples(st.just("disconnect"), st.integers(0, 200), st.just(0)),
+    st.tuples(st.just("response"), st.integers(0, 200), st.just(0)),
+    st.tuples(st.just("unknown"), st.integers(0, 6), st.just(0)),
 )
 
 
-def play(world: World, steps: list[tuple[str, int, int]]) -> None:
-    """Carry out the drawn steps."""
-    for number, (what, one, two) in enumerate(steps):
-        open_copies = [(n, at) for n, t in world.tracks.items() for at, c in enumerate(t.copies) if c.open]
-        live = [n for n, t in world.tracks.items() if not t.over and not t.streaming]
-        if what == "ask":
-            world.send_request(f"r{number}", one, two * MS)
-        elif what == "end" and open_copies:
-            name, at = open_copies[one % len(open_copies)]
-            world.end(name, at, RESULTS[two])
+def play(world: World, operations: list[tuple[str, int, int]]) -> None:
+    """Carry out the drawn operations; each has two drawn numbers, whose sense depends on the operation."""
+    for number, (what, first_draw, second_draw) in enumerate(operations):
+        open_attempts = [
+            (name, index)
+            for name, request in world.requests.items()
+            for index, attempt in enumerate(request.attempts)
+            if attempt.is_open
+        ]
+        unsettled = [name for name, request in world.requests.items() if not request.is_answered]
+        if what == "request":
+            world.send_request(f"r{number}", first_draw, second_draw * NS_PER_MS)
+        elif what == "end" and open_attempts:
+            name, index = open_attempts[first_draw % len(open_attempts)]
+            world.end(name, index, RESULTS[second_draw])
         elif what == "wait":
-            world.pass_time(one * MS)
-        elif what == "left" and live:
-            world.feed(balancing.ClientDisconnected(live[one % len(live)]))
-        elif what == "byte" and open_copies:
-            name, at = open_copies[one % len(open_copies)]
-            if not world.tracks[name].over and not world.tracks[name].streaming:
-                world.feed(balancing.ResponseStarted(name, at, world.tracks[name].copies[at].server))
+            world.pass_time(first_draw * NS_PER_MS)
+        elif what == "disconnect" and unsettled:
+            world.feed(balancing.ClientDisconnected(unsettled[first_draw % len(unsettled)]))
+        elif what == "response" and open_attempts:
+            name, index = open_attempts[first_draw % len(open_attempts)]
+            if not world.requests[name].is_answered:
+                world.feed(balancing.ResponseStarted(name, index, world.requests[name].attempts[index].endpoint_id))
         elif what == "list":
-            change_list(world, one, two)
-        elif what == "odd":
-            odd(world, one)
-
-
-def change_list(world: World, one: int, two: int) -> None:
-    """One of the ways in which news of the list arrives."""
-    server = balancing.Endpoint(1 + one % 14, zone=one % 3, cell=one % 3)
-    if two == 0:
-        world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.FAILED, []))
-    elif two == 1:
-        world.feed(
-            balancing.EndpointUpdate(balancing.EndpointUpdateKind.FULL, [x for x in lines(12) if x.id % 5 != one % 5])
-        )
-    elif two == 2:
-        world.feed(
-            balancing.EndpointUpdate(
-                balancing.EndpointUpdateKind.DELTA, [replace(server, started_ns=world.now - one * MS)]
-            )
-        )
+            update_endpoints(world, first_draw, second_draw)
+        elif what == "unknown":
+            feed_unknown(world, first_draw)
+
+
+def update_endpoints(world: World, number: int, kind: int) -> None:
+    """Deliver an update of the endpoint list: a failure, a full list, a restart or a change of state."""
+    endpoint = balancing.Endpoint(1 + number % 14, zone=number % 3, cell=number % 3)
+    if kind == 0:
+        update = balancing.EndpointUpdate(balancing.EndpointUpdateKind.FAILED, [])
+    elif kind == 1:
+        listed = [other for other in make_endpoints(12) if other.id % 5 != number % 5]
+        update = balancing.EndpointUpdate(balancing.EndpointUpdateKind.FULL, listed)
+    elif kind == 2:
+        restarted = replace(endpoint, started_ns=world.now - number * NS_PER_MS)
+        update = balancing.EndpointUpdate(balancing.EndpointUpdateKind.DELTA, [restarted])
     else:
-        state = (balancing.EndpointState.DRAINING, balancing.EndpointState.REMOVED, balancing.EndpointState.READY)[
-            two - 3
-        ]
-        world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.DELTA, [replace(server, state=state)]))
+        states = (balancing.EndpointState.DRAINING, balancing.EndpointState.REMOVED, balancing.EndpointState.READY)
+        changed = replace(endpoint, state=states[kind - 3])
+        update = balancing.EndpointUpdate(balancing.EndpointUpdateKind.DELTA, [changed])
+    world.feed(update)
 
 
-def odd(world: World, one: int) -> None:
-    """Events that name what the balancer does not hold change nothing that is owed."""
-    event: list[balancing.Event] = [
+def feed_unknown(world: World, number: int) -> None:
+    """Deliver an event that names what the balancer does not know; it causes no send and no final answer."""
+    events: list[balancing.Event] = [
         balancing.ClientDisconnected("nobody"),
         balancing.TimerFired("rnobody"),
         balancing.TimerFired("?"),
@@ -96,16 +98,16 @@
         balancing.AttemptFinished("nobody", 3, 77, balancing.AttemptResult.TIMEOUT, False, 5),
     ]
     assert not [
-        a
-        for a in world.feed(event[one])
-        if isinstance(a, balancing.SendAttempt | balancing.RejectRequest | balancing.FailRequest)
+        action
+        for action in world.feed(events[number])
+        if isinstance(action, balancing.SendAttempt | balancing.RejectRequest | balancing.FailRequest)
     ]
 
 
 @draws_from(DRAWS)
 @settings(derandomize=True, deadline=None, max_examples=250, database=None, suppress_health_check=list(HealthCheck))
 @given(
-    st.lists(STEP, min_size=5, max_size=60),
+    st.lists(OPERATION, min_size=5, max_size=60),
     st.booleans(),
     st.booleans(),
     st.integers(1, 6),
@@ -113,11 +115,19 @@
     st.integers(0, 9),
 )
 def test_rules_hold(
-    steps: list[tuple[str, int, int]], copies: bool, gone_binds: bool, attempts: int, count: int, seed: int
+    operations: list[tuple[str, int, int]],
+    hedging_allowed: bool,
+    removal_is_binding: bool,
+    max_attempts: int,
+    endpoint_count: int,
+    seed: int,
 ) -> None:
-    world = World(told(*CLASSES, hedging_allowed=copies, removal_is_binding=gone_binds, max_attempts=attempts), seed)
-    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, lines(count)))
-    play(world, steps)
+    configured = make_settings(
+        *CLASSES, hedging_allowed=hedging_allowed, removal_is_binding=removal_is_binding, max_attempts=max_attempts
+    )
+    world = World(configured, seed)
+    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, make_endpoints(endpoint_count)))
+    play(world, operations)
     world.run_to_deadlines()
 
 
@@ -128,108 +138,116 @@
     st.integers(0, 9),
 )
 def test_no_message_raises_or_breaks_a_rule(messages: list[tuple[int, str]], seed: int) -> None:
-    world = World(told(*CLASSES, fleet_size=3), seed)
-    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, lines(9)))
-    for n, (peer, text) in enumerate(messages):
+    world = World(make_settings(*CLASSES, fleet_size=3), seed)
+    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, make_endpoints(9)))
+    for number, (peer, text) in enumerate(messages):
         world.feed(balancing.GossipReceived(peer, text))
-        world.send_request(f"m{n}", n % len(CLASSES))
-        world.pass_time(40 * MS)
+        world.send_request(f"m{number}", number % len(CLASSES))
+        world.pass_time(40 * NS_PER_MS)
     world.run_to_deadlines()
 
 
 @draws_from(DRAWS)
 @settings(derandomize=True, deadline=None, max_examples=40, database=None, suppress_health_check=list(HealthCheck))
-@given(st.lists(STEP, min_size=20, max_size=60), st.integers(0, 9))
-def test_same_events_same_actions(steps: list[tuple[str, int, int]], seed: int) -> None:
-    logs = []
+@given(st.lists(OPERATION, min_size=20, max_size=60), st.integers(0, 9))
+def test_same_events_same_actions(operations: list[tuple[str, int, int]], seed: int) -> None:
+    runs = []
     for _ in range(2):
-        world = World(told(*CLASSES), seed)
-        world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, lines(9)))
-        play(world, steps)
-        logs.append(world.log)
-    assert logs[0] == logs[1]
+        world = World(make_settings(*CLASSES), seed)
+        world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, make_endpoints(9)))
+        play(world, operations)
+        runs.append(world.actions)
+    assert runs[0] == runs[1]
 
 
 @draws_from(DRAWS)
 @settings(derandomize=True, deadline=None, max_examples=25, database=None, suppress_health_check=list(HealthCheck))
 @given(st.integers(0, 20), st.integers(1, 12), st.integers(2, 25), st.booleans(), st.integers(0, 9))
-def test_cold_servers_stay_under_the_bound(age_s: int, cold: int, gap_ms: int, restarted: bool, seed: int) -> None:
+def test_no_cold_server_is_sent_more_than_its_capacity_allows(
+    age_s: int, cold_count: int, gap_ms: int, restarted: bool, seed: int
+) -> None:
     """A fleet at full load, one balancer: no cold server is sent more than its capacity surely allows.
 
     The bound of the rule is 3 x capacity; a fleet of 12 whose warm servers get 1/12 of the traffic each is
     taken to be fully loaded, so that one balancer alone may use 3 x ramp x its mean rate a server.
     """
-    world = World(told(SAFE), seed)
-    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, lines(12)))
+    world = World(make_settings(IDEMPOTENT), seed)
+    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, make_endpoints(12)))
     if not restarted:
-        drive(world, 3 * S, gap_ms)
-    born = world.now - age_s * S
-    fresh = [replace(x, started_ns=born) for x in lines(12) if x.id <= cold]
+        send_evenly(world, 3 * NS_PER_S, gap_ms)
+    started_ns = world.now - age_s * NS_PER_S
+    fresh = [replace(endpoint, started_ns=started_ns) for endpoint in make_endpoints(12) if endpoint.id <= cold_count]
     world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.DELTA, fresh))
     start = world.now
-    drive(world, 4 * S, gap_ms)
+    send_evenly(world, 4 * NS_PER_S, gap_ms)
     mean = 1000 / gap_ms / 12
-    for server in range(1, cold + 1):
-        times = [at for at, where in world.sends if where == server and at > start]
-        for first in times:
-            count = sum(first <= at < first + 2 * S for at in times)
-            ramp = min(1.0, 0.12 + 0.88 * (first + 2 * S - born) / (20 * S))
-            assert count <= 2 + 3 * ramp * mean * 2
+    for server in range(1, cold_count + 1):
+        send_times = [sent_ns for sent_ns, endpoint_id in world.sends if endpoint_id == server and sent_ns > start]
+        for first in send_times:
+            sends = sum(first <= sent_ns < first + 2 * NS_PER_S for sent_ns in send_times)
+            ramp = min(1.0, 0.12 + 0.88 * (first + 2 * NS_PER_S - started_ns) / (20 * NS_PER_S))
+            assert sends <= 2 + 3 * ramp * mean * 2
 
 
 @draws_from(DRAWS)
 @settings(derandomize=True, deadline=None, max_examples=60, database=None)
 @given(st.integers(0, 18), st.booleans(), st.integers(0, 9))
-def test_many_unequal_balancers_together_do_not_push_a_cold_server_over(age_s: int, restarted: bool, seed: int) -> None:
+def test_many_unequal_balancers_together_do_not_overload_a_cold_server(age_s: int, restarted: bool, seed: int) -> None:
     """Thirty balancers, one with half of the traffic, share twelve servers that are fully loaded.
 
-    A fall is their fault only from when they were told of the start: for a list that changes, 6 s into the run.
+    They answer for a collapse only from when the list gave them the start: for a list that changes, 6 s into the run.
     """
     count, rate = 30, 240.0
-    worlds = [World(told(SAFE, fleet_size=count), seed * 100 + n) for n in range(count)]
+    worlds = [World(make_settings(IDEMPOTENT, fleet_size=count), seed * 100 + number) for number in range(count)]
     rates = [rate / 2] + [rate / 2 / (count - 1)] * (count - 1)
-    rng = Random(seed)
-    due: list[float] = [rng.expovariate(r) for r in rates]
-    informed = worlds[0].now + 6 * S
-    born = informed - age_s * S
-    fresh = [replace(x, started_ns=born) if x.id == 1 else x for x in lines(12)]
+    random = Random(seed)
+    due: list[float] = [random.expovariate(each) for each in rates]
+    informed = worlds[0].now + 6 * NS_PER_S
+    started_ns = informed - age_s * NS_PER_S
+    fresh = [
+        replace(endpoint, started_ns=started_ns) if endpoint.id == 1 else endpoint for endpoint in make_endpoints(12)
+    ]
     for world in worlds:
-        world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, fresh if restarted else lines(12)))
-    for step in range(2000):
-        for world, each in zip(worlds, range(count), strict=True):
-            if step == 1200 and not restarted:
+        world.feed(
+            balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, fresh if restarted else make_endpoints(12))
+        )
+    for tick in range(2000):
+        for index, world in enumerate(worlds):
+            if tick == 1200 and not restarted:
                 world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.DELTA, [fresh[0]]))
-            while due[each] * S < step * 5 * MS:
-                due[each] += rng.expovariate(rates[each])
-                name = f"c{len(world.tracks)}"
-                if sent_to(world, name):
+            while due[index] * NS_PER_S < tick * 5 * NS_PER_MS:
+                due[index] += random.expovariate(rates[index])
+                name = f"c{len(world.requests)}"
+                if is_sent(world, name):
                     world.end(name, 0, balancing.AttemptResult.OK)
-            world.now += 5 * MS
-    since = born if restarted else informed
-    times = sorted(at for world in worlds for at, where in world.sends if where == 1 and at >= since)
-    for first in times:
-        together = sum(first <= at < first + 2 * S for at in times)
-        ramp = min(1.0, 0.12 + 0.88 * max(0, first - born) / (20 * S))
-        assert together <= 3 + 3 * ramp * rate / 12 * 2
-
-
-def drive(world: World, span: int, gap_ms: int) -> None:
-    """Requests at an even pace, each answered 40 ms later."""
-    until = world.now + span
+            world.now += 5 * NS_PER_MS
+    since = started_ns if restarted else informed
+    send_times = sorted(
+        sent_ns for world in worlds for sent_ns, endpoint_id in world.sends if endpoint_id == 1 and sent_ns >= since
+    )
+    for first in send_times:
+        sends = sum(first <= sent_ns < first + 2 * NS_PER_S for sent_ns in send_times)
+        ramp = min(1.0, 0.12 + 0.88 * max(0, first - started_ns) / (20 * NS_PER_S))
+        assert sends <= 3 + 3 * ramp * rate / 12 * 2
+
+
+def send_evenly(world: World, duration_ns: int, gap_ms: int) -> None:
+    """Send requests at an even pace, each answered 40 ms later."""
+    until = world.now + duration_ns
     ends: list[tuple[int, str]] = []
-    number = len(world.tracks)
+    number = len(world.requests)
     while world.now < until:
         number += 1
-        if sent_to(world, f"d{number}"):
-            ends.append((world.now + 40 * MS, f"d{number}"))
-        world.pass_time(gap_ms * MS, gap_ms * MS)
-        for at, name in list(ends):
-            if at <= world.now:
-                ends.remove((at, name))
-                if not world.tracks[name].over:
+        if is_sent(world, f"d{number}"):
+            ends.append((world.now + 40 * NS_PER_MS, f"d{number}"))
+        world.pass_time(gap_ms * NS_PER_MS, gap_ms * NS_PER_MS)
+        for due_ns, name in list(ends):
+            if due_ns <= world.now:
+                ends.remove((due_ns, name))
+                if not world.requests[name].finished:
                     world.end(name, 0, balancing.AttemptResult.OK)
 
 
-def sent_to(world: World, name: str) -> bool:
-    """Ask, and tell whether it was sent."""
-    return any(isinstance(a, balancing.SendAttempt) for a in world.send_request(name))
+def is_sent(world: World, name: str) -> bool:
+    """Send a request; return whether an attempt was sent for it."""
+    return any(isinstance(action, balancing.SendAttempt) for action in world.send_request(name))
--- a/tests/balancing/world.py
+++ b/tests/balancing/world.py
@@ -1,4 +1,7 @@
-"""Helpers of the tests: terse events, and a checker of the four rules that knows nothing of the module."""
+"""A test harness for one balancer: it feeds events and checks every action against the four rules.
+
+The checker keeps its own record of requests and attempts and uses nothing of the balancer's state.
+"""
 
 from __future__ import annotations
 
@@ -8,225 +11,250 @@
 from lugtally import Balancer, balancing
 from lugtally.units import NS_PER_MS, NS_PER_S
 
-MS = NS_PER_MS
-S = NS_PER_S
-T0 = 1000 * S  # servers with started_ns = 0 are long warm by then
+START_NS = 1000 * NS_PER_S  # endpoints with started_ns = 0 have long warmed up by then
 
-SAFE = balancing.RequestClass("safe", balancing.Idempotency.IDEMPOTENT, latency_objective_ns=300 * MS, deadline_ns=S)
-UNSAFE = balancing.RequestClass(
-    "unsafe", balancing.Idempotency.NON_IDEMPOTENT, latency_objective_ns=300 * MS, deadline_ns=S
+IDEMPOTENT = balancing.RequestClass(
+    "safe", balancing.Idempotency.IDEMPOTENT, latency_objective_ns=300 * NS_PER_MS, deadline_ns=NS_PER_S
+)
+NON_IDEMPOTENT = balancing.RequestClass(
+    "unsafe", balancing.Idempotency.NON_IDEMPOTENT, latency_objective_ns=300 * NS_PER_MS, deadline_ns=NS_PER_S
 )
 
 
-def keyed(group: balancing.DeduplicationScope, window_ns: int = 750 * MS) -> balancing.RequestClass:
-    """A keyed class."""
-    return balancing.RequestClass("keyed", balancing.Idempotency.IDEMPOTENCY_KEY, group, window_ns, 300 * MS, S)
+def with_idempotency_key(
+    scope: balancing.DeduplicationScope, window_ns: int = 750 * NS_PER_MS
+) -> balancing.RequestClass:
+    """Return a class whose requests carry an idempotency key that is deduplicated in ``scope``."""
+    return balancing.RequestClass(
+        "keyed", balancing.Idempotency.IDEMPOTENCY_KEY, scope, window_ns, 300 * NS_PER_MS, NS_PER_S
+    )
 
 
-def settings(*classes: balancing.RequestClass, **more: Any) -> balancing.Settings:
-    """Settings of a deployment that allows most things."""
-    plain = balancing.Settings(
-        classes=classes or (SAFE,),
+def settings(*classes: balancing.RequestClass, **overrides: Any) -> balancing.Settings:
+    """Return the settings of a deployment that allows most things."""
+    defaults = balancing.Settings(
+        classes=classes or (IDEMPOTENT,),
         fleet_size=3,
         max_attempts=4,
         hedging_allowed=True,
         cancellation_allowed=True,
         retry_after_allowed=True,
-        max_retry_after_ns=2 * S,
-        slow_start_window_ns=20 * S,
+        max_retry_after_ns=2 * NS_PER_S,
+        slow_start_window_ns=20 * NS_PER_S,
         initial_capacity=0.12,
         overload_multiple=3.0,
     )
-    return replace(plain, **more)
+    return replace(defaults, **overrides)
 
 
-def lines(count: int, **more: Any) -> list[balancing.Endpoint]:
-    """``count`` servers with the ids 1, 2, ...; every third one in each zone and cell."""
-    return [balancing.Endpoint(n, zone=n % 3, cell=n % 3, **more) for n in range(1, count + 1)]
+def make_endpoints(count: int, **fields: Any) -> list[balancing.Endpoint]:
+    """Return ``count`` endpoints with the ids 1, 2, ...; every third one in each zone and cell."""
+    return [balancing.Endpoint(number, zone=number % 3, cell=number % 3, **fields) for number in range(1, count + 1)]
 
 
 @dataclass
-class Copy:
+class TrackedAttempt:
     """One attempt as the checker sees it."""
 
-    server: int
-    sent: int
+    endpoint_id: int
+    sent_ns: int
     zone: int  # of the server when it was sent: the record of its key stays there, whatever the list says later
     cell: int
-    open: bool = True
-    ran: bool = True
+    is_open: bool = True
+    may_have_run: bool = True
 
 
 @dataclass
-class Track:
+class TrackedRequest:
     """One request as the checker sees it."""
 
-    cls: balancing.RequestClass
-    deadline: int
-    copies: list[Copy] = field(default_factory=list)
-    over: bool = False
-    finals: int = 0
+    request_class: balancing.RequestClass
+    deadline_ns: int
+    attempts: list[TrackedAttempt] = field(default_factory=list)
+    finished: bool = False
+    final_answers: int = 0
     streaming: bool = False
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether no final answer may follow: it was given, or the response streams to the client."""
+        return self.finished or self.streaming
+
 
 class World:
-    """Feeds a balancer and holds every action against the four rules."""
+    """Feed a balancer with events and check each of its actions against the four rules."""
 
     def __init__(self, configured: balancing.Settings, seed: int = 1) -> None:
         self.configured = configured
         self.balancer = Balancer(configured, seed)
-        self.now = T0
-        self.tracks: dict[str, Track] = {}
-        self.lines: dict[int, balancing.Endpoint] = {}
+        self.now = START_NS
+        self.requests: dict[str, TrackedRequest] = {}
+        self.endpoints: dict[int, balancing.Endpoint] = {}
         self.drained: set[int] = set()
-        self.wakes: list[tuple[int, str]] = []
-        self.sends: list[tuple[int, int]] = []  # when, where
-        self.log: list[balancing.Action] = []
+        self.timers: list[tuple[int, str]] = []  # when due, its token
+        self.sends: list[tuple[int, int]] = []  # when, to which endpoint
+        self.actions: list[balancing.Action] = []
 
     def feed(self, event: balancing.Event) -> list[balancing.Action]:
-        """One event at the present time; returns the actions after checking them."""
+        """Deliver one event at the present time; return the actions after checking them."""
         if isinstance(event, balancing.EndpointUpdate) and event.kind is not balancing.EndpointUpdateKind.FAILED:
             self._apply_update(event)
         elif isinstance(event, balancing.Request):
-            cls = (
+            request_class = (
                 self.configured.classes[event.class_index]
                 if event.class_index < len(self.configured.classes)
                 else balancing.RequestClass()
             )
-            self.tracks[event.id] = Track(cls, self.now + event.time_left_ns)
-        elif isinstance(event, balancing.ClientDisconnected) and event.request_id in self.tracks:
-            self.tracks[event.request_id].over = True
-        elif isinstance(event, balancing.ResponseStarted) and event.request_id in self.tracks:
-            self.tracks[event.request_id].streaming = True
+            self.requests[event.id] = TrackedRequest(request_class, self.now + event.time_left_ns)
+        elif isinstance(event, balancing.ClientDisconnected) and event.request_id in self.requests:
+            self.requests[event.request_id].finished = True
+        elif isinstance(event, balancing.ResponseStarted) and event.request_id in self.requests:
+            self.requests[event.request_id].streaming = True
         actions = self.balancer.handle(self.now, event)
         for action in actions:
             self._check(action)
-        self.log += actions
+        self.actions += actions
         return actions
 
     def _apply_update(self, event: balancing.EndpointUpdate) -> None:
-        seen = {line.id for line in event.endpoints}
-        for line in event.endpoints:
-            self.lines[line.id] = replace(line)
-            if line.state is balancing.EndpointState.DRAINING:
-                self.drained.add(line.id)
-            elif line.state is balancing.EndpointState.READY:
-                self.drained.discard(line.id)
+        listed = {endpoint.id for endpoint in event.endpoints}
+        for endpoint in event.endpoints:
+            self.endpoints[endpoint.id] = replace(endpoint)
+            if endpoint.state is balancing.EndpointState.DRAINING:
+                self.drained.add(endpoint.id)
+            elif endpoint.state is balancing.EndpointState.READY:
+                self.drained.discard(endpoint.id)
         if event.kind is not balancing.EndpointUpdateKind.DELTA:
-            for line in self.lines.values():
-                if line.id not in seen:
-                    line.state = balancing.EndpointState.REMOVED
+            for endpoint in self.endpoints.values():
+                if endpoint.id not in listed:
+                    endpoint.state = balancing.EndpointState.REMOVED
 
     def _check(self, action: balancing.Action) -> None:
         if isinstance(action, balancing.SetTimer):
             assert action.delay_ns >= 0
-            self.wakes.append((self.now + action.delay_ns, action.token))
+            self.timers.append((self.now + action.delay_ns, action.token))
         elif isinstance(action, balancing.SendAttempt):
             self._check_send(action)
         elif isinstance(action, balancing.RejectRequest | balancing.FailRequest):
-            track = self.tracks[action.request_id]
-            assert not track.over and not track.streaming, "a second final answer"
-            assert self.now <= track.deadline + 20 * MS, "a late final answer"
-            track.over, track.finals = True, track.finals + 1
+            request = self.requests[action.request_id]
+            assert not request.finished, "a second final answer"
+            assert not request.streaming, "a second final answer"
+            assert self.now <= request.deadline_ns + 20 * NS_PER_MS, "a late final answer"
+            request.finished, request.final_answers = True, request.final_answers + 1
             if isinstance(action, balancing.RejectRequest):
-                assert 0 <= action.retry_after_ns <= self.configured.max_retry_after_ns
-                cls = track.cls
-                if any(c.ran for c in track.copies) and cls.idempotency is not balancing.Idempotency.IDEMPOTENT:
-                    assert cls.idempotency is balancing.Idempotency.IDEMPOTENCY_KEY, "refused what may have run"
-                    assert cls.deduplication_scope is balancing.DeduplicationScope.ALL, "refused what may have run"
+                self._check_rejection(action, request)
+
+    def _check_rejection(self, action: balancing.RejectRequest, request: TrackedRequest) -> None:
+        assert 0 <= action.retry_after_ns <= self.configured.max_retry_after_ns
+        request_class = request.request_class
+        may_have_run = any(attempt.may_have_run for attempt in request.attempts)
+        if may_have_run and request_class.idempotency is not balancing.Idempotency.IDEMPOTENT:
+            assert request_class.idempotency is balancing.Idempotency.IDEMPOTENCY_KEY, "rejected what may have run"
+            assert request_class.deduplication_scope is balancing.DeduplicationScope.ALL, "rejected what may have run"
 
     def _check_send(self, action: balancing.SendAttempt) -> None:
-        track, line = self.tracks[action.request_id], self.lines[action.endpoint_id]
-        assert not track.over and not track.streaming and self.now < track.deadline, "sent what is over"
-        assert 0 < action.timeout_ns <= track.deadline - self.now
-        assert len(track.copies) < self.configured.max_attempts
-        if any(c.open for c in track.copies):
+        request, endpoint = self.requests[action.request_id], self.endpoints[action.endpoint_id]
+        assert not request.finished, "sent what is over"
+        assert not request.streaming, "sent what is over"
+        assert self.now < request.deadline_ns, "sent what is over"
+        assert 0 < action.timeout_ns <= request.deadline_ns - self.now
+        assert len(request.attempts) < self.configured.max_attempts
+        if any(attempt.is_open for attempt in request.attempts):
             assert self.configured.hedging_allowed, "two attempts at once"
-        assert line.id not in self.drained, "sent to a draining server"
-        assert line.state is balancing.EndpointState.READY or not self.configured.removal_is_binding, (
+        assert endpoint.id not in self.drained, "sent to a draining server"
+        assert endpoint.state is balancing.EndpointState.READY or not self.configured.removal_is_binding, (
             "sent to a server that is gone"
         )
-        ran = [c for c in track.copies if c.ran]
-        if ran and track.cls.idempotency is balancing.Idempotency.NON_IDEMPOTENT:
-            raise AssertionError("an unsafe request was repeated")
-        if ran and track.cls.idempotency is balancing.Idempotency.IDEMPOTENCY_KEY:
-            first = ran[0]
-            assert self.now - first.sent <= track.cls.deduplication_window_ns, "repeated after the window"
-            if track.cls.deduplication_scope is not balancing.DeduplicationScope.ALL:
-                name = track.cls.deduplication_scope.value
-                assert getattr(line, name) == getattr(first, name), "left the group"
-        track.copies.append(Copy(action.endpoint_id, self.now, line.zone, line.cell))
+        self._check_repeat(request, endpoint)
+        request.attempts.append(TrackedAttempt(action.endpoint_id, self.now, endpoint.zone, endpoint.cell))
         self.sends.append((self.now, action.endpoint_id))
 
-    def send_request(self, name: str, cls: int = 0, left: int = S, tenant: int = 0) -> list[balancing.Action]:
-        """A request arrives."""
-        return self.feed(balancing.Request(name, cls, tenant, left))
+    def _check_repeat(self, request: TrackedRequest, endpoint: balancing.Endpoint) -> None:
+        """Check that what may have run is repeated only within its deduplication window and scope."""
+        request_class = request.request_class
+        earlier = [attempt for attempt in request.attempts if attempt.may_have_run]
+        if earlier and request_class.idempotency is balancing.Idempotency.NON_IDEMPOTENT:
+            raise AssertionError("a non-idempotent request was repeated")
+        if earlier and request_class.idempotency is balancing.Idempotency.IDEMPOTENCY_KEY:
+            first = earlier[0]
+            assert self.now - first.sent_ns <= request_class.deduplication_window_ns, "repeated after the window"
+            if request_class.deduplication_scope is not balancing.DeduplicationScope.ALL:
+                scope = request_class.deduplication_scope.value
+                assert getattr(endpoint, scope) == getattr(first, scope), "left the deduplication scope"
+
+    def send_request(
+        self, name: str, class_index: int = 0, time_left_ns: int = NS_PER_S, tenant: int = 0
+    ) -> list[balancing.Action]:
+        """Let a request arrive."""
+        return self.feed(balancing.Request(name, class_index, tenant, time_left_ns))
 
     def end(
-        self, name: str, attempt: int, result: balancing.AttemptResult, over: bool | None = None
+        self, name: str, attempt_index: int, result: balancing.AttemptResult, over: bool | None = None
     ) -> list[balancing.Action]:
-        """An attempt ends."""
-        track = self.tracks[name]
-        copy = track.copies[attempt]
-        copy.open = False
+        """Let an attempt end; ``over`` says whether its request ends with it, if the result does not."""
+        request = self.requests[name]
+        attempt = request.attempts[attempt_index]
+        attempt.is_open = False
         if result in balancing.NOT_PROCESSED:
-            copy.ran = False
-        ends = result is balancing.AttemptResult.OK or track.streaming
-        track.over = track.over or (ends if over is None else over)
+            attempt.may_have_run = False
+        ends = result is balancing.AttemptResult.OK or request.streaming
+        request.finished = request.finished or (ends if over is None else over)
+        duration_ns = self.now - attempt.sent_ns
         return self.feed(
-            balancing.AttemptFinished(name, attempt, copy.server, result, track.over, self.now - copy.sent)
+            balancing.AttemptFinished(name, attempt_index, attempt.endpoint_id, result, request.finished, duration_ns)
         )
 
-    def pass_time(self, duration_ns: int, interval_ns: int = 5 * MS) -> None:
+    def pass_time(self, duration_ns: int, interval_ns: int = 5 * NS_PER_MS) -> None:
         """Let time go by, with timers delivered and attempts timed out at their deadlines."""
         until = self.now + duration_ns
         while self.now < until:
             self.now += interval_ns
-            due = [w for w in self.wakes if w[0] <= self.now]
-            self.wakes = [w for w in self.wakes if w[0] > self.now]
+            due = [timer for timer in self.timers if timer[0] <= self.now]
+            self.timers = [timer for timer in self.timers if timer[0] > self.now]
             for _, token in due:
                 self.feed(balancing.TimerFired(token))
-            for name, track in list(self.tracks.items()):
-                for at, copy in enumerate(track.copies):
-                    if copy.open and self.now >= track.deadline and not track.streaming:
-                        self.end(name, at, balancing.AttemptResult.TIMEOUT)
+            for name, request in list(self.requests.items()):
+                for index, attempt in enumerate(request.attempts):
+                    if attempt.is_open and self.now >= request.deadline_ns and not request.streaming:
+                        self.end(name, index, balancing.AttemptResult.TIMEOUT)
 
     def run_to_deadlines(self) -> None:
         """Run past every deadline; then each request must be over."""
-        self.pass_time(max([0, *(t.deadline for t in self.tracks.values())]) - self.now + 50 * MS)
-        for name, track in self.tracks.items():
-            assert track.over or track.streaming, f"{name} was lost"
-            assert track.finals <= 1
+        last_deadline_ns = max([0, *(request.deadline_ns for request in self.requests.values())])
+        self.pass_time(last_deadline_ns - self.now + 50 * NS_PER_MS)
+        for name, request in self.requests.items():
+            assert request.is_answered, f"{name} was lost"
+            assert request.final_answers <= 1
 
 
-def started(configured: balancing.Settings, servers: list[balancing.Endpoint], seed: int = 1) -> World:
-    """A world whose balancer has been given its first list."""
+def start_world(configured: balancing.Settings, endpoints: list[balancing.Endpoint], seed: int = 1) -> World:
+    """Return a world whose balancer has been given its first endpoint list."""
     world = World(configured, seed)
-    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, servers))
+    world.feed(balancing.EndpointUpdate(balancing.EndpointUpdateKind.CACHED, endpoints))
     return world
 
 
-def sent(actions: list[balancing.Action]) -> list[int]:
-    """The servers that the actions send to."""
-    return [a.endpoint_id for a in actions if isinstance(a, balancing.SendAttempt)]
+def sent_endpoint_ids(actions: list[balancing.Action]) -> list[int]:
+    """Return the ids of the endpoints that the actions send to."""
+    return [action.endpoint_id for action in actions if isinstance(action, balancing.SendAttempt)]
 
 
 def age_connections(world: World) -> None:
-    """Two requests in a row get no answer on connections that were not used for a while."""
-    served(world, 60)
-    world.pass_time(S)
-    for n in range(2):
-        world.send_request(f"aged{n}")
-        world.pass_time(200 * MS)
-
-
-def served(world: World, count: int, took: int = 40 * MS, gap: int = 10 * MS) -> None:
-    """``count`` requests, each answered well before the next ones pile up."""
-    first = len(world.tracks)
-    for n in range(first, first + count):
-        name = f"warm{n}"
-        if sent(world.send_request(name)):
-            world.pass_time(took)
-            if not world.tracks[name].over:
+    """Let two requests in a row get no answer on connections that were not used for a while."""
+    serve_requests(world, 60)
+    world.pass_time(NS_PER_S)
+    for number in range(2):
+        world.send_request(f"aged{number}")
+        world.pass_time(200 * NS_PER_MS)
+
+
+def serve_requests(world: World, count: int, duration_ns: int = 40 * NS_PER_MS, gap_ns: int = 10 * NS_PER_MS) -> None:
+    """Send ``count`` requests, each answered after ``duration_ns``, before the next one is sent."""
+    first = len(world.requests)
+    for number in range(first, first + count):
+        name = f"warm{number}"
+        if sent_endpoint_ids(world.send_request(name)):
+            world.pass_time(duration_ns)
+            if not world.requests[name].finished:
                 world.end(name, 0, balancing.AttemptResult.OK)
-        world.pass_time(gap)
+        world.pass_time(gap_ns)
