--- /dev/null
+++ b/tests/testbed/faulty_sidecar.py
@@ -0,0 +1,225 @@
+"""Small faulty sidecars: each breaks one rule on purpose, to show that the verifier detects it.
+
+    python -m tests.testbed.faulty_sidecar FAULT        with PROXY_CONFIG set, as the daemon is started
+
+``honest`` breaks none: it sends each request once, to a ready server chosen at random.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+
+class Fault(StrEnum):
+    """The rule that a faulty sidecar breaks; the value is the command's argument."""
+
+    HONEST = "honest"
+    DROP = "drop"
+    LATE = "late"
+    DUPLICATE_RESPONSE = "twice"
+    REPEAT_NON_IDEMPOTENT = "receipt-twice"
+    REPEAT_AFTER_WINDOW = "pledge-late"
+    REPEAT_OUT_OF_SCOPE = "pledge-elsewhere"
+    REJECT_AFTER_RUN = "refuse-ran"
+    IGNORE_DRAINS = "drained"
+    OVERLOAD_COLD_SERVER = "push-over"
+    FORGE_RESPONSE = "forge"
+
+
+class HttpMessage(NamedTuple):
+    """A request or a response: its first line, its header fields by lower-case name, and its body."""
+
+    first_line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class ServerResponse(NamedTuple):
+    """The status and body of an attempt; status 0 where no response came."""
+
+    status: int
+    body: bytes
+
+
+class FaultySidecar:
+    """A sidecar with one fault."""
+
+    def __init__(self, fault: Fault, configuration: dict[str, Any]) -> None:
+        self.fault = fault
+        self.configuration = configuration
+        self.servers: dict[str, dict[str, Any]] = {row["id"]: row for row in configuration["known"]["servers"]}
+        self.version = configuration["known"]["version"]
+        self.request_count = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # ------------------------------------------------------------ the endpoint list
+
+    async def watch(self) -> None:
+        """Follow the endpoint list, as the platform requires."""
+        host, port = self.configuration["discovery"].split(":")
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                while True:
+                    writer.write(
+                        f"GET /catalog/members?from={self.version}&hold_ms=2000 HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+                    )
+                    response = await read_message(reader)
+                    self._apply_update(json.loads(response.body))
+            await asyncio.sleep(0.05)
+
+    def _apply_update(self, update: dict[str, Any]) -> None:
+        self.version = update["version"]
+        for row in update["servers"]:
+            if row["state"] == "gone" and self.fault is not Fault.IGNORE_DRAINS:
+                self.servers.pop(row["id"], None)
+            elif self.fault is not Fault.IGNORE_DRAINS or row["state"] == "ready":
+                self.servers[row["id"]] = row
+
+    def choose(self, zone: str | None = None, excluded_id: str = "") -> dict[str, Any] | None:
+        """Return a server that is ready as far as this sidecar knows; None if there is none."""
+        ready = [
+            server
+            for server in self.servers.values()
+            if server["state"] == "ready" and server["id"] != excluded_id and zone in (None, server["zone"])
+        ]
+        if not ready:
+            return None
+        if self.fault is Fault.OVERLOAD_COLD_SERVER:
+            return max(ready, key=lambda server: server["started_ms"])
+        return random.choice(ready)
+
+    # ------------------------------------------------------------ requests
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Handle one connection of the application."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                request = await read_message(reader)
+                if " /_health" in request.first_line:
+                    writer.write(build_response(200, b"ok"))
+                    continue
+                self.request_count += 1
+                response = await self.respond(request)
+                if response is None:
+                    break
+                writer.write(response)
+                if self.fault is Fault.DUPLICATE_RESPONSE and self.request_count % 20 == 0:
+                    writer.write(response)
+        writer.close()
+
+    async def respond(self, request: HttpMessage) -> bytes | None:
+        """Return the final response, with the fault in one of so many; None drops the connection."""
+        is_faulty = self.request_count % 20 == 0
+        time_left_s = float(request.headers["x-time-left"])
+        if self.fault is Fault.FORGE_RESPONSE and is_faulty:
+            request_id = request.headers["x-correlation-id"].encode()
+            return build_response(200, b'{"id":"%s","server":"s-000","made":"0000"}\n' % request_id)
+        server = self.choose()
+        if server is None:
+            return build_response(503, b"")
+        if self.fault is Fault.DROP and is_faulty:
+            return None
+        due = asyncio.get_running_loop().time() + time_left_s
+        response = await self.send(server, request, time_left_s)
+        if self.fault is Fault.LATE and is_faulty:
+            await asyncio.sleep(due + 0.25 - asyncio.get_running_loop().time())
+        response = await self._repeat(request, server, response, due, is_faulty)
+        if self.fault is Fault.REJECT_AFTER_RUN and is_receipt(request) and self.request_count % 5 == 0:
+            return build_response(503, b"")
+        if response.status in (503, 504):
+            return build_response(503, b"")
+        return build_response(200, response.body) if response.status == 200 else build_response(502, b"")
+
+    async def _repeat(
+        self, request: HttpMessage, server: dict[str, Any], response: ServerResponse, due: float, is_faulty: bool
+    ) -> ServerResponse:
+        """Send the request again where that is this sidecar's fault; return the response that counts."""
+        if response.status != 200:
+            return response
+        is_faulty_pledge = is_faulty and request.headers["x-service-class"] == "pledge-record"
+        if self.fault is Fault.REPEAT_AFTER_WINDOW and is_faulty_pledge:
+            self.tasks.add(asyncio.create_task(self._repeat_after_window(request, server)))
+        elif self.fault is Fault.REPEAT_OUT_OF_SCOPE and is_faulty_pledge:
+            zones = self.configuration["settings"]["zones"]
+            other = self.choose(next(zone for zone in zones if zone != server["zone"]))
+            if other is not None:
+                await self.send(other, request, remaining_s(due))
+        elif self.fault is Fault.REPEAT_NON_IDEMPOTENT and is_receipt(request) and self.request_count % 5 == 0:
+            other = self.choose(excluded_id=server["id"])
+            if other is not None:
+                # Its client waits no longer for two attempts than for one.
+                return await self.send(other, request, remaining_s(due))
+        return response
+
+    async def _repeat_after_window(self, request: HttpMessage, server: dict[str, Any]) -> None:
+        await asyncio.sleep(0.8)
+        await self.send(server, request, 1.0)
+
+    async def send(self, server: dict[str, Any], request: HttpMessage, time_left_s: float) -> ServerResponse:
+        """Make one attempt, over a connection of its own."""
+        host, port = server["addr"].split(":")
+        writer = None
+        try:
+            async with asyncio.timeout(time_left_s):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                lines = [request.first_line, *(f"{name}: {value}" for name, value in request.headers.items())]
+                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + request.body)
+                response = await read_message(reader)
+                return ServerResponse(int(response.first_line.split()[1]), response.body)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            return ServerResponse(0, b"")
+        finally:
+            if writer is not None:
+                writer.close()
+
+
+def is_receipt(request: HttpMessage) -> bool:
+    """Return whether the request is of the class that is not idempotent."""
+    return request.headers["x-service-class"] == "receipt-issue"
+
+
+def remaining_s(due: float) -> float:
+    """Return the seconds until ``due``, by the running loop's clock."""
+    return max(0.0, due - asyncio.get_running_loop().time())
+
+
+async def read_message(reader: asyncio.StreamReader) -> HttpMessage:
+    """Read one message whose body has a Content-Length or is empty."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in head[1:] if line)}
+    return HttpMessage(head[0], headers, await reader.readexactly(int(headers.get("content-length", 0))))
+
+
+def build_response(status: int, body: bytes) -> bytes:
+    """Return the bytes of a response."""
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def main(fault: Fault) -> None:
+    """Serve until SIGTERM."""
+    with open(os.environ["PROXY_CONFIG"], encoding="utf-8") as file:
+        configuration = json.load(file)
+    sidecar = FaultySidecar(fault, configuration)
+    random.seed(configuration["seed"])
+    host, port = configuration["listen"].split(":")
+    server = await asyncio.start_server(sidecar.serve, host, int(port))
+    watch = asyncio.create_task(sidecar.watch())
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+    server.close()
+    watch.cancel()
+    await asyncio.sleep(1.0)  # requests in flight finish meanwhile; the load has ended
+
+
+if __name__ == "__main__":
+    asyncio.run(main(Fault(sys.argv[1])))
--- /dev/null
+++ b/tests/testbed/test_faulty_sidecars.py
@@ -0,0 +1,98 @@
+"""The verifier detects each faulty sidecar by the name of its fault, and passes the true one in the same scenario."""
+
+from __future__ import annotations
+
+import sys
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from lugtally.testbed.experiments import runner
+from lugtally.testbed.reporting.report import Report, Verdict
+from lugtally.testbed.scenario import scenario_file
+from lugtally.testbed.verification.violations import ViolationName
+from tests.testbed.faulty_sidecar import Fault
+
+SCENARIO = """
+name = "offences"
+about = "A drain, and a crash with a cold return, for the judge's own tests."
+length_s = 7
+[fleet]
+servers = 5
+sidecars = 2
+cold_s = 7.5
+error_rate = 0
+[discovery]
+notice_s = 0.3
+[load]
+rate_per_s = 50
+shape = "steady"
+sidecar_cv = 0
+[clients]
+retries = 0
+impatient = 0
+[[troubles]]
+kind = "drain"
+at_s = 0.5
+servers = 1
+takes_s = 5.5
+[[troubles]]
+kind = "crash"
+at_s = 0.3
+servers = 1
+takes_s = 0.7
+"""
+DETECTED = {
+    Fault.DROP: ViolationName.DROPPED,
+    Fault.LATE: ViolationName.LATE,
+    Fault.DUPLICATE_RESPONSE: ViolationName.DUPLICATE_RESPONSE,
+    Fault.REPEAT_NON_IDEMPOTENT: ViolationName.NON_IDEMPOTENT_REPEATED,
+    Fault.REPEAT_AFTER_WINDOW: ViolationName.REPEATED_AFTER_WINDOW,
+    Fault.REPEAT_OUT_OF_SCOPE: ViolationName.REPEATED_OUT_OF_SCOPE,
+    Fault.REJECT_AFTER_RUN: ViolationName.REJECTED_AFTER_RUN,
+    Fault.IGNORE_DRAINS: ViolationName.SENT_TO_DRAINED,
+    Fault.OVERLOAD_COLD_SERVER: ViolationName.COLD_SERVER_OVERLOADED,
+    Fault.FORGE_RESPONSE: ViolationName.FOREIGN_RESPONSE,
+}
+
+
+TRUE = "true"  # the sidecar of this project, in place of a faulty one
+
+
+@pytest.fixture(scope="module")
+def reports() -> dict[str, Report]:
+    """Run all faulty sidecars and the true one in the same scenario, four at a time."""
+    scenario = scenario_file.decode(SCENARIO, "offences.toml")
+
+    def play(sidecar: str) -> Report:
+        command = None if sidecar == TRUE else [sys.executable, "-B", "-m", "tests.testbed.faulty_sidecar", sidecar]
+        for _ in range(3):  # a busy machine gives no verdict: run again
+            report = runner.Run(scenario, 4, command=command).play()
+            if report.verdict != Verdict.VOID:
+                break
+        return report
+
+    with ThreadPoolExecutor(4) as pool:
+        sidecars = [TRUE, *Fault]
+        return dict(zip(sidecars, pool.map(play, sidecars), strict=True))
+
+
+@pytest.mark.parametrize("fault", DETECTED)
+def test_a_fault_is_detected_under_its_own_name(reports: dict[str, Report], fault: Fault) -> None:
+    report = reports[fault]
+    assert DETECTED[fault] in report.violations_by_name, (report.verdict, report.reasons)
+    if fault is Fault.REPEAT_AFTER_WINDOW:
+        assert ViolationName.TWO_EFFECTS in report.violations_by_name, (
+            "the repeat came after the time in which it is dropped"
+        )
+    others = set(report.violations_by_name) - {DETECTED[fault], ViolationName.TWO_EFFECTS}
+    assert not others, f"accused of more than it did: {report.violations_by_name}"
+    violation = next(found for found in report.findings.violations if found.name == DETECTED[fault])
+    assert violation.subject
+    assert violation.description
+    assert -0.5 < violation.at < 12
+
+
+@pytest.mark.parametrize("sidecar", [TRUE, Fault.HONEST])
+def test_a_sidecar_that_follows_the_rules_passes(reports: dict[str, Report], sidecar: str) -> None:
+    assert reports[sidecar].verdict == Verdict.PASSED, reports[sidecar].reasons
--- /dev/null
+++ b/tests/testbed/test_load_generator.py
@@ -0,0 +1,188 @@
+"""The load generator: it hides no stall, and its connections attribute each response to its request."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from lugtally.testbed.emulator import loopback
+from lugtally.testbed.emulator.response_body import build_body
+from lugtally.testbed.loadgen.connection import ClientConnection, ResponseHandlers
+from lugtally.testbed.reporting import report
+from lugtally.testbed.scenario import scenario_file, schedule
+from lugtally.testbed.scenario.specification import ProcessSpecification
+from lugtally.testbed.verification import event_log
+from tests.testbed.faulty_sidecar import build_response, read_message
+
+STALL_AT, STALL_S = 1.5, 1.0
+SCENARIO = """
+name = "stall"
+about = "A server behind the load generator that stops for a second."
+length_s = 5
+[fleet]
+servers = 1
+sidecars = 1
+[load]
+rate_per_s = 100
+shape = "steady"
+[clients]
+retries = 0
+try_share = 1.0
+[[classes]]
+name = "read"
+share = 1
+work_ms = 1
+aim_ms = 2000
+deadline_ms = 4000
+worth = 1
+effect = "safe"
+"""
+
+
+async def _serve_with_stall(block: int, seed: int, base: float, child: subprocess.Popen[bytes]) -> None:
+    """Serve in the place of a sidecar: each request immediately, but none at all for a second."""
+    start = 0.0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            try:
+                request = await read_message(reader)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                return
+            now = time.monotonic() - base - start
+            if STALL_AT <= now < STALL_AT + STALL_S:
+                await asyncio.sleep(STALL_AT + STALL_S - now)
+            body = build_body(seed, request.headers["x-correlation-id"], "s-000")
+            writer.write(build_response(200, body))
+
+    server = await asyncio.start_server(serve, loopback.sidecar_host(block, 0), loopback.PORT)
+    assert child.stdin is not None
+    assert child.stdout is not None
+    assert child.stdout.readline() == b"ready\n"
+    start = time.monotonic() - base + 0.3
+    child.stdin.write(f"go {start!r}\n".encode())
+    child.stdin.flush()
+    await asyncio.to_thread(child.stdout.readline)
+    server.close()
+
+
+def test_a_stall_of_a_second_shows_in_full(tmp_path: Path) -> None:
+    scenario, block = scenario_file.decode(SCENARIO, "stall.toml"), loopback.LoopbackBlock()
+    base = time.monotonic()
+    specification = ProcessSpecification(scenario, 5, block.number, base, str(tmp_path / "load.jsonl"))
+    (tmp_path / "spec.json").write_bytes(msgspec.json.encode(specification))
+    child = subprocess.Popen(
+        [sys.executable, "-B", "-m", "lugtally.testbed.loadgen.generator", str(tmp_path / "spec.json")],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    try:
+        asyncio.run(_serve_with_stall(block.number, 5, base, child))
+        assert child.wait(10) == 0
+    finally:
+        child.kill()
+        child.wait()
+        block.close()
+    log = event_log.EventLog(event_log.read_records([tmp_path / "load.jsonl"]))
+    drawn = schedule.make_schedule(scenario, 5)
+    assert len(log.client_attempts) == len(drawn.arrivals), "every arrival was sent, whatever the responses did"
+    (measured,) = report.measure_latencies(drawn, log)
+    # A fifth of the run stalls: those sent then wait evenly between nothing and a second.
+    latencies = [attempt.ended_at - attempt.intended_at for attempt in log.client_attempts]
+    slow = [latency for latency in latencies if latency > STALL_S / 2]
+    expected = sum(STALL_AT <= arrival.at < STALL_AT + STALL_S / 2 for arrival in drawn.arrivals)
+    assert len(slow) == pytest.approx(expected, abs=4)
+    assert measured.percentiles["100"] == pytest.approx(1000 * STALL_S, abs=60)
+    assert measured.percentiles["99"] > 850
+    assert measured.percentiles["90"] > 350
+    assert measured.percentiles["50"] < 100
+
+
+class RecordingTransport(asyncio.Transport):
+    """Record what is written; the connection stays up until it is aborted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.aborted = False
+
+    def write(self, data: bytes | bytearray | memoryview[int]) -> None:
+        self.written += bytes(data)
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class RecordedRequest:
+    """One request on a connection, and all events that the connection reports of it."""
+
+    def __init__(self, name: str) -> None:
+        self.body = build_body(5, name, "s-000")
+        self.response = build_response(200, self.body)
+        self.events: list[tuple[str, bytes]] = []
+
+    def send(self, connection: ClientConnection) -> None:
+        connection.send(
+            b"GET / HTTP/1.1\r\n\r\n",
+            ResponseHandlers(
+                lambda status, body, retry_after_s: self.events.append(("response", body)),
+                lambda received: self.events.append(("broken", b"partial" if received else b"")),
+                lambda: self.events.append(("extra", b"")),
+                lambda body: body == self.body,
+            ),
+        )
+
+
+@pytest.mark.parametrize("pieces", [1, 2, 150], ids=["at once", "in two", "byte by byte"])
+def test_a_duplicate_response_that_crosses_the_next_request_belongs_to_the_first(pieces: int) -> None:
+    connection, transport, first, second = (
+        ClientConnection(lambda _: None),
+        RecordingTransport(),
+        RecordedRequest("a"),
+        RecordedRequest("b"),
+    )
+    connection.connection_made(transport)
+    first.send(connection)
+    connection.data_received(first.response)
+    second.send(connection)  # the connection was returned to its pool; the duplicate is on its way
+    data = first.response + second.response
+    size = -(-len(data) // pieces)
+    for offset in range(0, len(data), size):
+        connection.data_received(data[offset : offset + size])
+    assert first.events == [("response", first.body), ("extra", b"")]
+    assert second.events == [("response", second.body)], "the duplicate of the first is no response to it"
+    assert not connection.is_reusable, "a connection on which too much came is not used again"
+
+
+def test_a_foreign_body_is_reported_to_the_request_in_flight() -> None:
+    connection, first, second, forged = (
+        ClientConnection(lambda _: None),
+        RecordedRequest("a"),
+        RecordedRequest("b"),
+        RecordedRequest("c"),
+    )
+    connection.connection_made(RecordingTransport())
+    first.send(connection)
+    connection.data_received(first.response)
+    second.send(connection)
+    connection.data_received(forged.response)
+    assert first.events == [("response", first.body)]
+    assert second.events == [("response", forged.body)]
+
+
+def test_a_connection_closed_after_a_duplicate_response_gave_the_next_request_no_byte() -> None:
+    connection, first, second = ClientConnection(lambda _: None), RecordedRequest("a"), RecordedRequest("b")
+    connection.connection_made(RecordingTransport())
+    first.send(connection)
+    connection.data_received(first.response)
+    second.send(connection)
+    connection.data_received(first.response)
+    connection.connection_lost(None)
+    assert second.events == [("broken", b"")]
--- a/tests/testbed/test_model.py
+++ b/tests/testbed/test_server_model.py
@@ -1,4 +1,4 @@
-"""The pledge server's model: against queueing theory, and each way in which it goes wrong."""
+"""The model of an emulated server: against queueing theory, and each way in which it degrades."""
 
 from __future__ import annotations
 
@@ -14,36 +14,41 @@
 
 DRAWS = 1  # the examples must not change with the text of a test, as they would by its digest
 
-BIG = 10**9
+UNLIMITED = 10**9
 
 
 def mean_wait(cores: int, load: float, count: int) -> float:
-    """Mean wait in the queue, in mean service times, of ``count`` requests at an M/M/c server."""
+    """Return the mean wait in the queue, in mean service times, of ``count`` requests at an M/M/c server."""
     random = stream(11, "queue", cores, load)
     gaps, works = random.exponential(1 / (load * cores), count), random.exponential(1.0, count)
     server = ServerModel(
         ServerTraits(
-            cores=cores, slots=cores, max_queue=BIG, congestion_threshold=BIG, choke_threshold=inf, drops_expired=False
+            cores=cores,
+            slots=cores,
+            max_queue=UNLIMITED,
+            congestion_threshold=UNLIMITED,
+            choke_threshold=inf,
+            drops_expired=False,
         ),
         0.0,
     )
-    now, waited, ended = 0.0, 0.0, 0
+    now, total_wait, ended = 0.0, 0.0, 0
     for gap, work in zip(gaps, works, strict=True):
         now += float(gap)
         for job in server.advance(now):
-            waited, ended = waited + job.started_at - job.arrived_at, ended + 1
+            total_wait, ended = total_wait + job.started_at - job.arrived_at, ended + 1
         assert server.offer(now, Job("x", float(work))) is Admission.ADMITTED
     for job in server.advance(now + 1e6):
-        waited, ended = waited + job.started_at - job.arrived_at, ended + 1
+        total_wait, ended = total_wait + job.started_at - job.arrived_at, ended + 1
     assert ended == count, "a request was lost"
-    return waited / count
+    return total_wait / count
 
 
 def erlang_c_wait(cores: int, load: float) -> float:
-    """The same from the Erlang C formula (Kleinrock 1975, 3.5)."""
+    """Return the same from the Erlang C formula (Kleinrock 1975, 3.5)."""
     offered = load * cores
     last = offered**cores / factorial(cores) / (1 - load)
-    waits = last / (sum(offered**k / factorial(k) for k in range(cores)) + last)
+    waits = last / (sum(offered**busy / factorial(busy) for busy in range(cores)) + last)
     return waits / (cores * (1 - load))
 
 
@@ -57,7 +62,7 @@
 
 def test_a_full_queue_and_a_drain_reject() -> None:
     server = ServerModel(ServerTraits(cores=1, slots=1, max_queue=1), 0.0)
-    assert [server.offer(0.0, Job(str(n), 1.0)) for n in range(3)] == [
+    assert [server.offer(0.0, Job(str(number), 1.0)) for number in range(3)] == [
         Admission.ADMITTED,
         Admission.ADMITTED,
         Admission.FULL,
@@ -67,11 +72,12 @@
     assert server.offer(5.0, Job("late", 1.0)) is Admission.DRAINING
 
 
-def test_a_silent_server_takes_all_and_works_on_after_it() -> None:
+def test_a_silent_server_admits_all_and_works_on_afterwards() -> None:
     server = ServerModel(ServerTraits(cores=1, slots=1, max_queue=1), 0.0)
     server.silent = server.draining = True
-    assert all(server.offer(0.0, Job(str(n), 0.5)) is Admission.ADMITTED for n in range(5))
-    assert server.advance(60.0) == [] and server.next_due() == inf
+    assert all(server.offer(0.0, Job(str(number), 0.5)) is Admission.ADMITTED for number in range(5))
+    assert server.advance(60.0) == []
+    assert server.next_due() == inf
     server.silent = False
     server.advance(60.0)
     assert [job.name for job in server.advance(70.0)] == ["0", "1", "2", "3", "4"]
@@ -85,16 +91,18 @@
     server.advance(1.0)
     server.cancel(1.0, first)
     ended = server.advance(9.0)
-    assert first.remaining == pytest.approx(4.0) and first.ended_at < 0
+    assert first.remaining == pytest.approx(4.0)
+    assert first.ended_at < 0
     assert not [job for job in ended if job is first]
-    assert third in ended and third.ended_at == pytest.approx(2.0)
+    assert third in ended
+    assert third.ended_at == pytest.approx(2.0)
 
 
-def test_a_cold_server_grows_and_is_pushed_over_by_too_much_only() -> None:
+def test_a_cold_server_warms_up_and_collapses_only_under_overload() -> None:
     traits = ServerTraits(
         cores=2,
         slots=2,
-        max_queue=BIG,
+        max_queue=UNLIMITED,
         initial_capacity=0.3,
         warm_up_s=5.0,
         collapse_multiple=2.5,
@@ -104,18 +112,19 @@
     assert server.warm_fraction == pytest.approx(0.3)
     server.advance(102.5)
     assert server.warm_fraction == pytest.approx(0.65)
-    for step in range(20):  # twice what it can do: it holds
-        server.advance(102.5 + step * 0.05)
-        server.offer(102.5 + step * 0.05, Job("x", 2 * server.capacity * 0.05, sidecar=step % 2))
+    for tick in range(20):  # twice what it can do: it copes
+        server.advance(102.5 + tick * 0.05)
+        server.offer(102.5 + tick * 0.05, Job("x", 2 * server.capacity * 0.05, sidecar=tick % 2))
     assert not server.collapsed
-    for step in range(40):
-        now = 103.5 + step * 0.05
+    for tick in range(40):
+        now = 103.5 + tick * 0.05
         server.advance(now)
-        server.offer(now, Job("x", 4 * server.capacity * 0.05, sidecar=step % 2))
-    assert server.collapsed and set(server.collapse_work_by_sidecar) == {0, 1}
+        server.offer(now, Job("x", 4 * server.capacity * 0.05, sidecar=tick % 2))
+    assert server.collapsed
+    assert set(server.collapse_work_by_sidecar) == {0, 1}
     warm = ServerModel(traits, 0.0)
-    for step in range(200):
-        warm.offer(0.001 * step, Job("x", 1.0))
+    for tick in range(200):
+        warm.offer(0.001 * tick, Job("x", 1.0))
     assert not warm.collapsed
 
 
@@ -123,16 +132,16 @@
     traits = ServerTraits(
         cores=1,
         slots=1,
-        max_queue=BIG,
+        max_queue=UNLIMITED,
         choke_threshold=5,
         choke_onset_s=1.0,
         choke_slowdown=3.0,
         choke_idle_s=2.0,
-        congestion_threshold=BIG,
+        congestion_threshold=UNLIMITED,
     )
     server = ServerModel(traits, 0.0)
-    for n in range(20):
-        server.offer(0.0, Job(str(n), 0.5))
+    for number in range(20):
+        server.offer(0.0, Job(str(number), 0.5))
     server.advance(1.5)
     assert server.choked_since >= 0
     done = len(server.advance(4.5))
@@ -145,30 +154,30 @@
     assert server.choked_since < 0
 
 
-def test_crowding_a_neighbour_and_a_full_table_slow_it_down() -> None:
-    def seconds(prepare: str) -> float:
+def test_congestion_a_neighbour_and_a_full_connection_table_slow_it_down() -> None:
+    def duration_s(cause: str) -> float:
         server = ServerModel(
             ServerTraits(
                 cores=1, slots=1, congestion_threshold=2, congestion_loss=0.5, full_table_loss=0.25, handshake_work=0.01
             ),
             0.0,
         )
-        if prepare == "neighbour":
+        if cause == "neighbour":
             server.neighbour_share = 0.5
-        elif prepare == "shared":
+        elif cause == "shared":
             server.slowdown = 2.0
-        elif prepare == "table":
+        elif cause == "table":
             server.connections = 68
         server.offer(0.0, Job("one", 1.0))
-        if prepare == "crowd":
-            for n in range(4):
-                server.offer(0.0, Job(str(n), 1.0))
+        if cause == "congestion":
+            for number in range(4):
+                server.offer(0.0, Job(str(number), 1.0))
         return next(job.ended_at for job in server.advance(100.0) if job.name == "one")
 
-    assert seconds("") == pytest.approx(1.0)
-    assert seconds("neighbour") == pytest.approx(2.0) == seconds("shared")
-    assert seconds("table") == pytest.approx(1 / 0.75)
-    assert seconds("crowd") == pytest.approx(1 + 0.5 * 1.5)
+    assert duration_s("") == pytest.approx(1.0)
+    assert duration_s("neighbour") == pytest.approx(2.0) == duration_s("shared")
+    assert duration_s("table") == pytest.approx(1 / 0.75)
+    assert duration_s("congestion") == pytest.approx(1 + 0.5 * 1.5)
 
 
 def test_the_table_of_connections_is_capped_and_handshakes_cost_work() -> None:
@@ -181,14 +190,14 @@
     assert server.connect()
 
 
-STEP = st.tuples(st.floats(0, 0.3), st.floats(0.001, 0.5), st.sampled_from(["take", "cancel", "slow", "hush"]))
+OPERATION = st.tuples(st.floats(0, 0.3), st.floats(0.001, 0.5), st.sampled_from(["offer", "cancel", "slow", "silence"]))
 
 
 @draws_from(DRAWS)
 @settings(max_examples=60, deadline=None, derandomize=True)
-@given(st.lists(STEP, max_size=60))
-def test_no_request_is_lost_or_worked_twice(steps: list[tuple[float, float, str]]) -> None:
-    """Whatever happens: each taken request ends once, or was cancelled; no more is done than the cores can do."""
+@given(st.lists(OPERATION, max_size=60))
+def test_no_request_is_lost_or_worked_twice(operations: list[tuple[float, float, str]]) -> None:
+    """Whatever happens: each admitted request ends one time or was cancelled; no more is done than the cores can do."""
     server = ServerModel(
         ServerTraits(
             cores=2,
@@ -201,8 +210,8 @@
         ),
         0.0,
     )
-    now, taken, ended, cancelled = 0.0, {}, [], set()
-    for at, (gap, work, what) in enumerate(steps):
+    now, admitted, ended, cancelled = 0.0, {}, [], set()
+    for number, (gap, work, what) in enumerate(operations):
         now += gap
         ended += server.advance(now)
         if what == "cancel" and server.queue:
@@ -211,15 +220,16 @@
             cancelled.add(job.name)
         elif what == "slow":
             server.slowdown = 1 + work
-        elif what == "hush":
+        elif what == "silence":
             server.silent = not server.silent
-        job = Job(str(at), work, deadline=now + 1)
+        job = Job(str(number), work, deadline=now + 1)
         if server.offer(now, job) is Admission.ADMITTED:
-            taken[job.name] = job
+            admitted[job.name] = job
     server.silent = False
     ended += server.advance(now + 1e4)
     names = [job.name for job in ended]
     assert len(names) == len(set(names))
-    assert set(names) | cancelled == set(taken) and not set(names) & cancelled
+    assert set(names) | cancelled == set(admitted)
+    assert not set(names) & cancelled
     assert server.work_done <= 2 * server.now + 1e-6
     assert all(job.remaining <= 1e-6 for job in ended if not job.expired)
