--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -1,4 +1,4 @@
-"""The calls of the operators' address and the counters' object, without sockets."""
+"""The admin calls and the counters' JSON object, without sockets."""
 
 from __future__ import annotations
 
@@ -9,7 +9,9 @@
 from lugtally.dispatch.metrics import RequestMetrics
 
 
-class AdminBackend:
+class FakeBackend:
+    """A backend that lists two servers."""
+
     def __init__(self) -> None:
         self.drained: set[str] = set()
         self.listed = {"s-1", "s-2"}
@@ -31,7 +33,7 @@
         return server in self.listed
 
 
-def test_each_call_is_understood_and_the_rest_refused() -> None:
+def test_each_call_is_parsed_and_the_rest_rejected() -> None:
     assert parse_call("GET", "/control/ready") == AdminCall(AdminOperation.READY)
     assert parse_call("GET", "/control/counters?x=1") == AdminCall(AdminOperation.COUNTERS)
     assert parse_call("POST", "/control/pledge-servers/s-1/offline") == AdminCall(AdminOperation.OFFLINE, "s-1")
@@ -49,8 +51,8 @@
     ] == [405, 405, 404, 404, 404, 404]
 
 
-def test_answers_say_yes_with_2xx_and_no_otherwise() -> None:
-    backend = AdminBackend()
+def test_calls_succeed_with_2xx_and_fail_otherwise() -> None:
+    backend = FakeBackend()
     assert execute_call(AdminCall(AdminOperation.READY), backend).status == 200
     backend.service_ready = False
     assert execute_call(AdminCall(AdminOperation.READY), backend).status == 503
@@ -61,11 +63,13 @@
         == 200
     )
     assert backend.drained == {"s-1"}
-    assert execute_call(AdminCall(AdminOperation.OFFLINE, "s-9"), backend).status == 404 and backend.drained == {"s-1"}
-    assert execute_call(AdminCall(AdminOperation.ONLINE, "s-1"), backend).status == 200 and not backend.drained
+    assert execute_call(AdminCall(AdminOperation.OFFLINE, "s-9"), backend).status == 404
+    assert backend.drained == {"s-1"}
+    assert execute_call(AdminCall(AdminOperation.ONLINE, "s-1"), backend).status == 200
+    assert not backend.drained
 
 
-def test_the_figures_have_the_form_of_the_page() -> None:
+def test_the_counters_have_the_documented_form() -> None:
     counters = RequestMetrics(("campaign-read", "receipt-issue"))
     counters.success[0] += 2
     counters.overload[1] += 1
@@ -82,8 +86,8 @@
     }
 
 
-def test_dispatches_are_the_steps_whose_last_byte_was_written() -> None:
-    assert FULLY_SENT == {
+def test_dispatches_are_the_attempts_whose_last_byte_was_written() -> None:
+    assert {
         AttemptOutcome.SERVED,
         AttemptOutcome.ERRORED,
         AttemptOutcome.DECLINED,
@@ -92,4 +96,4 @@
         AttemptOutcome.MALFORMED_RESPONSE,
         AttemptOutcome.TIMEOUT,
         AttemptOutcome.CANCELLED,
-    }
+    } == FULLY_SENT
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -1,4 +1,4 @@
-"""The operator's own file, structured logs, and what ``serve`` must not load."""
+"""The operator's file, structured logs, the status command, and what ``serve`` must not import."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 from lugtally.overload.admission import OverloadLimits
 from tests.integration.player import ROOT, Player
 
-KIT = (
+NOT_IMPORTED_BY_SERVE = (
     "numpy",
     "rich",
     "matplotlib",
@@ -60,14 +60,16 @@
         text=True,
         env=environment,
     )
-    assert done.returncode == 2 and done.stderr.count("\n") == 1 and complaint in done.stderr
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1
+    assert complaint in done.stderr
 
 
 def test_the_annotated_example_is_all_defaults() -> None:
     assert operator.load(str(ROOT / "deploy" / "operator.example.toml")) == operator.Operator()
 
 
-def test_the_files_defaults_are_the_gates_own() -> None:
+def test_the_files_defaults_are_those_of_the_admission_controller() -> None:
     assert overload_limits(operator.Overload(), balancing.Settings()) is None
     assert overload_limits(operator.Overload(enabled=True), balancing.Settings()) == OverloadLimits()
 
@@ -98,7 +100,9 @@
         player.end()
     lines = [json.loads(line) for line in [first, second, *rest.splitlines()]]
     events = [line["event"] for line in lines]
-    assert events[0] == "sidecar.serving" and lines[0]["sidecar"] == "n1" and isinstance(lines[0]["port"], int)
+    assert events[0] == "sidecar.serving"
+    assert lines[0]["sidecar"] == "n1"
+    assert isinstance(lines[0]["port"], int)
     assert {"config.rejected", "sidecar.draining", "sidecar.stopped"} <= set(events)
     assert all({"time", "level", "event", "text"} <= line.keys() for line in lines)
     page, _, _ = (ROOT / "docs" / "logging.md").read_text().partition("## Names before this release")
@@ -110,10 +114,10 @@
     ) + source.count("logger.exception(") + source.count("logger.debug(") == source.count('event="')
 
 
-def test_serve_loads_nothing_of_the_kit() -> None:
+def test_serve_imports_nothing_of_the_testbed() -> None:
     code = (
         "import sys; from lugtally.__main__ import main; status = main(['serve']); "
-        f"print(status, [m for m in {KIT!r} if m in sys.modules])"
+        f"print(status, [name for name in {NOT_IMPORTED_BY_SERVE!r} if name in sys.modules])"
     )
     environment = {name: value for name, value in os.environ.items() if name != "PROXY_CONFIG"}
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, env=environment)
@@ -121,7 +125,20 @@
     assert done.stderr == "lugtally: PROXY_CONFIG: not set\n"
 
 
-def test_status_tells_how_a_sidecar_is_and_a_file_in_its_place_is_left_alone(tmp_path: Path) -> None:
+def run_status(path: Path, *options: str) -> subprocess.CompletedProcess[str]:
+    """Run the status command on a sidecar's socket."""
+    command = [sys.executable, "-m", "lugtally", "status", str(path), *options]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+
+
+def leave_stale_socket(path: Path) -> None:
+    """Leave a socket in the file system that nobody listens on, as a killed sidecar does."""
+    stale = socket.socket(socket.AF_UNIX)
+    stale.bind(str(path))
+    stale.close()
+
+
+def test_status_shows_the_state_of_a_sidecar_and_a_file_in_place_of_its_socket_is_not_touched(tmp_path: Path) -> None:
     player = Player(tmp_path)
     config, operator_file, path = tmp_path / "config.json", tmp_path / "operator.toml", tmp_path / "control"
     config.write_text(json.dumps(player.config()))
@@ -130,30 +147,30 @@
     environment = {**os.environ, "PROXY_CONFIG": str(config)}
     path.write_text("somebody's")
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, env=environment)
-    assert done.returncode == 2 and "operator file: control.socket: " in done.stderr and path.read_text()
+    assert done.returncode == 2
+    assert "operator file: control.socket: " in done.stderr
+    assert path.read_text()
     path.unlink()
-    stale = socket.socket(socket.AF_UNIX)
-    stale.bind(str(path))
-    stale.close()
+    leave_stale_socket(path)
     child = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True, env=environment)
     try:
-        assert child.stderr is not None and "sidecar.serving" in child.stderr.readline()
+        assert child.stderr is not None
+        assert "sidecar.serving" in child.stderr.readline()
         assert path.stat().st_mode & 0o777 == 0o600
-        silent = socket.socket(socket.AF_UNIX)  # one that reads nothing must not keep others waiting
+        silent = socket.socket(socket.AF_UNIX)  # a client that reads nothing must not delay others
         silent.connect(str(path))
-        shown = subprocess.run(
-            [sys.executable, "-m", "lugtally", "status", str(path), "--json"], cwd=ROOT, capture_output=True, text=True
-        )
-        seen = json.loads(shown.stdout)
-        assert seen["sidecar"] == "n1" and seen["requests"]["in_progress"] == 0
-        assert seen["overload"]["refusing"] is False and seen["draining"] is False
+        seen = json.loads(run_status(path, "--json").stdout)
+        assert seen["sidecar"] == "n1"
+        assert seen["requests"]["in_progress"] == 0
+        assert seen["overload"]["refusing"] is False
+        assert seen["draining"] is False
         child.send_signal(signal.SIGTERM)
-        assert child.wait(10) == 0 and not path.exists()
+        assert child.wait(10) == 0
+        assert not path.exists()
         silent.close()
     finally:
         child.kill()
         player.end()
-    after_stop = subprocess.run(
-        [sys.executable, "-m", "lugtally", "status", str(path)], cwd=ROOT, capture_output=True, text=True
-    )
-    assert after_stop.returncode == 1 and after_stop.stderr.count("\n") == 1
+    after_stop = run_status(path)
+    assert after_stop.returncode == 1
+    assert after_stop.stderr.count("\n") == 1
--- a/tests/overload/test_sockets.py
+++ b/tests/overload/test_sockets.py
@@ -1,4 +1,4 @@
-"""The guard on sockets: the real sidecar on a core that others take, flooded, and asked for its health in a loop."""
+"""Overload protection over sockets: the real sidecar on a starved core, flooded, and health-checked in a tight loop."""
 
 from __future__ import annotations
 
@@ -58,13 +58,13 @@
 for_s = 3
 size = 0.75
 """
-GUARD = "[overload]\nenabled = true\n"
+OPERATOR_FILE = "[overload]\nenabled = true\n"
 
 
 @pytest.fixture(scope="module")
 def flooded(tmp_path_factory: pytest.TempPathFactory) -> tuple[Report, list[Record]]:
     folder = tmp_path_factory.mktemp("flood")
-    (folder / "operator.toml").write_text(GUARD)
+    (folder / "operator.toml").write_text(OPERATOR_FILE)
     run = runner.Run(
         scenario_file.decode(FLOOD, "flood.toml"), 2, folder=folder / "run", operator=folder / "operator.toml"
     )
@@ -73,23 +73,28 @@
 
 
 def test_a_flood_on_a_starved_core_breaks_no_rule_on_effects(flooded: tuple[Report, list[Record]]) -> None:
-    """Whether answers came late is the machine's matter here; that nothing ran twice is ours."""
+    """Whether responses came late depends on the machine here; that nothing ran twice does not."""
     report, records = flooded
-    wrong = {b.name for b in report.findings.violations if b.rule != 1}
-    assert not wrong and "sidecar-crashed" not in report.violations_by_name, report.reasons
-    receipts = [r for r in records if isinstance(r, ServerAttempt) and r.had_effect]
-    assert len(receipts) > 500 and len({r.request_id for r in receipts}) == len(receipts)
+    wrong = {violation.name for violation in report.findings.violations if violation.rule != 1}
+    assert not wrong, report.reasons
+    assert "sidecar-crashed" not in report.violations_by_name, report.reasons
+    receipts = [record for record in records if isinstance(record, ServerAttempt) and record.had_effect]
+    assert len(receipts) > 500
+    assert len({receipt.request_id for receipt in receipts}) == len(receipts)
 
 
 def test_each_shed_request_got_one_answer_and_was_never_sent(flooded: tuple[Report, list[Record]]) -> None:
     report, records = flooded
-    tries = [r for r in records if isinstance(r, ClientAttempt)]
-    assert not [t for t in tries if t.duplicate_response or t.outcome == "foreign"]
+    attempts = [record for record in records if isinstance(record, ClientAttempt)]
+    assert not [attempt for attempt in attempts if attempt.duplicate_response or attempt.outcome == "foreign"]
     assert report.verdict != Verdict.BROKEN or set(report.violations_by_name) <= {"late", "dropped"}
-    sent = {r.request_id for r in records if isinstance(r, ServerAttempt) and r.outcome != "turned-away"}
-    refused = [t for t in tries if t.outcome == "refused"]
-    receipts = [cls.name for cls in scenario_file.decode(FLOOD, "flood.toml").classes].index("receipt-issue")
-    assert not [t for t in refused if t.request_id in sent and t.class_index == receipts]
+    sent = {
+        record.request_id for record in records if isinstance(record, ServerAttempt) and record.outcome != "turned-away"
+    }
+    shed = [attempt for attempt in attempts if attempt.outcome == "refused"]
+    classes = scenario_file.decode(FLOOD, "flood.toml").classes
+    receipt_index = [request_class.name for request_class in classes].index("receipt-issue")
+    assert not [attempt for attempt in shed if attempt.request_id in sent and attempt.class_index == receipt_index]
 
 
 def test_a_tight_loop_of_health_calls_is_paced_and_answered(tmp_path: Path) -> None:
@@ -99,19 +104,19 @@
         player.do_serve()
         until = time.monotonic() + 1.5
 
-        def loop(number: int) -> None:
-            link = player.link(f"h{number}")
+        def check_health(number: int) -> None:
+            connection = player.link(f"h{number}")
             while time.monotonic() < until:
-                link.sendall(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
-                assert link.recv(4096).startswith(b"HTTP/1.1 200")
+                connection.sendall(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert connection.recv(4096).startswith(b"HTTP/1.1 200")
                 counts[number] += 1
 
-        threads = [threading.Thread(target=loop, args=(n,)) for n in range(4)]
+        threads = [threading.Thread(target=check_health, args=(number,)) for number in range(4)]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
     finally:
         player.end()
-    assert min(counts) >= 10, "answered all the same"
+    assert min(counts) >= 10, "answered nevertheless"
     assert sum(counts) <= 3 * 200 + 4 * 1.5 * 25, "4 connections in a tight loop would make thousands"
