--- a/tests/balancing/test_admission.py
+++ b/tests/balancing/test_admission.py
@@ -77,7 +77,8 @@
                 and not world.requests[f"{class_index}-{number}"].finished
             ):
                 world.end(f"{class_index}-{number}", 0, balancing.AttemptResult.OK)
-    assert admitted[0] < 30 < 60 < admitted[1]
+    assert admitted[0] < 30
+    assert admitted[1] > 60
     serve_requests(world, 60)
     assert all(world.requests[f"warm{len(world.requests) - 1 - number}"].attempts for number in range(5)), (
         "and it recovers"
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -55,6 +55,7 @@
     environment = {name: value for name, value in os.environ.items() if name != "PROXY_CONFIG"}
     done = subprocess.run(
         [sys.executable, "-m", "lugtally", "check-config", "--operator", str(path)],
+        check=False,
         cwd=ROOT,
         capture_output=True,
         text=True,
@@ -120,7 +121,9 @@
         f"print(status, [name for name in {NOT_IMPORTED_BY_SERVE!r} if name in sys.modules])"
     )
     environment = {name: value for name, value in os.environ.items() if name != "PROXY_CONFIG"}
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, env=environment)
+    done = subprocess.run(
+        [sys.executable, "-c", code], check=False, cwd=ROOT, capture_output=True, text=True, env=environment
+    )
     assert done.stdout.split(maxsplit=1) == ["2", "[]\n"], done.stdout
     assert done.stderr == "lugtally: PROXY_CONFIG: not set\n"
 
@@ -128,7 +131,7 @@
 def run_status(path: Path, *options: str) -> subprocess.CompletedProcess[str]:
     """Run the status command on a sidecar's socket."""
     command = [sys.executable, "-m", "lugtally", "status", str(path), *options]
-    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    return subprocess.run(command, check=False, cwd=ROOT, capture_output=True, text=True)
 
 
 def leave_stale_socket(path: Path) -> None:
@@ -146,7 +149,7 @@
     command = [sys.executable, "-B", "-m", "lugtally", "serve", "--operator", str(operator_file)]
     environment = {**os.environ, "PROXY_CONFIG": str(config)}
     path.write_text("somebody's")
-    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, env=environment)
+    done = subprocess.run(command, check=False, cwd=ROOT, capture_output=True, text=True, env=environment)
     assert done.returncode == 2
     assert "operator file: control.socket: " in done.stderr
     assert path.read_text()
--- a/tests/integration/player.py
+++ b/tests/integration/player.py
@@ -207,7 +207,7 @@
             stderr=subprocess.DEVNULL,
             env=env,
             close_fds=False,
-            preexec_fn=duplicate_to_seven,
+            preexec_fn=duplicate_to_seven,  # noqa: PLW1509  one thread, and descriptor 7 is wanted by its number
         )
         deadline = time.monotonic() + PATIENCE_S
         while time.monotonic() < deadline:
--- a/tests/races/test_closing.py
+++ b/tests/races/test_closing.py
@@ -24,6 +24,11 @@
 from tests.races.fakes import PeerConnection, Sidecar, request
 
 
+def open_descriptors() -> int:
+    """Return how many descriptors this process has open."""
+    return len(list(Path("/proc/self/fd").iterdir()))
+
+
 def slow_reader(sidecar: Sidecar, address: Address) -> PeerConnection:
     """A client that takes in little at a time."""
     sock = socket.socket()
@@ -252,12 +257,12 @@
         connection.read_head()
         idle_clients = [sidecar.client(address) for _ in range(max_clients + 20)]
         sidecar.wait_until(lambda: sidecar.downstream.open >= max_clients - 1)
-        before = len(os.listdir("/proc/self/fd"))
+        before = open_descriptors()
         connection.sock.close()
         fresh = sidecar.discovery.accept()
         assert "from=1&" in fresh.read_head()
         assert sidecar.downstream.open <= max_clients
-        assert len(os.listdir("/proc/self/fd")) <= before + 2
+        assert open_descriptors() <= before + 2
         late_client = sidecar.client(address)  # work is served all the same: an idle one is evicted
         late_client.send(request("read"))
         server = sidecar.server.accept()
--- a/tests/testbed/faulty_sidecar.py
+++ b/tests/testbed/faulty_sidecar.py
@@ -15,6 +15,7 @@
 import signal
 import sys
 from enum import StrEnum
+from pathlib import Path
 from typing import Any, NamedTuple
 
 
@@ -206,8 +207,7 @@
 
 async def main(fault: Fault) -> None:
     """Serve until SIGTERM."""
-    with open(os.environ["PROXY_CONFIG"], encoding="utf-8") as file:
-        configuration = json.load(file)
+    configuration = json.loads(Path(os.environ["PROXY_CONFIG"]).read_text(encoding="utf-8"))
     sidecar = FaultySidecar(fault, configuration)
     random.seed(configuration["seed"])
     host, port = configuration["listen"].split(":")
--- a/tests/testbed/test_runs.py
+++ b/tests/testbed/test_runs.py
@@ -42,6 +42,7 @@
     for _ in range(3):  # a busy machine gives no verdict: run again
         done = subprocess.run(
             [sys.executable, "-m", "lugtally", "rehearse", "run", "short", "--json", str(file), "--html", str(html)],
+            check=False,
             cwd=ROOT,
             capture_output=True,
             text=True,
--- a/tests/testbed/test_scenario.py
+++ b/tests/testbed/test_scenario.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 from click.testing import CliRunner
 
@@ -72,10 +74,9 @@
     assert "\n" not in str(caught.value)
 
 
-def test_the_command_exits_2_with_one_line(tmp_path: pytest.TempPathFactory) -> None:
-    path = f"{tmp_path}/bad.toml"
-    with open(path, "w", encoding="utf-8") as file:
-        file.write("name = 'x'\nabout = 'y'\n[clients]\nretries = -1\n")
+def test_the_command_exits_2_with_one_line(tmp_path: Path) -> None:
+    path = str(tmp_path / "bad.toml")
+    Path(path).write_text("name = 'x'\nabout = 'y'\n[clients]\nretries = -1\n", encoding="utf-8")
     for command in (["rehearse", "run", path], ["rehearse", "check", path], ["rehearse", "run", "no-such-day"]):
         result = CliRunner().invoke(root, command, standalone_mode=False)
         assert result.return_value == 2, result.output
