Count a request's time from its last byte, not from when it is read

A request whose bytes waited in the kernel got its whole time anew: while the process was stopped, busy or starved of the processor, behind another request of its connection, or in the backlog of a crowded sidecar. It was forwarded after its end, answered after its client had given up, and the endpoint was told too large an X-Time-Left.

Change: a bound on the arrival that is sound. The event loop says by when what a poll reported was not ready; a poll lasts 50 ms at most, so one that was held up shows it. A connection keeps the last moment at which it had no unread byte (a short read, an empty read, a poll without it), the server the same for its backlog. During an exchange the loop watches for the first bytes of the next request without reading them. The balancer gets what is left, and nothing late is forwarded.

Looked through: scheduling_delay_ns (now the same bound), admission control (gets what is left), the health pace, adopted listeners, requests that complete over several reads.

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -50,7 +50,9 @@
     """One client socket and its parser."""
 
     __slots__ = (
+        "_drained_ns",
         "_loop",
+        "arrived_ns",
         "close_if_idle",
         "fd",
         "had_request",
@@ -62,8 +64,13 @@
         "wake_up",
     )
 
-    def __init__(self, sock: socket.socket, loop: EventLoop) -> None:
+    def __init__(self, sock: socket.socket, loop: EventLoop, connected_after_ns: int | None = None) -> None:
+        """``connected_after_ns`` is a time before which the client had not connected: now, if it is not given."""
         self._loop = loop
+        self._drained_ns = loop.now() if connected_after_ns is None else connected_after_ns
+        """The last time at which no byte was known to be unread."""
+        self.arrived_ns = self._drained_ns
+        """No earlier than this the last byte of the request read last has come: its time counts from here."""
         self.sock = sock
         self.fd = sock.fileno()
         self.parser = MessageParser(responses=False)
@@ -125,13 +132,34 @@
 
     def _receive(self) -> bytes | None:
         """Return the bytes that are there, empty at the client's end of the connection; ``None`` without any."""
+        called_ns = self._loop.now()
         try:
-            return self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(RECEIVE_BYTES)
         except BlockingIOError:
+            self._drained_ns = called_ns
             return None
+        self.arrived_ns = self._drained_ns
+        if len(data) < RECEIVE_BYTES:
+            self._drained_ns = called_ns
+        return data
+
+    def note_readable(self, watched_since_ns: int) -> None:
+        """Take it that the loop has reported bytes, for which it has been watching since then."""
+        self._drained_ns = max(self._drained_ns, self._loop.not_ready_before_ns(watched_since_ns))
+
+    def note_unreadable(self, watched_since_ns: int) -> None:
+        """Take it that the loop has reported no bytes, for which it has been watching since then."""
+        if watched_since_ns <= self._loop.last_poll_ns:
+            self._drained_ns = max(self._drained_ns, self._loop.last_poll_ns)
 
     def _wait_for_bytes(self, shutdown: ShutdownState) -> None:
-        self._loop.register(self.fd, READABLE, lambda _: self.wake_up.set())
+        watched_since_ns = self._loop.now()
+
+        def note_bytes(_: int) -> None:
+            self.note_readable(watched_since_ns)
+            self.wake_up.set()
+
+        self._loop.register(self.fd, READABLE, note_bytes)
         reason = self.wake_up.wait(self._read_deadline_ns(shutdown))
         self._loop.unregister(self.fd)
         if reason is not WakeReason.TIMEOUT:
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -17,7 +17,7 @@
     served_response,
 )
 from lugtally.downstream.validation import ValidatedRequest
-from lugtally.eventloop import PEER_CLOSED, EventLoop, Task
+from lugtally.eventloop import PEER_CLOSED, READABLE, EventLoop, Task
 from lugtally.http1 import ForwardedRequest, Message, serialize_streamed_head
 from lugtally.upstream import ResponseSink, UpstreamPool
 
@@ -38,11 +38,13 @@
         "_client_closed",
         "_connection",
         "_forwarded",
+        "_next_request_came",
         "_request",
         "_served",
         "_services",
         "_streaming_attempt",
         "_tasks",
+        "_watched_since_ns",
     )
 
     def __init__(
@@ -59,12 +61,14 @@
         self._tasks: dict[int, Task] = {}  # by the attempt's number
         self._served: Message | None = None  # the response of the attempt that was served first
         self._client_closed = False
+        self._next_request_came = False  # bytes of it, which are not read yet
+        self._watched_since_ns = 0
         # The attempt that has begun to pass its response on: no other response may follow.
         self._streaming_attempt = NO_ATTEMPT
         self._request = PendingRequest(
             services.loop,
             validated.class_index,
-            services.loop.now() + validated.time_left_ns,
+            connection.arrived_ns + validated.time_left_ns,
             message.header_map.get("x-repeat") == "1",
             self._cancel_attempt,
             tenant_index,
@@ -77,12 +81,12 @@
         it came.
         """
         loop, dispatcher, connection = self._services.loop, self._services.dispatcher, self._connection
-        loop.register(connection.fd, PEER_CLOSED, lambda _: self._client_disconnected())
+        self._watch_client()
         decision = dispatcher.next_decision(self._request)
         while isinstance(decision, StartAttempt):
             self._tasks[decision.number] = loop.spawn(self._run_attempt, decision)
             decision = dispatcher.next_decision(self._request)
-        loop.unregister(connection.fd)
+        self._stop_watching_client()
         self._release()
         streamed = self._streaming_attempt != NO_ATTEMPT
         if streamed and not self._client_closed and not connection.response_truncated:
@@ -91,6 +95,24 @@
             return None
         return self._final_response(decision)
 
+    def _watch_client(self) -> None:
+        """Notice the end of the client, and when the first bytes of its next request come, which are not read yet."""
+        self._watched_since_ns = self._services.loop.now()
+        self._services.loop.register(self._connection.fd, PEER_CLOSED | READABLE, self._note_readable)
+
+    def _note_readable(self, poll_events: int) -> None:
+        self._connection.note_readable(self._watched_since_ns)
+        self._next_request_came = True
+        if poll_events & ~READABLE:
+            self._client_disconnected()
+        else:
+            self._services.loop.register(self._connection.fd, PEER_CLOSED, lambda _: self._client_disconnected())
+
+    def _stop_watching_client(self) -> None:
+        self._services.loop.unregister(self._connection.fd)
+        if not self._next_request_came:
+            self._connection.note_unreadable(self._watched_since_ns)
+
     def _final_response(self, decision: Decision) -> Response:
         if isinstance(decision, Rejected):
             return rejected_response(decision)
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -59,6 +59,8 @@
         self._health_checks = HealthCheckPacer(loop)
         self._listener: socket.socket | None = None
         self._listener_inherited = False  # the platform holds it, and a successor will take its backlog
+        self._backlog_empty_ns = loop.now()
+        """The last time at which no connection was known to wait in the backlog."""
         self._accept_task: Task | None = None
         self._connection_closed = Event(loop)
         self._shutdown = GracefulShutdown(
@@ -112,16 +114,26 @@
                 self._evict_idle()
                 # The others wait in the backlog.
                 reason = self._connection_closed.wait(self._loop.now() + EVICTION_INTERVAL_NS)
-            elif (reason := self._loop.wait(listener.fileno(), READABLE)) is WakeReason.READY:
+            elif (reason := self._wait_for_clients(listener)) is WakeReason.READY:
                 self._accept_batch(listener, self._max_connections, MAX_ACCEPTS_PER_TURN)
 
+    def _wait_for_clients(self, listener: socket.socket) -> WakeReason:
+        watched_since_ns = self._loop.now()
+        reason = self._loop.wait(listener.fileno(), READABLE)
+        if reason is WakeReason.READY:
+            empty_ns = self._loop.not_ready_before_ns(watched_since_ns)
+            self._backlog_empty_ns = max(self._backlog_empty_ns, empty_ns)
+        return reason
+
     def _accept_batch(self, listener: socket.socket, max_connections: int, max_accepts: int) -> None:
         """Accept what waits, within these limits."""
         while listener.fileno() >= 0 and len(self._open) < max_connections and max_accepts > 0:
             max_accepts -= 1
+            called_ns = self._loop.now()
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
+                self._backlog_empty_ns = called_ns
                 return
             except ConnectionAbortedError:
                 continue  # that client has gone again
@@ -132,7 +144,7 @@
                 self._loop.sleep(ACCEPT_ERROR_BACKOFF_NS)
                 return
             sock.setblocking(False)
-            connection = DownstreamConnection(sock, self._loop)
+            connection = DownstreamConnection(sock, self._loop, self._backlog_empty_ns)
             self._open.add(connection)
             self._loop.spawn(self._handle_connection, connection)
 
@@ -205,7 +217,8 @@
             validated = self._validator.validate(message)
         except ProtocolError as error:
             return protocol_error_response(error)
-        rejected = self._dispatcher.reject_if_overloaded(validated.class_index, validated.time_left_ns)
+        time_left_ns = max(0, connection.arrived_ns + validated.time_left_ns - self._loop.now())
+        rejected = self._dispatcher.reject_if_overloaded(validated.class_index, time_left_ns)
         if rejected is not None:
             return rejected_response(rejected)
         return self._exchange(connection, message, validated)
--- a/lugtally/eventloop/loop.py
+++ b/lugtally/eventloop/loop.py
@@ -19,8 +19,14 @@
 from lugtally.eventloop.timers import TimerHeap
 from lugtally.units import NS_PER_MS
 
-MAX_POLL_NS = 1000 * NS_PER_MS
-MIN_BLOCKED_POLL_NS = 100_000  # a poll that took longer found nothing ready and waited
+MAX_POLL_NS = 50 * NS_PER_MS
+"""The longest poll: a process that was stopped while it waited learns of that, as its poll took longer."""
+POLL_OVERRUN_NS = 10 * NS_PER_MS
+"""A poll that returned this long after its timeout was held up: when its events came is not known."""
+MIN_BLOCKED_POLL_NS = 100_000
+"""A poll that took longer found nothing ready and waited."""
+MAX_SHORT_TURN_NS = 10 * NS_PER_MS
+"""After a longer turn a poll that seems to have waited may just as well have been preempted."""
 READABLE = select.POLLIN
 WRITABLE = select.POLLOUT
 PEER_CLOSED = select.POLLRDHUP
@@ -37,8 +43,9 @@
         self._main_greenlet = greenlet.getcurrent()
         self._current_task: Task | None = None
         self._stopped = False
-        self._poll_returned_ns = 0
-        self._turn_ns = 0  # how long the turn before it took; 0 where the poll had to wait
+        self._last_poll_ns = 0  # the last poll saw every descriptor that was ready by then
+        self._previous_poll_ns = 0  # the same of the poll before
+        self._poll_waited = False  # whether the last poll found nothing ready and waited
         self.max_timer_lag_ns = 0
         """The longest that a timer fired late, since the reader last set it to 0."""
 
@@ -51,7 +58,22 @@
         What came during the last turn was ready for its rest, then for this one until now.  Where the poll had to
         wait, nothing was ready before it returned.
         """
-        return self.now() - self._poll_returned_ns + self._turn_ns
+        return self.now() - (self._last_poll_ns if self._poll_waited else self._previous_poll_ns)
+
+    @property
+    def last_poll_ns(self) -> int:
+        """A time by which every descriptor that was registered and ready has been reported."""
+        return self._last_poll_ns
+
+    def not_ready_before_ns(self, watched_since_ns: int) -> int:
+        """Return a time before which a descriptor that the last poll reported was not ready; 0 where none is known.
+
+        The caller has registered it since ``watched_since_ns``.  The time is at most ``MAX_POLL_NS`` and a few
+        milliseconds too late, however long the process was busy, starved of the processor or stopped.
+        """
+        if self._poll_waited:
+            return self._last_poll_ns
+        return self._previous_poll_ns if watched_since_ns <= self._previous_poll_ns else 0
 
     # ------------------------------------------------------------ tasks
 
@@ -169,14 +191,21 @@
         before_ns = self.now()
         timeout_ns = MAX_POLL_NS if due_ns is None else min(MAX_POLL_NS, max(0, due_ns - before_ns))
         ready = self._poll.poll(timeout_ns / NS_PER_MS)
-        returned_ns = self.now()
-        poll_blocked = returned_ns - before_ns >= MIN_BLOCKED_POLL_NS
-        self._turn_ns = 0 if poll_blocked else before_ns - self._poll_returned_ns
-        self._poll_returned_ns = returned_ns
+        self._note_poll(before_ns, timeout_ns, self.now())
         for fd, poll_events in ready:
             if (handler := self._handlers.get(fd)) is not None:
                 handler(poll_events)
 
+    def _note_poll(self, before_ns: int, timeout_ns: int, returned_ns: int) -> None:
+        """Take down by when what this poll reported was not ready yet."""
+        duration_ns = returned_ns - before_ns
+        was_held_up = duration_ns > timeout_ns + POLL_OVERRUN_NS
+        turn_ns = before_ns - self._last_poll_ns
+        self._poll_waited = not was_held_up and duration_ns >= MIN_BLOCKED_POLL_NS and turn_ns <= MAX_SHORT_TURN_NS
+        self._previous_poll_ns = self._last_poll_ns
+        # Held up, it may have looked at the descriptors as early as it began.
+        self._last_poll_ns = before_ns if was_held_up else returned_ns
+
     def _run_tasks(self) -> None:
         while self._runnable:
             waiter, reason = self._runnable.popleft()
