Answer every request that was read, and read none that will not be answered

Shown by tests/races/test_pipelines.py, 8 of its 9 tests failed before: 'assert b"Connection: close" not in b"HTTP/1.1 200 OK..."' where half of the next request had been read, "assert 146 == 73" bytes read behind the last response, and "nothing came" at the endpoint for the second of two requests while draining, with many connections, and behind an unknown class.

Change: a connection looks for a further whole request as soon as one has been read; it is not closed before that is answered, and where a part of one was read the rest is read too. The close waits for the client's end without reading. Only a request that cannot be parsed leaves bytes that nothing can tell apart: those are thrown away, as before.

Looked through: every close of a downstream connection (idle, evicted, draining, crowded, 4xx, 408, streamed, reset).

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from lugtally.downstream.shutdown_state import ShutdownState
-from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, WakeReason
+from lugtally.eventloop import PEER_CLOSED, READABLE, WRITABLE, Event, EventLoop, WakeReason
 from lugtally.http1 import Message, MessageParser, ProtocolError
 from lugtally.units import NS_PER_MS
 
@@ -25,11 +25,11 @@
 WRITE_STALL_TIMEOUT_NS = 5_000 * NS_PER_MS
 """How long a client may take in nothing of a response."""
 LINGER_SILENCE_TIMEOUT_NS = 1_000 * NS_PER_MS
-"""How long a client that may send on after its response, mostly one at fault, may be silent before the close."""
+"""How long a client at fault may be silent after its response before the close."""
 MAX_LINGER_NS = 2_500 * NS_PER_MS
-"""How long the close waits for such a client in all."""
+"""How long the close waits in all for a client that sends on after its response."""
 SHORT_LINGER_NS = 300 * NS_PER_MS
-"""Both, where the response alone ends the connection, or where the fault took long to see."""
+"""The same for a client that sends nothing, or one whose fault took long to see."""
 SHUTDOWN_REQUEST_TIMEOUT_NS = 500 * NS_PER_MS
 """How long the rest of a request may take at the end of a graceful shutdown."""
 SHUTDOWN_FIRST_BYTE_TIMEOUT_NS = 100 * NS_PER_MS
@@ -52,7 +52,9 @@
     __slots__ = (
         "_drained_ns",
         "_loop",
+        "_next_request",
         "arrived_ns",
+        "client_at_fault",
         "close_if_idle",
         "fd",
         "had_request",
@@ -74,6 +76,10 @@
         self.sock = sock
         self.fd = sock.fileno()
         self.parser = MessageParser(responses=False)
+        self._next_request: Message | ProtocolError | None = None
+        """The request, or the fault in its place, that was read together with the one before."""
+        self.client_at_fault = False
+        """Whether a request of it was at fault: the connection ends as soon as all that was read is answered."""
         self.wake_up = Event(loop)
         """Set where a wait for a request must look again: bytes have come, or the connection is to be closed."""
         self.since_ns = loop.now()
@@ -96,12 +102,12 @@
             ProtocolError: the client sent no sound request, or not all of it in time.
             OSError: the connection broke.
         """
-        if not self.parser.is_idle:
+        if self.has_input:
             self._loop.sleep(0)  # a request that came together with the last one lets others go first
-        message = self.parser.feed(b"")
         if self.had_request:
             self.since_ns = self._loop.now()
-        self.idle = self.parser.is_idle
+        message = self._take_next_request()
+        self.idle = message is None and self.parser.is_idle
         # Just after a response, most likely nothing is there yet: wait first, and save a call.
         wait_first = self.idle and self.had_request
         continue_sent = False
@@ -120,8 +126,34 @@
             message = self.parser.feed(data)
         self.had_request, self.idle = True, False
         self.close_if_idle = False  # it was to be closed if idle, and a request has come
+        self._parse_next_request()
         return message
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a further request has been read whole: it must be answered."""
+        return self._next_request is not None
+
+    @property
+    def has_input(self) -> bool:
+        """Whether a further request has been read, or a part of it."""
+        return self._next_request is not None or not self.parser.is_idle
+
+    def _take_next_request(self) -> Message | None:
+        request, self._next_request = self._next_request, None
+        if isinstance(request, ProtocolError):
+            raise request
+        return request
+
+    def _parse_next_request(self) -> None:
+        """Look for a request that was read together with the last one."""
+        if self.parser.is_idle:
+            return
+        try:
+            self._next_request = self.parser.feed(b"")
+        except ProtocolError as error:
+            self._next_request = error
+
     def _send_continue(self) -> bool:
         """Tell a client that waits for it to send the body; return whether it has been told."""
         head = self.parser.pending_head
@@ -203,17 +235,35 @@
             return False  # a client that closes while its response is written costs its own connection alone
         return True
 
-    def lingering_close(self, client_may_send: bool) -> None:
+    def lingering_close(self) -> None:
         """End our side and let the client read the response, before :meth:`close`.
 
         Race: closing over bytes that are unread, or that still come, resets the connection, and the reset takes along
-        what the client has not read of its response.  What it still sends is no request that we have taken: the end
-        of our side reaches it first.
+        what the client has not read of its response.  Nothing more is read: a request that comes now has not been
+        taken, and its client learns so from the end of our side.
         """
-        if client_may_send:
-            silence_ns, linger_ns = LINGER_SILENCE_TIMEOUT_NS, MAX_LINGER_NS
-        else:
-            silence_ns = linger_ns = SHORT_LINGER_NS
+        started_ns = self._loop.now()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            reason = self._loop.wait(self.fd, PEER_CLOSED, started_ns + SHORT_LINGER_NS)
+            if not self._has_unread_bytes():
+                return
+            if reason is WakeReason.TIMEOUT:
+                reason = self._loop.wait(self.fd, PEER_CLOSED, started_ns + MAX_LINGER_NS)
+            if reason is WakeReason.READY:  # it sends no more, but may still read
+                self._loop.sleep(SHORT_LINGER_NS)
+        except OSError as error:
+            self._log_disconnect(error)
+
+    def discard_input(self, was_slow: bool) -> None:
+        """End our side, and throw away what a client at fault still sends, until it is silent or ends.
+
+        Nothing tells its requests from each other any more.  Without this it might be kept from reading its response:
+        it may still be writing, and a close over unread bytes would reset its connection.  One whose fault is that
+        it was slow has had its time.
+        """
+        silence_ns = SHORT_LINGER_NS if was_slow else LINGER_SILENCE_TIMEOUT_NS
+        linger_ns = SHORT_LINGER_NS if was_slow else MAX_LINGER_NS
         deadline_ns = self._loop.now() + linger_ns
         try:
             self.sock.shutdown(socket.SHUT_WR)
@@ -222,13 +272,23 @@
                 and self._loop.now() < deadline_ns
                 and self.sock.recv(RECEIVE_BYTES)
             ):
-                pass  # what it still sends is thrown away
+                pass  # thrown away
         except OSError as error:
-            logger.debug(
-                "the client did not wait for the end: {reason}",
-                event="downstream.client_disconnected",
-                reason=str(error),
-            )
+            self._log_disconnect(error)
+
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
+
+    @staticmethod
+    def _log_disconnect(error: OSError) -> None:
+        logger.debug(
+            "the client did not wait for the end: {reason}",
+            event="downstream.client_disconnected",
+            reason=str(error),
+        )
 
     def close(self) -> None:
         """Close the socket at once."""
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -90,7 +90,7 @@
         self._release()
         streamed = self._streaming_attempt != NO_ATTEMPT
         if streamed and not self._client_closed and not connection.response_truncated:
-            connection.lingering_close(client_may_send=False)
+            connection.lingering_close()
         if self._client_closed or streamed:
             return None
         return self._final_response(decision)
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -166,8 +166,7 @@
                 if not self._handle_request(connection, message):
                     return
         except ProtocolError as error:
-            if connection.write(serialize_response(*protocol_error_response(error), close=True)):
-                connection.lingering_close(client_may_send=not isinstance(error, RequestTimeoutError))
+            self._reject_malformed(connection, error)
         except OSError as error:
             logger.debug(
                 "the connection of a client broke: {reason}", event="downstream.connection_failed", reason=str(error)
@@ -187,17 +186,35 @@
             response = internal_error_response()
         if response is None:
             return False
-        # A request at fault ends its connection: one may bring hundreds, or repeat itself at once.
-        at_fault = 400 <= response.status < 500
-        close = at_fault or not message.keep_alive or not self._may_keep_alive()
+        if 400 <= response.status < 500:
+            connection.client_at_fault = True
+        close = self._closes_after(connection, message)
         data = serialize_response(*response, close=close)
         response = None  # a slow client takes long: its response is then held once, not twice
         if not connection.write(data):
             return False
         if close:
-            connection.lingering_close(client_may_send=at_fault or not connection.parser.is_idle)
+            connection.lingering_close()
         return not close
 
+    @staticmethod
+    def _reject_malformed(connection: DownstreamConnection, error: ProtocolError) -> None:
+        """Give a request that cannot be read its response, the last one of its connection."""
+        if connection.write(serialize_response(*protocol_error_response(error), close=True)):
+            connection.discard_input(was_slow=isinstance(error, RequestTimeoutError))
+
+    def _closes_after(self, connection: DownstreamConnection, message: Message) -> bool:
+        """Return whether a connection ends with the response to this request.
+
+        Requests that have been read behind it are answered first.  Of one that has been read in part the rest is
+        read as well, but for a client at fault: one may bring hundreds, or repeat itself at once.
+        """
+        if not message.keep_alive:
+            return True
+        if connection.has_request:
+            return False
+        return connection.client_at_fault or not (connection.has_input or self._may_keep_alive())
+
     def _may_keep_alive(self) -> bool:
         """Return whether a connection may stay open after its response.
 
--- /dev/null
+++ b/tests/races/test_pipelines.py
@@ -0,0 +1,159 @@
+"""Requests that were read together with others: each is answered, in order, before its connection ends."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import pytest
+
+from lugtally.units import NS_PER_MS
+from tests.races.fakes import PeerConnection, Sidecar, request
+
+
+def statuses(received: bytes) -> list[str]:
+    """Return the status of each response, in order; bodies hold no status lines."""
+    return [part.split(b" ", 2)[1].decode() for part in received.split(b"HTTP/1.1")[1:] if part.startswith(b" ")]
+
+
+def respond_to(sidecar: Sidecar, connection: PeerConnection | None, count: int) -> PeerConnection:
+    """Answer that many requests at the endpoint, each with its own target as the body."""
+    for _ in range(count):
+        if connection is None or not connection.read_more():
+            connection = sidecar.server.accept()
+        target = connection.read_head().split(" ")[1]
+        connection.respond(target.encode())
+    assert connection is not None
+    return connection
+
+
+def keep_loop_running(sidecar: Sidecar) -> None:
+    """Let the script go on where the shutdown is complete."""
+    stop = sidecar.loop.stop
+    sidecar.loop.stop = lambda: stop() if sidecar.stopped else None  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize("reason", ["draining", "many connections"])
+@pytest.mark.parametrize("count", [2, 5])
+def test_requests_read_together_are_all_answered_before_the_sidecar_closes(reason: str, count: int) -> None:
+    """The first response closed the connection, and those behind it were dropped."""
+    sidecar = Sidecar(max_clients=3 if reason == "many connections" else 64)
+    keep_loop_running(sidecar)
+
+    def script() -> None:
+        address = sidecar.listen_with_one_endpoint()
+        client = sidecar.client(address)
+        if reason == "draining":
+            sidecar.wait_until(lambda: sidecar.downstream.open == 1)
+            sidecar.downstream.drain()
+        else:
+            other = sidecar.client(address)
+            sidecar.wait_until(lambda: sidecar.downstream.open == 2 and other.sock.fileno() >= 0)
+        client.send(b"".join(request(f"read/{number}", f"r{number}") for number in range(count)))
+        respond_to(sidecar, None, count)
+        received = client.read_to_end()
+        assert statuses(received) == ["200"] * count
+        assert received.endswith(f"/read/{count - 1}".encode())
+        assert received.count(b"Connection: close") == 1
+
+    sidecar.run(script)
+
+
+def test_the_rest_of_a_request_is_read_where_its_beginning_was() -> None:
+    """Its beginning came with the request before: only what is not read at all may be left to the close."""
+    sidecar = Sidecar()
+    keep_loop_running(sidecar)
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        sidecar.wait_until(lambda: sidecar.downstream.open == 1)
+        sidecar.downstream.drain()
+        second = request("read/2", "r2")
+        client.send(request("read/1", "r1") + second[:20])
+        connection = respond_to(sidecar, None, 1)
+        received = client.read()
+        assert b"Connection: close" not in received
+        client.send(second[20:])
+        respond_to(sidecar, connection, 1)
+        received += client.read_to_end()
+        assert statuses(received) == ["200", "200"]
+        assert received.endswith(b"Connection: close\r\n\r\n/read/2")
+
+    sidecar.run(script)
+
+
+def test_sound_requests_before_and_behind_one_at_fault_are_answered() -> None:
+    """A request of an unknown class is whole: what lies behind it can be told from it."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        client.send(request("read/1", "r1") + request("nothing", "r2") + request("read/3", "r3"))
+        respond_to(sidecar, None, 2)
+        received = client.read_to_end()
+        assert statuses(received) == ["200", "400", "200"]
+        assert received.endswith(b"Connection: close\r\n\r\n/read/3")
+
+    sidecar.run(script)
+
+
+def test_a_sound_request_before_a_malformed_one_is_answered() -> None:
+    """What lies behind the malformed one cannot be told apart: the connection ends with its 400."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        client.send(request("read/1", "r1") + b"what is this\r\n\r\n" + request("read/3", "r3"))
+        respond_to(sidecar, None, 1)
+        received = client.read_to_end()
+        assert statuses(received) == ["200", "400"]
+        assert received.count(b"Connection: close") == 1
+        assert sidecar.server.is_idle()
+
+    sidecar.run(script)
+
+
+class CountingSocket:
+    """A socket that counts what is read from it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.received = 0
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        data = self._sock.recv(size, flags)
+        if not flags & socket.MSG_PEEK:
+            self.received += len(data)
+        return data
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+
+@pytest.mark.parametrize("reason", ["draining", "unknown class"])
+def test_a_request_that_comes_behind_the_last_response_is_not_read(reason: str) -> None:
+    """Read and thrown away, it was lost; unread, its client knows that it was never taken."""
+    sidecar = Sidecar()
+    keep_loop_running(sidecar)
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        sidecar.wait_until(lambda: sidecar.downstream.open == 1)
+        (connection,) = sidecar.downstream._open
+        counting = CountingSocket(connection.sock)
+        connection.sock = counting  # type: ignore[assignment]
+        first = request("read" if reason == "draining" else "nothing")
+        if reason == "draining":
+            sidecar.downstream.drain()
+        client.send(first)
+        if reason == "draining":
+            respond_to(sidecar, None, 1)
+        received = client.read_to_end()
+        assert received.count(b"Connection: close") == 1
+        client.send(request("read", "r2"))
+        sidecar.loop.sleep(20 * NS_PER_MS)
+        client.sock.close()
+        sidecar.wait_until(lambda: sidecar.downstream.open == 0)
+        assert counting.received == len(first)
+
+    sidecar.run(script)
