A claimed stream is the one answer: others are cancelled, a whole one is not reset

Cause: `Dispatcher.claim_stream` bound the request to the streaming attempt, but left the others in flight. One that was answered meanwhile set `Exchange._served`; as the stream then ended whole, `_run_attempt` found `_served` taken, fell into `elif self._streaming_attempt == attempt.number` and marked the response truncated: a whole answer ended in a reset. `Dispatcher.may_start` asked for the end of the request only, so a hedge that was dialling was written after the response had begun. `response_truncated` was set when the streaming attempt reported its end, but the task of the request is woken before that one where the client half closes (`client_disconnected` sets the decision, then interrupts): the connection closed in the ordinary way, and a body without a length looked whole.

Change: a claim cancels the other attempts; `PendingRequest.wants` is asked before an attempt's task begins and before its bytes go out; `attempt_finished` returns whether the response is the answer, and only that one is kept; a connection counts as truncated from the claim until the end of the body has been passed on. The head is serialized before the claim, so that a fault there costs the attempt alone.

--- a/lugtally/dispatch/dispatcher.py
+++ b/lugtally/dispatch/dispatcher.py
@@ -109,18 +109,21 @@
     def claim_stream(self, request: PendingRequest, number: int) -> bool:
         """Return whether an attempt with the head of a long response may pass it on; the first to ask may.
 
-        From then on the balancer sends nothing more for the request, and only the end of that attempt ends it.
+        From then on the balancer sends nothing more for the request, and only the end of that attempt ends it: the
+        others in flight are cancelled, as their responses could go nowhere.
         """
         if request.finished or request.is_streaming or number not in request.in_flight:
             return False
         request.streaming_attempt = number
         endpoint_id = request.attempts[number].endpoint_id
         self._handle_event(balancing.ResponseStarted(request.id, number, endpoint_id))
+        for other in request.in_flight - {number}:
+            request.cancel_attempt(other)
         return True
 
     def may_start(self, request: PendingRequest, number: int) -> bool:
         """Return whether an attempt's bytes may go out now: asked right before each part of them is written."""
-        if request.finished or number not in request.in_flight:
+        if not request.wants(number):
             return False
         may_start: Callable[[int, str, int], bool] | None = getattr(self._policy, "may_start", None)
         return may_start is None or may_start(self._loop.now(), request.id, number)
@@ -131,8 +134,11 @@
         number: int,
         outcome: AttemptOutcome,
         load_report: tuple[float, ...] | None = None,
-    ) -> None:
-        """Take the end of an attempt; every attempt that was started reports one."""
+    ) -> bool:
+        """Take the end of an attempt; every attempt that was started reports one.
+
+        Returns whether its response is the request's answer.
+        """
         request.in_flight.discard(number)
         attempt = request.attempts[number]
         bound = request.streaming_attempt == number
@@ -158,6 +164,7 @@
             self._finish(request, Finished())
         elif bound:
             self._finish(request, Failed())  # half a response has gone out: the client's connection ends
+        return won
 
     def client_disconnected(self, request: PendingRequest) -> None:
         """Take it that the client went away; nothing happens where the request is over."""
--- a/lugtally/dispatch/pending_request.py
+++ b/lugtally/dispatch/pending_request.py
@@ -72,3 +72,9 @@
     def is_streaming(self) -> bool:
         """Whether part of a response has gone to the client."""
         return self.streaming_attempt != NO_ATTEMPT
+
+    def wants(self, number: int) -> bool:
+        """Return whether that attempt may still bring the answer: none has come or begun, and it was not called off."""
+        if self.finished or number not in self.in_flight:
+            return False
+        return not self.is_streaming or number == self.streaming_attempt
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -59,7 +59,7 @@
         self._connection = connection
         self._forwarded = ForwardedRequest(message)
         self._tasks: dict[int, Task] = {}  # by the attempt's number
-        self._served: Message | None = None  # the response of the attempt that was served first
+        self._served: Message | None = None  # the whole response that is the answer
         self._client_closed = False
         self._next_request_came = False  # bytes of it, which are not read yet
         self._watched_since_ns = 0
@@ -135,7 +135,7 @@
 
     def _run_attempt(self, attempt: StartAttempt) -> None:
         outcome, response = AttemptOutcome.CANCELLED_BEFORE_SENT, None
-        if not self._request.finished:
+        if self._request.wants(attempt.number):
             try:
                 outcome, response = self._services.upstream.execute_attempt(
                     attempt.endpoint_id,
@@ -148,13 +148,16 @@
                 # Every attempt must report its end, or the balancer would wait for it.
                 logger.exception("an attempt failed", event="attempt.failed")
                 outcome = AttemptOutcome.RESET
-        if outcome is AttemptOutcome.SERVED and self._served is None:
+        if not self._report_end(attempt, outcome, response):
+            return
+        # The task of the request, woken by the report, goes on only after this one.
+        if self._streaming_attempt == attempt.number:
+            self._connection.response_truncated = False
+        else:
             self._served = response
-        elif self._streaming_attempt == attempt.number:
-            self._connection.response_truncated = True
-        self._report_end(attempt, outcome, response)
 
-    def _report_end(self, attempt: StartAttempt, outcome: AttemptOutcome, response: Message | None) -> None:
+    def _report_end(self, attempt: StartAttempt, outcome: AttemptOutcome, response: Message | None) -> bool:
+        """Report the end of an attempt; return whether its response is the answer."""
         logger.debug(
             "attempt {number} at endpoint {endpoint_id}: {outcome}",
             event="attempt.finished",
@@ -163,7 +166,7 @@
             outcome=outcome.name,
         )
         load_report = self._services.upstream.load_report(response)
-        self._services.dispatcher.attempt_finished(self._request, attempt.number, outcome, load_report)
+        return self._services.dispatcher.attempt_finished(self._request, attempt.number, outcome, load_report)
 
     def _client_disconnected(self) -> None:
         self._services.loop.unregister(self._connection.fd)
@@ -184,11 +187,14 @@
 
     def _claim_stream(self, attempt: StartAttempt, head: Message) -> ResponseSink | None:
         """Return where an attempt may pass on a long response as it comes; ``None`` where it may not."""
+        head_bytes = serialize_streamed_head(head, forwarded_headers(head))
         if self._client_closed or not self._services.dispatcher.claim_stream(self._request, attempt.number):
             return None
         self._streaming_attempt = attempt.number
+        # Until its end has been passed on, a close for whatever reason must tell the client that it is not whole.
+        self._connection.response_truncated = True
         sink = _ConnectionSink(self._connection)
-        sink.send(serialize_streamed_head(head, forwarded_headers(head)))
+        sink.send(head_bytes)
         return sink
 
 
