Upstream pool: no list of idle connections is held across a wait

Cause: `UpstreamPool._reuse` looked up `self._idle[endpoint_id]` once and looped over that list, while `_wait_until_settled` lets other tasks run: `close_idle_connections` (also by `remove` and `set_address`) popped the list from the dictionary and closed its members, but the loop went on popping them. A closed connection was unregistered by its descriptor's number, which another connection may have by then (that one never woke: a request without an answer), was waited for by that number, and was closed and counted down once more, so that the limit of connections held no longer. `close_ended` looked up a list by endpoint that could be another one, or gone.

Change: idle connections live in `upstream/idle_connections.py`, which hands out one connection at a time and never a list. An `UpstreamConnection` owns its registration and its descriptor: `close()` ends the watch first, forgets the number, and is idempotent; only a close that closed something is counted.

Looked through: `close_expired`, `_close_longest_idle` and `_release` changed the list in place and are sound by themselves. DiscoveryClient: every wait and close is made by the one task of its client, and `EventLoop.wait` unregisters before it returns, so nothing is registered at a close; `move_to` interrupts and closes nothing. AdminServer: a caller's descriptor is unregistered by its own task before it is closed; `close()` runs after the loop.

--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import socket
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -39,11 +40,13 @@
 class UpstreamConnection:
     """One connection to an endpoint; it carries one request at a time.
 
+    It owns its registration with the event loop and its descriptor: the number is nobody's to use once it is closed.
+
     Attributes:
         idle_since_ns: When its last response was complete; 0 where it has not been used.
     """
 
-    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns")
+    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns", "_watching_loop")
 
     def __init__(self, sock: socket.socket, address: Address, max_body_bytes: int) -> None:
         self.sock = sock
@@ -51,6 +54,7 @@
         self.fd = sock.fileno()
         self.parser = MessageParser(responses=True, max_body_bytes=max_body_bytes, streams=True)
         self.idle_since_ns = 0
+        self._watching_loop: EventLoop | None = None
 
     def connect(self, loop: EventLoop, timeout_ns: int, deadline_ns: int) -> None:
         """Connect, within the timeout and by the deadline of the attempt.
@@ -78,6 +82,26 @@
             )
             raise AttemptAborted(AttemptOutcome.CONNECTION_REFUSED)
 
+    def watch(self, loop: EventLoop, on_event: Callable[[], None]) -> None:
+        """Call ``on_event`` when bytes come or the connection ends, until :meth:`unwatch`."""
+        loop.register(self.fd, READABLE, lambda _: on_event())
+        self._watching_loop = loop
+
+    def unwatch(self) -> None:
+        """End the watch, if there is one."""
+        if self._watching_loop is not None:
+            self._watching_loop.unregister(self.fd)
+            self._watching_loop = None
+
+    def close(self) -> bool:
+        """Close the connection; return whether it was open."""
+        if self.fd < 0:
+            return False
+        self.unwatch()  # first: the number may be another connection's as soon as it is closed
+        self.fd = -1
+        self.sock.close()
+        return True
+
     def wait_writable(self, loop: EventLoop, deadline_ns: int, timeout_outcome: AttemptOutcome) -> None:
         """Wait until bytes of the request can be written.
 
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from bisect import insort
-
 from lugtally.address import Address
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import READABLE, EventLoop, WakeReason
@@ -17,6 +15,7 @@
 from lugtally.upstream.attempt import AttemptResponse, MayProceed
 from lugtally.upstream.connection import UpstreamConnection, open_socket
 from lugtally.upstream.errors import AttemptAborted
+from lugtally.upstream.idle_connections import IdleConnections
 from lugtally.upstream.limits import ConnectionLimits
 from lugtally.upstream.load_report import parse_load_report
 from lugtally.upstream.streaming import ClaimStream, stream_response
@@ -45,7 +44,7 @@
         self._limits = limits
         self._load_report_fields = load_report_fields
         self._addresses: dict[int, Address] = {}
-        self._idle: dict[int, list[UpstreamConnection]] = {}  # the most recently used last
+        self._idle = IdleConnections(loop, self._close)
         self._settling: set[int] = set()  # endpoints where an attempt waits out SETTLE_NS of a connection
         self.open_connections = 0
 
@@ -62,15 +61,11 @@
 
     def close_idle_connections(self, endpoint_id: int) -> None:
         """Close the idle connections to an endpoint."""
-        for connection in self._idle.pop(endpoint_id, []):
-            self._close_idle(connection)
+        self._idle.close_all(endpoint_id)
 
     def close_expired(self) -> None:
         """Close what has been idle for long, before the other side does."""
-        expired_before_ns = self._loop.now() - self._limits.idle_timeout_ns
-        for connections in self._idle.values():
-            while connections and connections[0].idle_since_ns < expired_before_ns:
-                self._close_idle(connections.pop(0))
+        self._idle.close_idle_since(self._loop.now() - self._limits.idle_timeout_ns)
 
     def execute_attempt(
         self,
@@ -122,14 +117,13 @@
 
     def _reuse(self, endpoint_id: int, deadline_ns: int) -> UpstreamConnection | None:
         """Return the most recently used idle connection that the other side has not closed meanwhile."""
-        connections = self._idle.get(endpoint_id)
-        while connections:
+        while True:
             settled_before_ns = self._loop.now() - SETTLE_NS
-            quiet_count = sum(connection.idle_since_ns <= settled_before_ns for connection in connections)
-            if not quiet_count and endpoint_id in self._settling:
-                return None  # a second one would wait as well: this rate of requests needs another connection
-            connection = connections.pop(max(0, quiet_count - 1))  # the quiet ones are the first of the list
-            self._loop.unregister(connection.fd)
+            # A second attempt would wait as well: this rate of requests needs another connection.
+            may_wait = endpoint_id not in self._settling
+            connection = self._idle.take(endpoint_id, settled_before_ns, or_unsettled=may_wait)
+            if connection is None:
+                return None
             if connection.idle_since_ns < settled_before_ns - self._limits.idle_timeout_ns:
                 self._close(connection)  # the other side closes it about now: a request would end as a reset
                 continue
@@ -138,7 +132,6 @@
             if connection.is_quiet():
                 return connection
             self._close(connection)
-        return None
 
     def _wait_until_settled(self, endpoint_id: int, connection: UpstreamConnection, deadline_ns: int) -> None:
         """Wait until the connection may be used, or a byte comes on it.
@@ -160,19 +153,13 @@
             return
         # One that was taken and not used has been idle as long as before.
         connection.idle_since_ns = connection.idle_since_ns or self._loop.now()
-        insort(self._idle.setdefault(endpoint_id, []), connection, key=lambda other: other.idle_since_ns)
-
-        def close_ended(_: int) -> None:
-            self._idle[endpoint_id].remove(connection)
-            self._close_idle(connection)
-
-        self._loop.register(connection.fd, READABLE, close_ended)
+        self._idle.add(endpoint_id, connection)
 
     # ------------------------------------------------------------ opening and closing
 
     def _connect(self, endpoint_id: int, deadline_ns: int) -> UpstreamConnection:
         if self.open_connections >= self._limits.max_connections:
-            self._close_longest_idle()
+            self._idle.close_longest_idle()  # so that the attempt is not refused a descriptor
             if self.open_connections >= self._limits.max_connections:
                 raise AttemptAborted(AttemptOutcome.NO_DESCRIPTOR)
         address = self._addresses.get(endpoint_id)
@@ -188,20 +175,6 @@
             raise
         return connection
 
-    def _close_longest_idle(self) -> None:
-        """Close the connection that has been idle longest, so that an attempt is not refused a descriptor."""
-        longest_idle = min(
-            (connections for connections in self._idle.values() if connections),
-            key=lambda connections: connections[0].idle_since_ns,
-            default=None,
-        )
-        if longest_idle is not None:
-            self._close_idle(longest_idle.pop(0))
-
-    def _close_idle(self, connection: UpstreamConnection) -> None:
-        self._loop.unregister(connection.fd)
-        self._close(connection)
-
     def _close(self, connection: UpstreamConnection) -> None:
-        connection.sock.close()
-        self.open_connections -= 1
+        if connection.close():
+            self.open_connections -= 1
--- /dev/null
+++ b/tests/races/test_pool.py
@@ -0,0 +1,174 @@
+"""Crossings in the pool of connections to endpoints: it changes while an attempt waits for one of its connections."""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lugtally.eventloop import READABLE, Task, WakeReason
+from lugtally.http1 import ForwardedRequest, Message
+from lugtally.units import NS_PER_MS, NS_PER_S
+from lugtally.upstream import AttemptResponse, pool
+from tests.races.fakes import MAX_WAIT_NS, PeerConnection, Sidecar
+
+ENDPOINT = 1
+ATTEMPT_TIMEOUT_NS = 8 * NS_PER_S
+LONG_SETTLE_NS = 5 * NS_PER_S
+Change = Callable[[], object]
+
+
+@pytest.fixture
+def sidecar() -> Sidecar:
+    """A sidecar whose pool knows the fake server as its one endpoint."""
+    sidecar = Sidecar()
+    sidecar.upstream.set_address(ENDPOINT, sidecar.server.address)
+    return sidecar
+
+
+def start_attempt(sidecar: Sidecar, ends: list[AttemptResponse], path: str = "/", **options: Any) -> Task:
+    """Start an attempt in a task of its own; its end is added to ``ends``."""
+
+    def run() -> None:
+        deadline_ns = sidecar.loop.now() + ATTEMPT_TIMEOUT_NS
+        request = ForwardedRequest(Message("GET", path))
+        ends.append(sidecar.upstream.execute_attempt(ENDPOINT, request, deadline_ns, **options))
+
+    return sidecar.loop.spawn(run)
+
+
+def idle_peers(sidecar: Sidecar, count: int) -> list[PeerConnection]:
+    """Fill the pool with idle connections; return their other ends, the longest idle first."""
+    ends: list[AttemptResponse] = []
+    peers = []
+    for _ in range(count):
+        start_attempt(sidecar, ends)
+        peers.append(sidecar.server.accept())
+        peers[-1].read_head()
+    for number, peer in enumerate(peers, 1):
+        peer.respond()
+        sidecar.wait_until(lambda number=number: len(ends) == number)  # type: ignore[misc]
+    return peers
+
+
+def descriptor_of(peer: PeerConnection) -> int:
+    """Return the descriptor of our end of a connection, by the address that its peer sees."""
+    for entry in list(Path("/proc/self/fd").iterdir()):
+        try:
+            with socket.socket(fileno=os.dup(int(entry.name))) as sock:
+                if sock.getsockname() == peer.sock.getpeername():
+                    return int(entry.name)
+        except OSError:
+            continue
+    raise AssertionError("our end is closed")
+
+
+def change_at_wait(sidecar: Sidecar, patch: pytest.MonkeyPatch, is_due: Callable[[int], bool], change: Change) -> None:
+    """Let ``change`` happen as the next wait begins whose poll events are due."""
+    loop_wait = sidecar.loop.wait
+    changed: list[bool] = []
+
+    def wait(fd: int, poll_events: int, deadline_ns: int | None = None) -> WakeReason:
+        if not changed and is_due(poll_events):
+            changed.append(True)
+            change()
+        return loop_wait(fd, poll_events, deadline_ns)
+
+    patch.setattr(sidecar.loop, "wait", wait)
+
+
+def change_as_it_settles(sidecar: Sidecar, patch: pytest.MonkeyPatch, change: Change) -> None:
+    """Let ``change`` happen as an attempt begins to wait until its connection may be used."""
+    change_at_wait(sidecar, patch, lambda _: ENDPOINT in sidecar.upstream._settling, change)
+
+
+def move(sidecar: Sidecar) -> None:
+    """Move the endpoint to the address of another fake server."""
+    sidecar.upstream.set_address(ENDPOINT, sidecar.second_discovery.address)
+
+
+CLOSES: dict[str, Callable[[Sidecar], None]] = {
+    "idle connections closed": lambda sidecar: sidecar.upstream.close_idle_connections(ENDPOINT),
+    "endpoint removed": lambda sidecar: sidecar.upstream.remove(ENDPOINT),
+    "endpoint moved": move,
+}
+
+
+@pytest.mark.parametrize("close", CLOSES.values(), ids=CLOSES)
+def test_a_descriptor_number_that_another_connection_has_by_now_is_left_alone(
+    close: Callable[[Sidecar], None], sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An attempt that waited went on with the list as it was: it took a closed connection and its number's new owner.
+
+    That owner never woke again: a request without an answer.
+    """
+    monkeypatch.setattr(pool, "SETTLE_NS", LONG_SETTLE_NS)
+    woken: list[WakeReason] = []
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        settling, other = idle_peers(sidecar, 2)
+        number = descriptor_of(other)
+        start_attempt(sidecar, ends)
+        sidecar.wait_until(lambda: ENDPOINT in sidecar.upstream._settling)
+        ours, theirs = socket.socketpair()
+        close(sidecar)
+        os.dup2(ours.fileno(), number)  # as the next socket that is opened would have it
+        deadline_ns = sidecar.loop.now() + MAX_WAIT_NS
+        sidecar.loop.spawn(lambda: woken.append(sidecar.loop.wait(number, READABLE, deadline_ns)))
+        sidecar.loop.sleep(0)
+        settling.send(b"late")  # so that the attempt looks for another connection
+        assert settling.read_to_end() == b""
+        theirs.send(b"for the new owner")
+        sidecar.wait_until(lambda: bool(woken))
+        assert woken == [WakeReason.READY]
+        for sock in (ours, theirs):
+            sock.close()
+        os.close(number)
+
+    sidecar.run(script)
+
+
+@pytest.mark.parametrize("close", CLOSES.values(), ids=CLOSES)
+def test_a_connection_closed_by_name_is_counted_once(
+    close: Callable[[Sidecar], None], sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The closed connections of the old list were closed, and counted down, once more: the limit held no longer."""
+    monkeypatch.setattr(pool, "SETTLE_NS", LONG_SETTLE_NS)
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        peers = idle_peers(sidecar, 3)
+        settling = peers[0]
+        start_attempt(sidecar, ends)
+        sidecar.wait_until(lambda: ENDPOINT in sidecar.upstream._settling)
+        close(sidecar)
+        settling.send(b"late")
+        assert settling.read_to_end() == b""
+        if close is not CLOSES["endpoint removed"]:
+            server = sidecar.second_discovery if close is move else sidecar.server
+            new = server.accept()
+            new.read_head()
+            new.respond()
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert sidecar.upstream.open_connections == (0 if close is CLOSES["endpoint removed"] else 1)
+
+
+def test_an_idle_connection_that_ends_as_the_pool_is_changed_is_closed_once(sidecar: Sidecar) -> None:
+    """Its end and the change come in one poll, in either order."""
+
+    def script() -> None:
+        first, second = idle_peers(sidecar, 2)
+        first.sock.close()
+        second.sock.close()
+        sidecar.upstream.close_idle_connections(ENDPOINT)
+        sidecar.loop.sleep(NS_PER_MS)
+
+    sidecar.run(script)
+    assert sidecar.upstream.open_connections == 0
