Upstream pool: nothing is sent over a connection that was closed by name during a wait

Cause: an attempt that waits for its connection (`_wait_until_settled`, or `connect`) holds it outside of the pool, and nothing looked at it again after the wait: `set_address`, `remove` and `close_idle_connections` in between reached the idle ones alone. The request then went to the address where the endpoint had been, which may be another server's by now, to an endpoint that was removed, or over a connection of which the balancer had just said that it may be dead. `_release` compared the address, but only after the request.

Change: `_obtain` compares the address after every wait and looks for another connection where it is not the endpoint's any more (none: CONNECTION_REFUSED, as for one removed before); a settling connection is closed by its attempt where the idle ones were closed meanwhile (`is_retired`). Connections whose request has been written go on as before: what the old address answers is the answer to it, and `_release` does not keep them.

Without the change the new tests printed: `assert b'GET / HTTP/...7.993\r\n\r\n' == b''` (3 cases of a settling connection) and `assert b'GET / HTTP/...8.000\r\n\r\n' == b''` (2 of one that comes up): the old address got the request. With it tests/races and tests/upstream pass (99).

--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -44,9 +44,10 @@
 
     Attributes:
         idle_since_ns: When its last response was complete; 0 where it has not been used.
+        is_retired: Whether it must not be used again: the idle connections to its endpoint were closed meanwhile.
     """
 
-    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns", "_watching_loop")
+    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns", "is_retired", "_watching_loop")
 
     def __init__(self, sock: socket.socket, address: Address, max_body_bytes: int) -> None:
         self.sock = sock
@@ -54,6 +55,7 @@
         self.fd = sock.fileno()
         self.parser = MessageParser(responses=True, max_body_bytes=max_body_bytes, streams=True)
         self.idle_since_ns = 0
+        self.is_retired = False
         self._watching_loop: EventLoop | None = None
 
     def connect(self, loop: EventLoop, timeout_ns: int, deadline_ns: int) -> None:
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -45,7 +45,7 @@
         self._load_report_fields = load_report_fields
         self._addresses: dict[int, Address] = {}
         self._idle = IdleConnections(loop, self._close)
-        self._settling: set[int] = set()  # endpoints where an attempt waits out SETTLE_NS of a connection
+        self._settling: dict[int, UpstreamConnection] = {}  # what an attempt waits for, by endpoint
         self.open_connections = 0
 
     def set_address(self, endpoint_id: int, address: Address) -> None:
@@ -60,8 +60,10 @@
         self._addresses.pop(endpoint_id, None)
 
     def close_idle_connections(self, endpoint_id: int) -> None:
-        """Close the idle connections to an endpoint."""
+        """Close the idle connections to an endpoint; one that settles is closed by the attempt that waits for it."""
         self._idle.close_all(endpoint_id)
+        if (settling := self._settling.get(endpoint_id)) is not None:
+            settling.is_retired = True
 
     def close_expired(self) -> None:
         """Close what has been idle for long, before the other side does."""
@@ -82,7 +84,7 @@
         """
         connection: UpstreamConnection | None = None
         try:
-            connection = self._reuse(endpoint_id, deadline_ns) or self._connect(endpoint_id, deadline_ns)
+            connection = self._obtain(endpoint_id, deadline_ns)
             time_left_ns = deadline_ns - self._loop.now()
             if time_left_ns <= 0:
                 raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)  # the connection came up too late to send
@@ -115,6 +117,18 @@
 
     # ------------------------------------------------------------ reuse
 
+    def _obtain(self, endpoint_id: int, deadline_ns: int) -> UpstreamConnection:
+        """Return a connection to where the endpoint is now, idle until now or new."""
+        while True:
+            connection = self._reuse(endpoint_id, deadline_ns) or self._connect(endpoint_id, deadline_ns)
+            if self._leads_to(endpoint_id, connection):
+                return connection
+            self._close(connection)  # the endpoint moved, or was removed, as the connection came up
+
+    def _leads_to(self, endpoint_id: int, connection: UpstreamConnection) -> bool:
+        """Return whether the connection goes to where the endpoint is now."""
+        return connection.address == self._addresses.get(endpoint_id)
+
     def _reuse(self, endpoint_id: int, deadline_ns: int) -> UpstreamConnection | None:
         """Return the most recently used idle connection that the other side has not closed meanwhile."""
         while True:
@@ -129,7 +143,7 @@
                 continue
             if connection.idle_since_ns > settled_before_ns:
                 self._wait_until_settled(endpoint_id, connection, deadline_ns)
-            if connection.is_quiet():
+            if connection.is_quiet() and not connection.is_retired:
                 return connection
             self._close(connection)
 
@@ -138,18 +152,18 @@
 
         A new connection would cost the endpoint more work than this costs time.
         """
-        self._settling.add(endpoint_id)
+        self._settling[endpoint_id] = connection
         settled_ns = connection.idle_since_ns + SETTLE_NS
         reason = self._loop.wait(connection.fd, READABLE, min(deadline_ns, settled_ns))
-        self._settling.discard(endpoint_id)
+        del self._settling[endpoint_id]
         if reason is WakeReason.INTERRUPTED:
             self._release(endpoint_id, connection)
             raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
 
     def _release(self, endpoint_id: int, connection: UpstreamConnection) -> None:
         """Make the connection idle; whatever comes on it meanwhile ends it."""
-        if connection.address != self._addresses.get(endpoint_id):
-            self._close(connection)  # the endpoint was removed or has moved meanwhile
+        if connection.is_retired or not self._leads_to(endpoint_id, connection):
+            self._close(connection)  # its like were closed, or the endpoint was removed or has moved meanwhile
             return
         # One that was taken and not used has been idle as long as before.
         connection.idle_since_ns = connection.idle_since_ns or self._loop.now()
--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -160,6 +160,80 @@
     assert sidecar.upstream.open_connections == (0 if close is CLOSES["endpoint removed"] else 1)
 
 
+@pytest.mark.parametrize("wait", ["settling", "connecting"])
+def test_no_request_goes_to_where_its_endpoint_was(
+    wait: str, sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It moved while the attempt waited: the request went to whoever is at the old address by now."""
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        if wait == "settling":
+            old = idle_peers(sidecar, 1)[0]
+            change_as_it_settles(sidecar, monkeypatch, lambda: move(sidecar))
+        else:
+            change_at_wait(sidecar, monkeypatch, lambda events: events != READABLE, lambda: move(sidecar))
+        start_attempt(sidecar, ends)
+        if wait == "connecting":
+            old = sidecar.server.accept()
+        assert old.read_to_end() == b""
+        new = sidecar.second_discovery.accept()
+        new.read_head()
+        new.respond(b"from the new address")
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    response = ends[0].response
+    assert response is not None
+    assert response.body == b"from the new address"
+    assert sidecar.upstream.open_connections == 1
+
+
+@pytest.mark.parametrize("wait", ["settling", "connecting"])
+def test_no_request_goes_to_an_endpoint_that_was_removed_during_a_wait(
+    wait: str, sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        if wait == "settling":
+            old = idle_peers(sidecar, 1)[0]
+            change_as_it_settles(sidecar, monkeypatch, lambda: sidecar.upstream.remove(ENDPOINT))
+        else:
+            change_at_wait(
+                sidecar, monkeypatch, lambda events: events != READABLE, lambda: sidecar.upstream.remove(ENDPOINT)
+            )
+        start_attempt(sidecar, ends)
+        if wait == "connecting":
+            old = sidecar.server.accept()
+        assert old.read_to_end() == b""
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "CONNECTION_REFUSED"
+    assert sidecar.upstream.open_connections == 0
+
+
+def test_a_connection_that_settles_counts_as_idle_where_those_are_closed(
+    sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The balancer closes them so that the next attempt is sent on a fresh one."""
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        old = idle_peers(sidecar, 1)[0]
+        change_as_it_settles(sidecar, monkeypatch, lambda: sidecar.upstream.close_idle_connections(ENDPOINT))
+        start_attempt(sidecar, ends)
+        assert old.read_to_end() == b""
+        new = sidecar.server.accept()
+        new.read_head()
+        new.respond()
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert sidecar.upstream.open_connections == 1
+
+
 def test_an_idle_connection_that_ends_as_the_pool_is_changed_is_closed_once(sidecar: Sidecar) -> None:
     """Its end and the change come in one poll, in either order."""
 
