Upstream pool: an attempt that fails by a fault of ours leaks no connection

Cause: `execute_attempt` closed its connection on `AttemptAborted` alone. What else was raised from `may_proceed`, `claim_stream`, a sink or a parser left the connection open and counted in `open_connections` for good; after enough of these every attempt ended as NO_DESCRIPTOR.

Change: whoever obtains a connection puts it back in a `finally`. The connection says whether a request may have begun on it whose response was not read whole (`carries_request`): then it is closed, else it is idle again.

--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -44,10 +44,12 @@
 
     Attributes:
         idle_since_ns: When its last response was complete; 0 where it has not been used.
+        carries_request: Whether a request may have begun on it whose response has not been read whole: it is good for
+            nothing else then.
         is_retired: Whether it must not be used again: the idle connections to its endpoint were closed meanwhile.
     """
 
-    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns", "is_retired", "_watching_loop")
+    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns", "carries_request", "is_retired", "_watching_loop")
 
     def __init__(self, sock: socket.socket, address: Address, max_body_bytes: int) -> None:
         self.sock = sock
@@ -55,6 +57,7 @@
         self.fd = sock.fileno()
         self.parser = MessageParser(responses=True, max_body_bytes=max_body_bytes, streams=True)
         self.idle_since_ns = 0
+        self.carries_request = False
         self.is_retired = False
         self._watching_loop: EventLoop | None = None
 
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -82,32 +82,14 @@
         A 200 with a long, chunked or unbounded body is passed on as it comes, where ``claim_stream`` gives a sink; its
         response is returned with ``streamed`` set and no body.  Without a sink that attempt is cancelled.
         """
-        connection: UpstreamConnection | None = None
         try:
             connection = self._obtain(endpoint_id, deadline_ns)
-            time_left_ns = deadline_ns - self._loop.now()
-            if time_left_ns <= 0:
-                raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)  # the connection came up too late to send
-            # While the connection came up, the endpoint may have drained or the client left.
-            if not may_proceed():
-                self._release(endpoint_id, connection)
-                return AttemptResponse(AttemptOutcome.CANCELLED_BEFORE_SENT, None)
-            attempt.write_request(self._loop, connection, request.write(time_left_ns), deadline_ns, may_proceed)
-            response = attempt.read_response(self._loop, connection, deadline_ns)
-            if response.streamed:
-                outcome = stream_response(self._loop, connection, response, claim_stream, deadline_ns)
-            else:
-                outcome = attempt.classify_response(response)
+            try:
+                return self._attempt_over(connection, request, deadline_ns, claim_stream, may_proceed)
+            finally:
+                self._put_back(endpoint_id, connection)  # whatever happened: nobody else knows of it
         except AttemptAborted as aborted:
-            if connection is not None:
-                self._close(connection)
             return AttemptResponse(aborted.outcome, None)
-        if connection.is_reusable_after(response):
-            connection.idle_since_ns = self._loop.now()
-            self._release(endpoint_id, connection)
-        else:
-            self._close(connection)
-        return AttemptResponse(outcome, response)
 
     def load_report(self, response: Message | None) -> tuple[float, ...] | None:
         """Return the load report that came with a response, where the settings say that responses carry one."""
@@ -115,15 +97,51 @@
             return None
         return parse_load_report(response, self._load_report_fields)
 
+    def _attempt_over(
+        self,
+        connection: UpstreamConnection,
+        request: ForwardedRequest,
+        deadline_ns: int,
+        claim_stream: ClaimStream | None,
+        may_proceed: MayProceed,
+    ) -> AttemptResponse:
+        """Make one attempt over a connection.
+
+        Raises:
+            AttemptAborted: It ended without a whole response.
+        """
+        time_left_ns = deadline_ns - self._loop.now()
+        # While the connection came up, the endpoint may have drained or the client left.
+        if not may_proceed():
+            raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
+        connection.carries_request = True
+        attempt.write_request(self._loop, connection, request.write(time_left_ns), deadline_ns, may_proceed)
+        response = attempt.read_response(self._loop, connection, deadline_ns)
+        if response.streamed:
+            outcome = stream_response(self._loop, connection, response, claim_stream, deadline_ns)
+        else:
+            outcome = attempt.classify_response(response)
+        if connection.is_reusable_after(response):
+            connection.carries_request = False
+            connection.idle_since_ns = self._loop.now()
+        return AttemptResponse(outcome, response)
+
     # ------------------------------------------------------------ reuse
 
     def _obtain(self, endpoint_id: int, deadline_ns: int) -> UpstreamConnection:
-        """Return a connection to where the endpoint is now, idle until now or new."""
+        """Return a connection to where the endpoint is now, idle until now or new.
+
+        Raises:
+            AttemptAborted: There is none in time.
+        """
         while True:
             connection = self._reuse(endpoint_id, deadline_ns) or self._connect(endpoint_id, deadline_ns)
-            if self._leads_to(endpoint_id, connection):
+            in_time = self._loop.now() < deadline_ns
+            if in_time and self._leads_to(endpoint_id, connection):
                 return connection
-            self._close(connection)  # the endpoint moved, or was removed, as the connection came up
+            self._close(connection)  # it came up too late, or the endpoint moved or was removed meanwhile
+            if not in_time:
+                raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)
 
     def _leads_to(self, endpoint_id: int, connection: UpstreamConnection) -> bool:
         """Return whether the connection goes to where the endpoint is now."""
@@ -160,6 +178,13 @@
             self._release(endpoint_id, connection)
             raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
 
+    def _put_back(self, endpoint_id: int, connection: UpstreamConnection) -> None:
+        """Make the connection idle where it may carry another request; else close it."""
+        if connection.carries_request:
+            self._close(connection)
+        else:
+            self._release(endpoint_id, connection)
+
     def _release(self, endpoint_id: int, connection: UpstreamConnection) -> None:
         """Make the connection idle; whatever comes on it meanwhile ends it."""
         if connection.is_retired or not self._leads_to(endpoint_id, connection):
--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -234,6 +234,45 @@
     assert sidecar.upstream.open_connections == 1
 
 
+@pytest.mark.parametrize("failing", ["may_proceed", "claim_stream"])
+def test_an_attempt_that_fails_by_a_fault_of_ours_leaks_no_connection(failing: str, sidecar: Sidecar) -> None:
+    """Its connection stayed open and counted for good: after some of these no attempt found a descriptor."""
+    failed: list[str] = []
+    ends: list[AttemptResponse] = []
+
+    def fail(*_: object) -> Any:
+        raise RuntimeError(failing)
+
+    def run() -> None:
+        try:
+            start = sidecar.loop.now()
+            sidecar.upstream.execute_attempt(
+                ENDPOINT, ForwardedRequest(Message("GET", "/")), start + ATTEMPT_TIMEOUT_NS, **{failing: fail}
+            )
+        except RuntimeError as error:
+            failed.append(str(error))
+
+    def script() -> None:
+        sidecar.loop.spawn(run)
+        peer = sidecar.server.accept()
+        if failing == "claim_stream":
+            peer.read_head()
+            peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
+            assert peer.read_to_end() == b""
+        sidecar.wait_until(lambda: bool(failed))
+        assert sidecar.upstream.open_connections == (1 if failing == "may_proceed" else 0)
+        start_attempt(sidecar, ends)
+        if failing == "claim_stream":
+            peer = sidecar.server.accept()
+        peer.read_head()  # nothing had been written: the connection is as good as before
+        peer.respond()
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert failed == [failing]
+    assert sidecar.upstream.open_connections == 1
+
+
 def test_an_idle_connection_that_ends_as_the_pool_is_changed_is_closed_once(sidecar: Sidecar) -> None:
     """Its end and the change come in one poll, in either order."""
 
