Upstream pool: the idle timeout is looked at after the wait, not before

Cause: `_reuse` compared a connection's idle time with the timeout before `_wait_until_settled`, and with `SETTLE_NS` too much (`settled_before_ns - idle_timeout_ns`). A process that was stopped in that wait, or a machine that was, sent its request over a connection that the other side was closing by then: a reset, and for a request that must not run twice a failure.

Change: `_may_reuse` looks at all that counts right before a connection is given out: retired, idle for too long, bytes or an end on it.

Without the change the new test printed `assert b'GET / HTTP/...5.000\r\n\r\n' == b''`: the request went out 3 s after a timeout of 2 s.

--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -156,15 +156,20 @@
             connection = self._idle.take(endpoint_id, settled_before_ns, or_unsettled=may_wait)
             if connection is None:
                 return None
-            if connection.idle_since_ns < settled_before_ns - self._limits.idle_timeout_ns:
-                self._close(connection)  # the other side closes it about now: a request would end as a reset
-                continue
             if connection.idle_since_ns > settled_before_ns:
                 self._wait_until_settled(endpoint_id, connection, deadline_ns)
-            if connection.is_quiet() and not connection.is_retired:
+            if self._may_reuse(connection):
                 return connection
             self._close(connection)
 
+    def _may_reuse(self, connection: UpstreamConnection) -> bool:
+        """Return whether a request may be sent over an idle connection now, whatever was waited for before."""
+        if connection.is_retired:
+            return False
+        if connection.idle_since_ns < self._loop.now() - self._limits.idle_timeout_ns:
+            return False  # the other side closes it about now: a request would end as a reset
+        return connection.is_quiet()
+
     def _wait_until_settled(self, endpoint_id: int, connection: UpstreamConnection, deadline_ns: int) -> None:
         """Wait until the connection may be used, or a byte comes on it.
 
--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -273,6 +273,29 @@
     assert sidecar.upstream.open_connections == 1
 
 
+def test_a_connection_is_not_used_past_its_idle_timeout_after_a_wait_that_lasted(
+    sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The process was stopped as it waited for the connection: by now the other side is closing it."""
+    sidecar.limits.idle_timeout_ns = 2 * NS_PER_S
+    now = sidecar.loop.now
+    stopped_ns = [0]
+    monkeypatch.setattr(sidecar.loop, "now", lambda: now() + stopped_ns[0])
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        old = idle_peers(sidecar, 1)[0]
+        change_as_it_settles(sidecar, monkeypatch, lambda: stopped_ns.append(stopped_ns.pop() + 3 * NS_PER_S))
+        start_attempt(sidecar, ends)
+        assert old.read_to_end() == b""
+        new = sidecar.server.accept()
+        new.read_head()
+        new.respond()
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+
+
 def test_an_idle_connection_that_ends_as_the_pool_is_changed_is_closed_once(sidecar: Sidecar) -> None:
     """Its end and the change come in one poll, in either order."""
 
