Evict a connection as soon as another waits for its place, and only then

Where no descriptor was free below the limit, accepting only paused, and idle connections kept theirs for 2 s.

Change: accepting has a module of its own (downstream/acceptor.py). It waits for a client first and evicts then: the longest idle connection, a fresh one only after 100 ms, and of the half-sent ones one that has had 1 s, with a 408. The same where no descriptor is free. A connection that times out or is evicted is read once more before it is closed, so half a request whose rest has just come is answered; its time limit looks at when bytes came, not at when they are read.

Looked through: the drain of the backlog at the end of a shutdown (same eviction now), the wake-up that says that a connection closed (the accepting task and the shutdown both wait for it; the first is interrupted before).

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -34,6 +34,10 @@
 """How long the rest of a request may take at the end of a graceful shutdown."""
 SHUTDOWN_FIRST_BYTE_TIMEOUT_NS = 100 * NS_PER_MS
 """How long the first bytes on a new connection may be on their way then."""
+MIN_IDLE_BEFORE_EVICTION_NS = 100 * NS_PER_MS
+"""How long the first byte on a new connection may take even where others wait for its place."""
+MIN_REQUEST_TIME_BEFORE_EVICTION_NS = 1_000 * NS_PER_MS
+"""How long a request may take to become whole even where others wait for its connection's place."""
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # as SO_LINGER: the close resets the connection
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -53,12 +57,15 @@
         "_drained_ns",
         "_loop",
         "_next_request",
+        "_shutdown",
         "arrived_ns",
         "client_at_fault",
         "close_if_idle",
+        "close_if_incomplete",
         "fd",
         "had_request",
         "idle",
+        "is_reading",
         "parser",
         "response_truncated",
         "since_ns",
@@ -66,9 +73,16 @@
         "wake_up",
     )
 
-    def __init__(self, sock: socket.socket, loop: EventLoop, connected_after_ns: int | None = None) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        loop: EventLoop,
+        shutdown: ShutdownState | None = None,
+        connected_after_ns: int | None = None,
+    ) -> None:
         """``connected_after_ns`` is a time before which the client had not connected: now, if it is not given."""
         self._loop = loop
+        self._shutdown = shutdown or ShutdownState()
         self._drained_ns = loop.now() if connected_after_ns is None else connected_after_ns
         """The last time at which no byte was known to be unread."""
         self.arrived_ns = self._drained_ns
@@ -88,14 +102,18 @@
         """Whether a whole request has come on it."""
         self.idle = False
         """Whether it waits for a request of which nothing has come."""
+        self.is_reading = False
+        """Whether it waits for a request, or for the rest of one."""
         self.close_if_idle = False
         """Whether it is to be closed, unless a request has come."""
+        self.close_if_incomplete = False
+        """Whether it is to be closed, unless the rest of the request has come."""
         self.response_truncated = False
         """Whether its response has begun and cannot be finished: the close must not pass for the response's end."""
 
     # ------------------------------------------------------------ reading
 
-    def read_request(self, shutdown: ShutdownState) -> Message | None:
+    def read_request(self) -> Message | None:
         """Block until a request is whole and return it; ``None`` where the connection is over.
 
         Raises:
@@ -111,6 +129,7 @@
         # Just after a response, most likely nothing is there yet: wait first, and save a call.
         wait_first = self.idle and self.had_request
         continue_sent = False
+        self.is_reading = message is None
         while message is None:
             continue_sent = continue_sent or self._send_continue()
             data = None if wait_first and not self.close_if_idle else self._receive()
@@ -118,14 +137,16 @@
             if data is None:
                 if self.idle and self.close_if_idle:
                     return None
-                self._wait_for_bytes(shutdown)
+                if not self.idle and self.close_if_incomplete:
+                    raise RequestTimeoutError
+                self._wait_for_bytes()
                 continue
             if not data:
                 return None
             self._note_bytes()
             message = self.parser.feed(data)
-        self.had_request, self.idle = True, False
-        self.close_if_idle = False  # it was to be closed if idle, and a request has come
+        self.had_request, self.idle, self.is_reading = True, False, False
+        self.close_if_idle = self.close_if_incomplete = False  # a request has come
         self._parse_next_request()
         return message
 
@@ -184,7 +205,7 @@
         if watched_since_ns <= self._loop.last_poll_ns:
             self._drained_ns = max(self._drained_ns, self._loop.last_poll_ns)
 
-    def _wait_for_bytes(self, shutdown: ShutdownState) -> None:
+    def _wait_for_bytes(self) -> None:
         watched_since_ns = self._loop.now()
 
         def note_bytes(_: int) -> None:
@@ -192,22 +213,20 @@
             self.wake_up.set()
 
         self._loop.register(self.fd, READABLE, note_bytes)
-        reason = self.wake_up.wait(self._read_deadline_ns(shutdown))
+        reason = self.wake_up.wait(self._read_deadline_ns())
         self._loop.unregister(self.fd)
-        if reason is not WakeReason.TIMEOUT:
-            return
-        if not self.idle:
-            raise RequestTimeoutError
-        # Race: a request may have come between the poll that saw nothing and the close.  Read again before closing.
-        self.close_if_idle = True
+        if reason is WakeReason.TIMEOUT:
+            # Race: bytes may have come between the poll that saw nothing and the close.  Read again before closing.
+            self.close_if_idle = self.idle
+            self.close_if_incomplete = not self.idle
 
-    def _read_deadline_ns(self, shutdown: ShutdownState) -> int:
+    def _read_deadline_ns(self) -> int:
         """Return until when to wait: counted from a request's first byte, so that a trickle of bytes gains no time."""
-        if shutdown.closing:
+        if self._shutdown.closing:
             timeout_ns = SHUTDOWN_FIRST_BYTE_TIMEOUT_NS if self.idle else SHUTDOWN_REQUEST_TIMEOUT_NS
         else:
             timeout_ns = CLIENT_IDLE_TIMEOUT_NS if self.idle else REQUEST_TIMEOUT_NS
-        return max(self.since_ns, shutdown.closing_since_ns) + timeout_ns
+        return max(self.since_ns, self._shutdown.closing_since_ns) + timeout_ns
 
     def _note_bytes(self) -> None:
         """Take it that bytes have come: the first of a request begin its time, later ones must be within it."""
@@ -215,9 +234,24 @@
             self.idle = False
             if self.had_request:  # the first request's time began with the connection
                 self.since_ns = self._loop.now()
-        elif self._loop.now() > self.since_ns + REQUEST_TIMEOUT_NS:
+        elif self.arrived_ns > self.since_ns + REQUEST_TIMEOUT_NS:
             raise RequestTimeoutError
 
+    # ------------------------------------------------------------ eviction
+
+    def may_evict(self, now_ns: int) -> bool:
+        """Return whether the connection may be closed to make room for others; never with a request in progress."""
+        waited_ns = now_ns - self.since_ns
+        if self.idle:
+            return not self.close_if_idle and (self.had_request or waited_ns >= MIN_IDLE_BEFORE_EVICTION_NS)
+        return self.is_reading and not self.close_if_incomplete and waited_ns >= MIN_REQUEST_TIME_BEFORE_EVICTION_NS
+
+    def evict(self) -> None:
+        """Have the connection closed, but for a request that is whole by now."""
+        self.close_if_idle = self.idle
+        self.close_if_incomplete = not self.idle
+        self.wake_up.set()
+
     # ------------------------------------------------------------ writing and closing
 
     def write(self, data: bytes | memoryview) -> bool:
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -16,7 +16,6 @@
     rejected_response,
     served_response,
 )
-from lugtally.downstream.validation import ValidatedRequest
 from lugtally.eventloop import PEER_CLOSED, READABLE, EventLoop, Task
 from lugtally.http1 import ForwardedRequest, Message, serialize_streamed_head
 from lugtally.upstream import ResponseSink, UpstreamPool
@@ -52,7 +51,8 @@
         services: ExchangeServices,
         connection: DownstreamConnection,
         message: Message,
-        validated: ValidatedRequest,
+        class_index: int,
+        deadline_ns: int,
         tenant_index: int,
     ) -> None:
         self._services = services
@@ -67,8 +67,8 @@
         self._streaming_attempt = NO_ATTEMPT
         self._request = PendingRequest(
             services.loop,
-            validated.class_index,
-            connection.arrived_ns + validated.time_left_ns,
+            class_index,
+            deadline_ns,
             message.header_map.get("x-repeat") == "1",
             self._cancel_attempt,
             tenant_index,
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -9,6 +9,7 @@
 from lugtally import balancing
 from lugtally.address import Address
 from lugtally.dispatch import UNKNOWN_TENANT, Dispatcher
+from lugtally.downstream.acceptor import ConnectionAcceptor
 from lugtally.downstream.connection import DownstreamConnection, RequestTimeoutError
 from lugtally.downstream.exchange import Exchange, ExchangeServices
 from lugtally.downstream.graceful_shutdown import GracefulShutdown
@@ -21,20 +22,14 @@
     protocol_error_response,
     rejected_response,
 )
+from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.downstream.validation import RequestValidator, ValidatedRequest
-from lugtally.eventloop import READABLE, Event, EventLoop, Task, WakeReason
+from lugtally.eventloop import Event, EventLoop
 from lugtally.http1 import Message, ProtocolError, serialize_response
-from lugtally.units import NS_PER_MS
 from lugtally.upstream import UpstreamPool
 
 __all__ = ["DownstreamConnection", "DownstreamServer"]
 
-MAX_ACCEPTS_PER_TURN = 16
-"""Connections accepted in one turn of the loop: hundreds at once must not hold up requests in progress."""
-EVICTION_INTERVAL_NS = 100 * NS_PER_MS
-"""How often another idle connection is closed while as many as may be are open."""
-ACCEPT_ERROR_BACKOFF_NS = 20 * NS_PER_MS
-
 
 class DownstreamServer:
     """All connections of the application to this sidecar."""
@@ -57,15 +52,12 @@
         self._ids_in_progress: set[str] = set()  # the correlation IDs of the requests in progress
         self._validator = RequestValidator(classes, self._ids_in_progress)
         self._health_checks = HealthCheckPacer(loop)
-        self._listener: socket.socket | None = None
-        self._listener_inherited = False  # the platform holds it, and a successor will take its backlog
-        self._backlog_empty_ns = loop.now()
-        """The last time at which no connection was known to wait in the backlog."""
-        self._accept_task: Task | None = None
         self._connection_closed = Event(loop)
-        self._shutdown = GracefulShutdown(
-            loop, self._open, self._connection_closed, max_connections, self._accept_batch
+        state = ShutdownState()
+        self._acceptor = ConnectionAcceptor(
+            loop, self._open, self._connection_closed, max_connections, state, self._handle_connection
         )
+        self._shutdown = GracefulShutdown(loop, self._open, self._connection_closed, self._acceptor, state)
         self.ready = False
         """Whether there are endpoints to send requests to; set by the owner."""
 
@@ -75,7 +67,7 @@
         Raises:
             OSError: the address cannot be had.
         """
-        self._start_accepting(bind_listener(address))
+        self._acceptor.start(bind_listener(address), is_shared=False)
 
     def adopt(self, fd: int) -> None:
         """Accept connections on a listening socket that the platform passed; it is never bound here.
@@ -83,86 +75,34 @@
         Raises:
             ValueError: in one line, why that descriptor cannot be used.
         """
-        listener = adopt_listener(fd)
-        self._listener_inherited = True
-        self._start_accepting(listener)
+        self._acceptor.start(adopt_listener(fd), is_shared=True)
 
     def drain(self) -> None:
         """Begin the graceful shutdown: at its end the event loop is stopped."""
-        self._shutdown.start(self._listener, self._listener_inherited, self._accept_task)
+        self._shutdown.start()
 
     @property
     def draining(self) -> bool:
         """Whether the graceful shutdown has begun."""
         return self._shutdown.state.draining
 
+    @property
+    def listener(self) -> socket.socket | None:
+        """The listening socket, once there is one; closed in the course of the shutdown."""
+        return self._acceptor.listener
+
     @property
     def open(self) -> int:
         """The number of open connections."""
         return len(self._open)
 
-    # ------------------------------------------------------------ accepting
-
-    def _start_accepting(self, listener: socket.socket) -> None:
-        self._listener = listener
-        self._accept_task = self._loop.spawn(self._accept_connections, listener)
-
-    def _accept_connections(self, listener: socket.socket) -> None:
-        reason = WakeReason.READY
-        while reason is not WakeReason.INTERRUPTED:
-            if len(self._open) >= self._max_connections:
-                self._evict_idle()
-                # The others wait in the backlog.
-                reason = self._connection_closed.wait(self._loop.now() + EVICTION_INTERVAL_NS)
-            elif (reason := self._wait_for_clients(listener)) is WakeReason.READY:
-                self._accept_batch(listener, self._max_connections, MAX_ACCEPTS_PER_TURN)
-
-    def _wait_for_clients(self, listener: socket.socket) -> WakeReason:
-        watched_since_ns = self._loop.now()
-        reason = self._loop.wait(listener.fileno(), READABLE)
-        if reason is WakeReason.READY:
-            empty_ns = self._loop.not_ready_before_ns(watched_since_ns)
-            self._backlog_empty_ns = max(self._backlog_empty_ns, empty_ns)
-        return reason
-
-    def _accept_batch(self, listener: socket.socket, max_connections: int, max_accepts: int) -> None:
-        """Accept what waits, within these limits."""
-        while listener.fileno() >= 0 and len(self._open) < max_connections and max_accepts > 0:
-            max_accepts -= 1
-            called_ns = self._loop.now()
-            try:
-                sock, _ = listener.accept()
-            except BlockingIOError:
-                self._backlog_empty_ns = called_ns
-                return
-            except ConnectionAbortedError:
-                continue  # that client has gone again
-            except OSError as error:
-                # Most likely no descriptor is free.  The backlog stays readable, so without a pause this
-                # would spin; and it must not raise, or nothing would be accepted any more.
-                logger.warning("cannot accept: {reason}", event="downstream.accept_failed", reason=error.strerror)
-                self._loop.sleep(ACCEPT_ERROR_BACKOFF_NS)
-                return
-            sock.setblocking(False)
-            connection = DownstreamConnection(sock, self._loop, self._backlog_empty_ns)
-            self._open.add(connection)
-            self._loop.spawn(self._handle_connection, connection)
-
-    def _evict_idle(self) -> None:
-        """Close the connection that has been idle longest: idle ones must not keep new ones out."""
-        idle = [connection for connection in self._open if connection.idle and not connection.close_if_idle]
-        if idle:
-            longest_idle = min(idle, key=lambda connection: connection.since_ns)
-            longest_idle.close_if_idle = True
-            longest_idle.wake_up.set()
-
     # ------------------------------------------------------------ connections
 
     def _handle_connection(self, connection: DownstreamConnection) -> None:
         """Answer the requests of a connection, one after the other, until it is over."""
         try:
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while (message := connection.read_request(self._shutdown.state)) is not None:
+            while (message := connection.read_request()) is not None:
                 if not self._handle_request(connection, message):
                     return
         except ProtocolError as error:
@@ -234,7 +174,7 @@
             validated = self._validator.validate(message)
         except ProtocolError as error:
             return protocol_error_response(error)
-        time_left_ns = max(0, connection.arrived_ns + validated.time_left_ns - self._loop.now())
+        time_left_ns = max(0, self._deadline_ns(connection, validated) - self._loop.now())
         rejected = self._dispatcher.reject_if_overloaded(validated.class_index, time_left_ns)
         if rejected is not None:
             return rejected_response(rejected)
@@ -247,6 +187,12 @@
         self._ids_in_progress.add(correlation_id)
         try:
             tenant_index = self._tenant_indexes.get(message.header_map.get("x-account", ""), UNKNOWN_TENANT)
-            return Exchange(self._services, connection, message, validated, tenant_index).run()
+            deadline_ns = self._deadline_ns(connection, validated)
+            exchange = Exchange(self._services, connection, message, validated.class_index, deadline_ns, tenant_index)
+            return exchange.run()
         finally:
             self._ids_in_progress.discard(correlation_id)
+
+    def _deadline_ns(self, connection: DownstreamConnection, validated: ValidatedRequest) -> int:
+        """Return by when the request must be answered: its time counts from its last byte, not from now."""
+        return connection.arrived_ns + validated.time_left_ns
--- a/tests/downstream/test_server.py
+++ b/tests/downstream/test_server.py
@@ -64,8 +64,8 @@
     tenants = (balancing.Tenant("a"), balancing.Tenant("b"))
     downstream = DownstreamServer(loop, dispatcher, upstream, classes, 8, tenants)
     downstream.listen(Address("127.0.0.1", 0))
-    assert downstream._listener is not None
-    address = downstream._listener.getsockname()
+    assert downstream.listener is not None
+    address = downstream.listener.getsockname()
 
     def send_requests() -> None:
         for number, account in enumerate(("X-Account: b", "X-Account: a", "X-Account: nobody", "X-Other: b")):
@@ -95,6 +95,6 @@
             os.fstat(sock.fileno())  # a refused descriptor is not closed behind its owner
     with listener() as inherited:
         downstream.adopt(inherited.fileno())
-        assert downstream._listener is not None
-        assert downstream._listener.fileno() == inherited.fileno()
-        downstream._listener.detach()
+        assert downstream.listener is not None
+        assert downstream.listener.fileno() == inherited.fileno()
+        downstream.listener.detach()
--- a/tests/integration/test_sidecar.py
+++ b/tests/integration/test_sidecar.py
@@ -126,8 +126,8 @@
     """Each request held itself in a ring of 13 objects: memory and pauses grew with the rate."""
     sidecar = JoinedSidecar(server)
     loop = sidecar.loop
-    assert sidecar.downstream._listener is not None
-    address = sidecar.downstream._listener.getsockname()
+    assert sidecar.downstream.listener is not None
+    address = sidecar.downstream.listener.getsockname()
     unreachable: list[int] = []
 
     def serve() -> None:
--- a/tests/races/fakes.py
+++ b/tests/races/fakes.py
@@ -198,13 +198,13 @@
     def listen(self) -> Address:
         """Accept clients; return the address."""
         self.downstream.listen(Address("127.0.0.1", 0))
-        assert self.downstream._listener is not None
-        host, port = self.downstream._listener.getsockname()
+        assert self.downstream.listener is not None
+        host, port = self.downstream.listener.getsockname()
         return Address(host, port)
 
     def has_closed_listener(self) -> bool:
         """Whether the listening socket was opened and is closed again."""
-        return self.downstream._listener is not None and self.downstream._listener.fileno() < 0
+        return self.downstream.listener is not None and self.downstream.listener.fileno() < 0
 
     def listen_with_one_endpoint(self) -> Address:
         """Accept clients, with one endpoint listed and each request sent there."""
--- a/tests/races/test_closing.py
+++ b/tests/races/test_closing.py
@@ -15,8 +15,8 @@
 
 from lugtally import balancing
 from lugtally.address import Address
+from lugtally.downstream import acceptor, graceful_shutdown
 from lugtally.downstream import connection as downstream_connection
-from lugtally.downstream import graceful_shutdown, server
 from lugtally.eventloop import Event, WakeReason
 from lugtally.units import NS_PER_MS
 from lugtally.upstream import attempt, split_descriptors
@@ -116,7 +116,7 @@
         sidecar.downstream.drain()
         sidecar.wait_until(sidecar.has_closed_listener)
         # past the last time at which the accepting task looks for room
-        sidecar.loop.sleep(2 * server.EVICTION_INTERVAL_NS)
+        sidecar.loop.sleep(2 * acceptor.EVICTION_INTERVAL_NS)
         connection.respond()
         assert client.read_to_end().startswith(b"HTTP/1.1 200")
         client.sock.close()
--- a/tests/races/test_connection_limit.py
+++ b/tests/races/test_connection_limit.py
@@ -186,7 +186,7 @@
     failures: list[int] = []
 
     def accept_or_fail(sock: socket.socket) -> tuple[socket.socket, object]:
-        if sock is sidecar.downstream._listener and fails():
+        if sock is sidecar.downstream.listener and fails():
             failures.append(errno.EMFILE)
             raise OSError(errno.EMFILE, "Too many open files")
         return accept(sock)
