Shutdown: give new connections and half requests their usual time, and end in time

Until then connections without a request and half requests have the time that they always have, the backlog is taken, and requests read late are answered by the end. No client holds the end up: closing, and writes that stand still, wait 50 ms beyond.

Looked through: kept connections (closed at once, read once more before), an inherited listener (its successor has the backlog), streams (a client that takes nothing in is given up at the end), SIGHUP with SIGTERM, a process stopped in its shutdown. Left: a client whose connection comes up between the last look at the backlog and the close of the listener is reset.

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -30,10 +30,8 @@
 """How long the close waits in all for a client that sends on after its response."""
 SHORT_LINGER_NS = 300 * NS_PER_MS
 """The same for a client that sends nothing, or one whose fault took long to see."""
-SHUTDOWN_REQUEST_TIMEOUT_NS = 500 * NS_PER_MS
-"""How long the rest of a request may take at the end of a graceful shutdown."""
-SHUTDOWN_FIRST_BYTE_TIMEOUT_NS = 100 * NS_PER_MS
-"""How long the first bytes on a new connection may be on their way then."""
+SHUTDOWN_CLIENT_TIMEOUT_NS = 50 * NS_PER_MS
+"""How long to wait for a client, to read or to end, once the last response of a graceful shutdown is due."""
 MIN_IDLE_BEFORE_EVICTION_NS = 100 * NS_PER_MS
 """How long the first byte on a new connection may take even where others wait for its place."""
 MIN_REQUEST_TIME_BEFORE_EVICTION_NS = 1_000 * NS_PER_MS
@@ -222,11 +220,8 @@
 
     def _read_deadline_ns(self) -> int:
         """Return until when to wait: counted from a request's first byte, so that a trickle of bytes gains no time."""
-        if self._shutdown.closing:
-            timeout_ns = SHUTDOWN_FIRST_BYTE_TIMEOUT_NS if self.idle else SHUTDOWN_REQUEST_TIMEOUT_NS
-        else:
-            timeout_ns = CLIENT_IDLE_TIMEOUT_NS if self.idle else REQUEST_TIMEOUT_NS
-        return max(self.since_ns, self._shutdown.closing_since_ns) + timeout_ns
+        deadline_ns = self.since_ns + (CLIENT_IDLE_TIMEOUT_NS if self.idle else REQUEST_TIMEOUT_NS)
+        return min(deadline_ns, self._shutdown.last_request_ns) if self._shutdown.closing else deadline_ns
 
     def _note_bytes(self) -> None:
         """Take it that bytes have come: the first of a request begin its time, later ones must be within it."""
@@ -262,7 +257,7 @@
                 try:
                     view = view[self.sock.send(view) :]
                 except BlockingIOError:
-                    deadline_ns = self._loop.now() + WRITE_STALL_TIMEOUT_NS
+                    deadline_ns = self._client_deadline_ns(self._loop.now() + WRITE_STALL_TIMEOUT_NS)
                     if self._loop.wait(self.fd, WRITABLE, deadline_ns) is not WakeReason.READY:
                         return False
         except OSError:
@@ -279,11 +274,11 @@
         started_ns = self._loop.now()
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            reason = self._loop.wait(self.fd, PEER_CLOSED, started_ns + SHORT_LINGER_NS)
+            reason = self._loop.wait(self.fd, PEER_CLOSED, self._client_deadline_ns(started_ns + SHORT_LINGER_NS))
             if not self._has_unread_bytes():
                 return
             if reason is WakeReason.TIMEOUT:
-                reason = self._loop.wait(self.fd, PEER_CLOSED, started_ns + MAX_LINGER_NS)
+                reason = self._loop.wait(self.fd, PEER_CLOSED, self._client_deadline_ns(started_ns + MAX_LINGER_NS))
             if reason is WakeReason.READY:  # it sends no more, but may still read
                 self._loop.sleep(SHORT_LINGER_NS)
         except OSError as error:
@@ -298,7 +293,7 @@
         """
         silence_ns = SHORT_LINGER_NS if was_slow else LINGER_SILENCE_TIMEOUT_NS
         linger_ns = SHORT_LINGER_NS if was_slow else MAX_LINGER_NS
-        deadline_ns = self._loop.now() + linger_ns
+        deadline_ns = self._client_deadline_ns(self._loop.now() + linger_ns)
         try:
             self.sock.shutdown(socket.SHUT_WR)
             while (
@@ -310,6 +305,12 @@
         except OSError as error:
             self._log_disconnect(error)
 
+    def _client_deadline_ns(self, deadline_ns: int) -> int:
+        """Return until when to wait for the client; a graceful shutdown does not wait for it for long."""
+        if not self._shutdown.draining:
+            return deadline_ns
+        return min(deadline_ns, max(self._loop.now(), self._shutdown.last_response_ns) + SHUTDOWN_CLIENT_TIMEOUT_NS)
+
     def _has_unread_bytes(self) -> bool:
         try:
             return bool(self.sock.recv(1, socket.MSG_PEEK))
--- a/lugtally/downstream/graceful_shutdown.py
+++ b/lugtally/downstream/graceful_shutdown.py
@@ -8,14 +8,8 @@
 
 from lugtally.downstream.acceptor import ConnectionAcceptor
 from lugtally.downstream.connection import DownstreamConnection
-from lugtally.downstream.shutdown_state import ShutdownState
+from lugtally.downstream.shutdown_state import ACCEPT_AFTER_DRAIN_NS, ShutdownState
 from lugtally.eventloop import Event, EventLoop
-from lugtally.units import NS_PER_MS
-
-ACCEPT_AFTER_DRAIN_NS = 500 * NS_PER_MS
-"""How long new connections are accepted after the shutdown began, as they keep coming."""
-BACKLOG_DRAIN_TIMEOUT_NS = 100 * NS_PER_MS
-"""How long to accept what waits in the backlog at the end."""
 
 
 class GracefulShutdown:
@@ -28,31 +22,33 @@
         connection_closed: Event,
         acceptor: ConnectionAcceptor,
         state: ShutdownState,
+        longest_deadline_ns: int,
     ) -> None:
         """``connections`` are the server's own; ``connection_closed`` is set whenever one of them has gone."""
         self._loop = loop
         self._connections = connections
         self._connection_closed = connection_closed
         self._acceptor = acceptor
+        self._longest_deadline_ns = longest_deadline_ns
         self.state = state
 
     def start(self) -> None:
         """Begin to drain, where that has not begun."""
         if not self.state.draining:
-            self.state.draining = True
+            self.state.start_draining(self._loop.now(), self._longest_deadline_ns)
             logger.info("told to stop: draining", event="sidecar.draining")
             self._loop.spawn(self._run)
 
     def _run(self) -> None:
         self._loop.sleep(ACCEPT_AFTER_DRAIN_NS)
         self._close_idle_connections()
-        self._acceptor.stop(self._loop.now() + BACKLOG_DRAIN_TIMEOUT_NS)
+        self._acceptor.stop(self.state.last_request_ns)
         while self._connections:
             self._connection_closed.wait()
         self._loop.stop()
 
     def _close_idle_connections(self) -> None:
-        self.state.closing, self.state.closing_since_ns = True, self._loop.now()
+        self.state.closing = True
         for connection in self._connections:
             # Race: the first request of a connection that has just come may be on its way, so that is given time.
             connection.close_if_idle = connection.had_request
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -57,7 +57,10 @@
         self._acceptor = ConnectionAcceptor(
             loop, self._open, self._connection_closed, max_connections, state, self._handle_connection
         )
-        self._shutdown = GracefulShutdown(loop, self._open, self._connection_closed, self._acceptor, state)
+        longest_deadline_ns = max((request_class.deadline_ns for request_class in classes), default=0)
+        self._shutdown = GracefulShutdown(
+            loop, self._open, self._connection_closed, self._acceptor, state, longest_deadline_ns
+        )
         self.ready = False
         """Whether there are endpoints to send requests to; set by the owner."""
 
@@ -195,4 +198,6 @@
 
     def _deadline_ns(self, connection: DownstreamConnection, validated: ValidatedRequest) -> int:
         """Return by when the request must be answered: its time counts from its last byte, not from now."""
-        return connection.arrived_ns + validated.time_left_ns
+        deadline_ns = connection.arrived_ns + validated.time_left_ns
+        state = self._shutdown.state
+        return min(deadline_ns, state.last_response_ns) if state.closing else deadline_ns
--- a/tests/races/test_closing.py
+++ b/tests/races/test_closing.py
@@ -15,7 +15,7 @@
 
 from lugtally import balancing
 from lugtally.address import Address
-from lugtally.downstream import acceptor, graceful_shutdown
+from lugtally.downstream import acceptor
 from lugtally.downstream import connection as downstream_connection
 from lugtally.eventloop import Event, WakeReason
 from lugtally.units import NS_PER_MS
@@ -128,10 +128,8 @@
     sidecar.run(script)
 
 
-def test_a_connection_of_the_last_sweep_is_given_time_for_its_request(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_of_the_last_sweep_is_given_time_for_its_request() -> None:
     """Taken from the backlog at the end, its bytes still on the way, it was closed without a word."""
-    monkeypatch.setattr(downstream_connection, "SHUTDOWN_FIRST_BYTE_TIMEOUT_NS", 5_000 * NS_PER_MS)
-    monkeypatch.setattr(graceful_shutdown, "BACKLOG_DRAIN_TIMEOUT_NS", 5_000 * NS_PER_MS)
     sidecar = Sidecar(max_clients=1)
 
     def script() -> None:
