Upstream pool: a wait that is interrupted as bytes come ends the connection

Cause: `_wait_until_settled` put its connection back without a look where the wait was interrupted, and `EventLoop.block` says INTERRUPTED also where the descriptor had become readable: a connection with a late second response on it went back as a clean one. It was never used (the poll, or the look before the next use, ended it), but it was counted and listed meanwhile.

Change: it goes back only where it could be reused at that moment.

Without the change the new test printed `assert [1] in ([], [0])`. With it tests/races and tests/upstream pass (103).

--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -180,7 +180,10 @@
         reason = self._loop.wait(connection.fd, READABLE, min(deadline_ns, settled_ns))
         del self._settling[endpoint_id]
         if reason is WakeReason.INTERRUPTED:
-            self._release(endpoint_id, connection)
+            if self._may_reuse(connection):
+                self._release(endpoint_id, connection)
+            else:
+                self._close(connection)  # a byte came at the same time, say
             raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
 
     def _put_back(self, endpoint_id: int, connection: UpstreamConnection) -> None:
--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -296,6 +296,36 @@
     sidecar.run(script)
 
 
+def test_a_connection_on_which_bytes_came_during_an_interrupted_wait_is_not_pooled(
+    sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(pool, "SETTLE_NS", LONG_SETTLE_NS)
+    ends: list[AttemptResponse] = []
+    open_connections: list[int] = []
+    release = sidecar.upstream._release
+
+    def script() -> None:
+        peer = idle_peers(sidecar, 1)[0]
+
+        def send_late_and_interrupt() -> None:
+            peer.send(b"late")
+            sidecar.loop.interrupt(task)
+
+        def release_and_count(*arguments: Any) -> None:
+            release(*arguments)
+            open_connections.append(sidecar.upstream.open_connections)
+
+        change_as_it_settles(sidecar, monkeypatch, send_late_and_interrupt)
+        monkeypatch.setattr(sidecar.upstream, "_release", release_and_count)
+        task = start_attempt(sidecar, ends)
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "CANCELLED_BEFORE_SENT"
+    assert open_connections in ([], [0])
+    assert sidecar.upstream.open_connections == 0
+
+
 def test_an_idle_connection_that_ends_as_the_pool_is_changed_is_closed_once(sidecar: Sidecar) -> None:
     """Its end and the change come in one poll, in either order."""
 
