Attempts: the time told is that of its sending, and no byte goes out after the deadline

Cause: `ForwardedRequest.write` fixed X-Time-Left before the first byte (`execute_attempt`), and `attempt.write_request` then waited for a full socket, as often as need be: an endpoint that reads slowly was told more than was left. Between parts nothing compared the time: `EventLoop.wait` says READY also after its deadline, where the process was stopped or busy in the wait, and the rest went out late.

Change: `write_request` writes the bytes anew, with the time that is left then, for as long as none of the digits are out (they are the last of the head, so all before them stays the same), and looks at the deadline before each part. What has been told cannot be taken back where the body waits.

Without the change the new tests printed `assert 7.999 <= 5.0` in seconds, and `assert b'xxx...' == b''`, `assert b'\x00\x00...' == b''` (the rest of head and body, written after the deadline). With it tests/races, tests/upstream and tests/http1 pass (118).

--- a/lugtally/http1/serializer.py
+++ b/lugtally/http1/serializer.py
@@ -35,10 +35,17 @@
 )
 
 
+_TIME_LEFT_FIELD = b"\r\nX-Time-Left: "
+
+
 class ForwardedRequest:
-    """A client's request as it goes to an endpoint; only the time left differs between attempts."""
+    """A client's request as it goes to an endpoint; only the time left differs between attempts.
+
+    Attributes:
+        time_left_offset: How many bytes of it are the same whatever time is left: those before the time.
+    """
 
-    __slots__ = ("_body", "_head")
+    __slots__ = ("_body", "_head", "time_left_offset")
 
     def __init__(self, message: Message) -> None:
         not_forwarded = _NOT_FORWARDED
@@ -48,12 +55,13 @@
         lines += [f"{name}: {value}" for name, value in message.headers if name.lower() not in not_forwarded]
         if message.body or message.method != "GET":
             lines.append(f"Content-Length: {len(message.body)}")
-        self._head = "\r\n".join(lines).encode("latin-1")
+        self._head = "\r\n".join(lines).encode("latin-1") + _TIME_LEFT_FIELD
         self._body = message.body
+        self.time_left_offset = len(self._head)
 
     def write(self, time_left_ns: int) -> bytes:
         """Return the bytes of one attempt."""
-        return b"%s\r\nX-Time-Left: %.3f\r\n\r\n%s" % (self._head, max(0, time_left_ns) / 1e9, self._body)
+        return b"%s%.3f\r\n\r\n%s" % (self._head, max(0, time_left_ns) / 1e9, self._body)
 
 
 def serialize_get(host: str, target: str) -> bytes:
--- a/lugtally/upstream/attempt.py
+++ b/lugtally/upstream/attempt.py
@@ -7,7 +7,7 @@
 
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import EventLoop
-from lugtally.http1 import Message, ProtocolError
+from lugtally.http1 import ForwardedRequest, Message, ProtocolError
 from lugtally.upstream.connection import UpstreamConnection
 from lugtally.upstream.errors import AttemptAborted
 
@@ -23,24 +23,36 @@
 
 
 def write_request(
-    loop: EventLoop, connection: UpstreamConnection, data: bytes, deadline_ns: int, may_proceed: MayProceed
+    loop: EventLoop,
+    connection: UpstreamConnection,
+    request: ForwardedRequest,
+    deadline_ns: int,
+    may_proceed: MayProceed,
 ) -> None:
-    """Write a request whole.
+    """Write a request whole; the time left that it tells is that of the moment at which it goes out.
 
     Raises:
         AttemptAborted: It was not written whole, so it never ran.
     """
-    view = memoryview(data)
-    while view:
+    data, sent = b"", 0
+    while True:
         # Before each part: the endpoint may have drained, the client left or the window closed during a wait.
+        time_left_ns = deadline_ns - loop.now()
+        if time_left_ns <= 0:
+            raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)
         if not may_proceed():
             raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
+        if sent <= request.time_left_offset:
+            data = request.write(time_left_ns)  # the same bytes as before, as far as they are out
         try:
-            view = view[connection.sock.send(view) :]
+            sent += connection.sock.send(memoryview(data)[sent:])
         except BlockingIOError:
-            connection.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT)
+            pass
         except OSError as error:
             raise AttemptAborted(AttemptOutcome.RESET_BEFORE_SENT) from error
+        if sent == len(data):
+            return
+        connection.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT)
 
 
 def read_response(loop: EventLoop, connection: UpstreamConnection, deadline_ns: int) -> Message:
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -110,12 +110,11 @@
         Raises:
             AttemptAborted: It ended without a whole response.
         """
-        time_left_ns = deadline_ns - self._loop.now()
         # While the connection came up, the endpoint may have drained or the client left.
         if not may_proceed():
             raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
         connection.carries_request = True
-        attempt.write_request(self._loop, connection, request.write(time_left_ns), deadline_ns, may_proceed)
+        attempt.write_request(self._loop, connection, request, deadline_ns, may_proceed)
         response = attempt.read_response(self._loop, connection, deadline_ns)
         if response.streamed:
             outcome = stream_response(self._loop, connection, response, claim_stream, deadline_ns)
--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -10,49 +10,29 @@
 
 import pytest
 
-from lugtally.eventloop import READABLE, Task, WakeReason
+from lugtally.eventloop import READABLE, WakeReason
 from lugtally.http1 import ForwardedRequest, Message
 from lugtally.units import NS_PER_MS, NS_PER_S
 from lugtally.upstream import AttemptResponse, pool
 from tests.races.fakes import MAX_WAIT_NS, PeerConnection, Sidecar
+from tests.races.pool_harness import (
+    ATTEMPT_TIMEOUT_NS,
+    ENDPOINT,
+    change_as_it_settles,
+    change_at_wait,
+    idle_peers,
+    sidecar_with_endpoint,
+    start_attempt,
+    stoppable_clock,
+)
 
-ENDPOINT = 1
-ATTEMPT_TIMEOUT_NS = 8 * NS_PER_S
 LONG_SETTLE_NS = 5 * NS_PER_S
-Change = Callable[[], object]
 
 
 @pytest.fixture
 def sidecar() -> Sidecar:
     """A sidecar whose pool knows the fake server as its one endpoint."""
-    sidecar = Sidecar()
-    sidecar.upstream.set_address(ENDPOINT, sidecar.server.address)
-    return sidecar
-
-
-def start_attempt(sidecar: Sidecar, ends: list[AttemptResponse], path: str = "/", **options: Any) -> Task:
-    """Start an attempt in a task of its own; its end is added to ``ends``."""
-
-    def run() -> None:
-        deadline_ns = sidecar.loop.now() + ATTEMPT_TIMEOUT_NS
-        request = ForwardedRequest(Message("GET", path))
-        ends.append(sidecar.upstream.execute_attempt(ENDPOINT, request, deadline_ns, **options))
-
-    return sidecar.loop.spawn(run)
-
-
-def idle_peers(sidecar: Sidecar, count: int) -> list[PeerConnection]:
-    """Fill the pool with idle connections; return their other ends, the longest idle first."""
-    ends: list[AttemptResponse] = []
-    peers = []
-    for _ in range(count):
-        start_attempt(sidecar, ends)
-        peers.append(sidecar.server.accept())
-        peers[-1].read_head()
-    for number, peer in enumerate(peers, 1):
-        peer.respond()
-        sidecar.wait_until(lambda number=number: len(ends) == number)  # type: ignore[misc]
-    return peers
+    return sidecar_with_endpoint()
 
 
 def descriptor_of(peer: PeerConnection) -> int:
@@ -67,25 +47,6 @@
     raise AssertionError("our end is closed")
 
 
-def change_at_wait(sidecar: Sidecar, patch: pytest.MonkeyPatch, is_due: Callable[[int], bool], change: Change) -> None:
-    """Let ``change`` happen as the next wait begins whose poll events are due."""
-    loop_wait = sidecar.loop.wait
-    changed: list[bool] = []
-
-    def wait(fd: int, poll_events: int, deadline_ns: int | None = None) -> WakeReason:
-        if not changed and is_due(poll_events):
-            changed.append(True)
-            change()
-        return loop_wait(fd, poll_events, deadline_ns)
-
-    patch.setattr(sidecar.loop, "wait", wait)
-
-
-def change_as_it_settles(sidecar: Sidecar, patch: pytest.MonkeyPatch, change: Change) -> None:
-    """Let ``change`` happen as an attempt begins to wait until its connection may be used."""
-    change_at_wait(sidecar, patch, lambda _: ENDPOINT in sidecar.upstream._settling, change)
-
-
 def move(sidecar: Sidecar) -> None:
     """Move the endpoint to the address of another fake server."""
     sidecar.upstream.set_address(ENDPOINT, sidecar.second_discovery.address)
@@ -278,14 +239,12 @@
 ) -> None:
     """The process was stopped as it waited for the connection: by now the other side is closing it."""
     sidecar.limits.idle_timeout_ns = 2 * NS_PER_S
-    now = sidecar.loop.now
-    stopped_ns = [0]
-    monkeypatch.setattr(sidecar.loop, "now", lambda: now() + stopped_ns[0])
+    stop_for = stoppable_clock(sidecar, monkeypatch)
     ends: list[AttemptResponse] = []
 
     def script() -> None:
         old = idle_peers(sidecar, 1)[0]
-        change_as_it_settles(sidecar, monkeypatch, lambda: stopped_ns.append(stopped_ns.pop() + 3 * NS_PER_S))
+        change_as_it_settles(sidecar, monkeypatch, lambda: stop_for(3 * NS_PER_S))
         start_attempt(sidecar, ends)
         assert old.read_to_end() == b""
         new = sidecar.server.accept()
--- /dev/null
+++ b/tests/races/test_request_writing.py
@@ -0,0 +1,105 @@
+"""Crossings while a request is written in parts, as its endpoint reads slowly."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import pytest
+
+from lugtally.eventloop import WRITABLE, EventLoop
+from lugtally.http1 import Message
+from lugtally.units import NS_PER_S
+from lugtally.upstream import AttemptResponse, attempt
+from lugtally.upstream.connection import UpstreamConnection
+from tests.races.fakes import PeerConnection, Sidecar
+from tests.races.pool_harness import ATTEMPT_TIMEOUT_NS, change_at_wait, sidecar_with_endpoint, start_attempt
+from tests.races.pool_harness import stoppable_clock as make_stoppable_clock
+
+LONG_HEAD = Message("GET", "/", headers=[("X-Pad", "x" * 200_000)])
+LONG_BODY = Message("POST", "/", body=bytes(200_000))
+
+
+@pytest.fixture
+def sidecar() -> Sidecar:
+    """A sidecar with one endpoint, whose connection takes a few thousand bytes at a time."""
+    return sidecar_with_endpoint()
+
+
+@pytest.fixture
+def begun(sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch) -> list[bool]:
+    """Shrink the buffers of each connection; the list is filled as a request begins to be written."""
+    write_request = attempt.write_request
+    written: list[bool] = []
+    sidecar.server.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+    def shrink_and_write(loop: EventLoop, connection: UpstreamConnection, *arguments: Any) -> None:
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        written.append(True)
+        write_request(loop, connection, *arguments)
+
+    monkeypatch.setattr(attempt, "write_request", shrink_and_write)
+    return written
+
+
+def read_all_there(peer: PeerConnection) -> bytes:
+    """Read what has come, so that more can be written."""
+    received = b""
+    while True:
+        try:
+            received += peer.sock.recv(65536)
+        except BlockingIOError:
+            return received
+
+
+def test_the_time_told_is_what_is_left_as_it_goes_out(
+    sidecar: Sidecar, begun: list[bool], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was fixed before the first byte: after a wait in the head the endpoint was told too much."""
+    stop_for = make_stoppable_clock(sidecar, monkeypatch)
+    ends: list[AttemptResponse] = []
+    told: list[str] = []
+
+    def script() -> None:
+        change_at_wait(
+            sidecar, monkeypatch, lambda events: events == WRITABLE and bool(begun), lambda: stop_for(3 * NS_PER_S)
+        )
+        start_attempt(sidecar, ends, LONG_HEAD)
+        peer = sidecar.server.accept()
+        while b"\r\n\r\n" not in peer.received:
+            assert peer.read_more()
+        told.extend(line for line in peer.received.decode().split("\r\n") if line.startswith("X-Time-Left"))
+        peer.respond()
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert len(told) == 1
+    assert 0 < float(told[0].split()[1]) <= (ATTEMPT_TIMEOUT_NS - 3 * NS_PER_S) / NS_PER_S
+
+
+@pytest.mark.parametrize("message", [LONG_HEAD, LONG_BODY], ids=["in the head", "in the body"])
+def test_nothing_is_written_after_the_deadline(
+    message: Message, sidecar: Sidecar, begun: list[bool], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The process was stopped in the wait, and the endpoint had read: the rest went out after the deadline."""
+    stop_for = make_stoppable_clock(sidecar, monkeypatch)
+    ends: list[AttemptResponse] = []
+    peers: list[PeerConnection] = []
+    in_time: list[bytes] = []
+
+    def read_and_pass_the_deadline() -> None:
+        peers.append(PeerConnection(sidecar.loop, sidecar.server.sock.accept()[0]))
+        in_time.append(read_all_there(peers[0]))
+        stop_for(ATTEMPT_TIMEOUT_NS)
+
+    def script() -> None:
+        change_at_wait(
+            sidecar, monkeypatch, lambda events: events == WRITABLE and bool(begun), read_and_pass_the_deadline
+        )
+        start_attempt(sidecar, ends, message)
+        sidecar.wait_until(lambda: bool(ends))
+        assert peers[0].read_to_end() == b""
+
+    sidecar.run(script)
+    assert in_time[0]
+    assert ends[0].outcome.name == "TIMEOUT_BEFORE_SENT"
