Response heads: the cache keeps only those that every reader takes in the same way

Cause: `_read_cacheable_head` kept a head with `streamed` as its first reader had set it, and the one cache serves connections to endpoints, which stream, and discovery, which does not. After a list of discovery that was chunked, or longer than 64 KiB, an endpoint's 200 with the very same head was read whole: held in memory, and a chunked one over 1 MiB ended as MALFORMED_RESPONSE though it was sound.

Change: only heads with a length of up to 64 KiB are kept; those below that are the same for all, and the reader's own limit is compared as before.

--- a/lugtally/http1/parser.py
+++ b/lugtally/http1/parser.py
@@ -129,12 +129,13 @@
         if cached is not None and cached.body_length <= self._max_body_bytes:
             del self._buffer[: end + 4]
             self._remaining = cached.body_length
-            self._chunks = ChunkedBody() if self._remaining == CHUNKED else None
+            self._chunks = None
             return cached.message.copy_response_head()
         message = self._parse_head(end)
-        length = self._remaining
-        if length != UNTIL_CLOSE and length <= self._max_body_bytes and not message.streamed:
-            _response_heads.add(head, message, length)
+        # Longer, chunked and unbounded bodies are streamed by some readers and read whole by others: such a message is
+        # not the same for both.
+        if 0 <= self._remaining <= MAX_BODY_BYTES:
+            _response_heads.add(head, message, self._remaining)
         return message
 
     def _parse_head(self, end: int) -> Message:
--- /dev/null
+++ b/tests/http1/test_response_framing.py
@@ -0,0 +1,115 @@
+"""Responses: where each ends, what has no end, and what two readers know of one head."""
+
+from __future__ import annotations
+
+import pytest
+
+from lugtally.http1 import MAX_BODY_BYTES, Message, MessageParser, ProtocolError
+
+
+def upstream_parser() -> MessageParser:
+    """A parser as connections to endpoints have it."""
+    return MessageParser(responses=True, max_body_bytes=1024 * 1024, streams=True)
+
+
+def buffering_parser(max_body_bytes: int = 4 * 1024 * 1024) -> MessageParser:
+    """A parser as discovery has it."""
+    return MessageParser(responses=True, max_body_bytes=max_body_bytes)
+
+
+HEADS = {
+    "chunked": b"HTTP/1.1 200 OK\r\nX-Case: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "long": b"HTTP/1.1 200 OK\r\nX-Case: %%s\r\nContent-Length: %d\r\n\r\n" % (MAX_BODY_BYTES + 1),
+}
+
+
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_a_head_first_read_whole_is_still_streamed_by_a_reader_that_streams(head: bytes) -> None:
+    """One cache serves both: discovery's chunked list made an endpoint's long responses too large ones."""
+    head %= b"whole first"
+    for _ in range(2):
+        assert buffering_parser().feed(head) is None
+        message = upstream_parser().feed(head)
+        assert message is not None
+        assert message.streamed
+
+
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_a_head_first_streamed_is_read_whole_by_a_reader_that_does_not(head: bytes) -> None:
+    head %= b"streamed first"
+    for _ in range(2):
+        message = upstream_parser().feed(head)
+        assert message is not None
+        assert message.streamed
+        assert buffering_parser().feed(head) is None
+
+
+AMBIGUOUS = {
+    "both framings": b"Content-Length: 2\r\nTransfer-Encoding: chunked",
+    "two lengths": b"Content-Length: 2\r\nContent-Length: 3",
+    "one length twice": b"Content-Length: 2\r\nContent-Length: 2",
+    "list of lengths": b"Content-Length: 2, 2",
+    "signed length": b"Content-Length: +2",
+    "hexadecimal length": b"Content-Length: 0x2",
+    "no length": b"Content-Length: ",
+    "space before the colon": b"Content-Length : 2",
+    "folded line": b"X-A: b\r\n Content-Length: 2",
+    "unknown encoding": b"Transfer-Encoding: gzip, chunked",
+    "chunked twice": b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    "identity": b"Transfer-Encoding: identity",
+}
+
+
+@pytest.mark.parametrize("lines", AMBIGUOUS.values(), ids=AMBIGUOUS)
+def test_a_head_of_two_readings_is_no_response(lines: bytes) -> None:
+    for make in (upstream_parser, buffering_parser):
+        with pytest.raises(ProtocolError):
+            make().feed(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+
+
+WHOLE = {
+    "length": b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy",
+    "chunks": b"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nbu\r\n2\r\nsy\r\n0\r\nT: v\r\n\r\n",
+    "interim before": b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy",
+}
+
+
+@pytest.mark.parametrize("data", WHOLE.values(), ids=WHOLE)
+def test_a_response_that_ends_at_any_byte_but_its_last_is_none(data: bytes) -> None:
+    for end in range(len(data)):
+        parser = upstream_parser()
+        assert parser.feed(data[:end]) is None
+        assert parser.end_of_input() is None, f"cut after {end} bytes it was taken for whole"
+    message = upstream_parser().feed(data)
+    assert message is not None
+    assert message.body == b"busy"
+
+
+@pytest.mark.parametrize("data", WHOLE.values(), ids=WHOLE)
+@pytest.mark.parametrize("behind", [b"x", b"\r\n", b"HTTP/1.1 100 Continue\r\n\r\n", WHOLE["length"]])
+def test_bytes_behind_a_response_show(data: bytes, behind: bytes) -> None:
+    parser = upstream_parser()
+    message = parser.feed(data + behind)
+    assert message is not None
+    assert message.body == b"busy"
+    assert not parser.is_idle
+
+
+def test_interim_responses_are_skipped_up_to_a_limit() -> None:
+    interim, final = b"HTTP/1.1 100 Continue\r\n\r\n", WHOLE["length"]
+    message = upstream_parser().feed(interim * 16 + final)
+    assert isinstance(message, Message)
+    assert message.status == 503
+    for data in (interim * 17, b"HTTP/1.1 101 Switching Protocols\r\n\r\n"):
+        with pytest.raises(ProtocolError):
+            upstream_parser().feed(data + final)
+
+
+def test_a_body_until_the_end_is_whole_at_the_end_and_ends_its_connection() -> None:
+    parser = upstream_parser()
+    assert parser.feed(b"HTTP/1.1 503 Busy\r\n\r\nbu") is None
+    assert parser.feed(b"sy") is None
+    message = parser.end_of_input()
+    assert message is not None
+    assert message.body == b"busy"
+    assert not message.keep_alive
