Responses without a body that declare one end their connection

Cause: `MessageParser._body_length` returned 0 for a 204 or 304 and left `keep_alive` as it was, whatever length the head declared. An endpoint that sends that body all the same, a while later, writes it where the next request's response is read.

Change: such a response is kept only with `Content-Length: 0`; the connection of any other ends with it.

--- a/lugtally/http1/parser.py
+++ b/lugtally/http1/parser.py
@@ -155,7 +155,8 @@
         if length == UNTIL_CLOSE:
             message.keep_alive = False
         if message.status < 200 or message.status in (204, 304):
-            message.keep_alive = message.keep_alive or message.status < 200
+            # Where it declares a body all the same, one may come: it would be read as the next response.
+            message.keep_alive = message.status < 200 or (message.keep_alive and length == 0)
             return 0
         message.streamed = may_stream and not 0 <= length <= MAX_BODY_BYTES
         return length
--- a/tests/http1/test_response_framing.py
+++ b/tests/http1/test_response_framing.py
@@ -44,6 +44,24 @@
         assert buffering_parser().feed(head) is None
 
 
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+@pytest.mark.parametrize("framing", [b"Content-Length: 5", b"Transfer-Encoding: chunked"])
+def test_a_response_that_has_no_body_and_declares_one_ends_its_connection(status: bytes, framing: bytes) -> None:
+    """Where the body comes all the same, later, it would be read as the next response."""
+    for _ in range(2):
+        parser = upstream_parser()
+        message = parser.feed(b"HTTP/1.1 " + status + b"\r\n" + framing + b"\r\n\r\n")
+        assert message is not None
+        assert message.body == b""
+        assert not message.keep_alive
+
+
+def test_an_empty_204_keeps_its_connection() -> None:
+    message = upstream_parser().feed(b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n")
+    assert message is not None
+    assert message.keep_alive
+
+
 AMBIGUOUS = {
     "both framings": b"Content-Length: 2\r\nTransfer-Encoding: chunked",
     "two lengths": b"Content-Length: 2\r\nContent-Length: 3",
