Attempts: what comes before a request is whole is no answer to it

Causes, all one: between the look at a connection (`is_quiet` in `_reuse`) and the reading of the response, whatever came was read as the response. The last questions to client and balancer (`may_proceed`, twice) lay between the look and the first byte, and a new connection was not looked at at all: a second response, or a greeting, was served to the next request. While `write_request` waited for an endpoint that reads slowly it did not look either: a response to half a request was waited out to the deadline, or the reset behind it was taken as a proof that the request never ran (RESET_BEFORE_SENT, TIMEOUT_BEFORE_SENT: a request that must not run twice was sent again).

Change: the look is the last thing before the first byte, also on new connections; one that has ended or holds bytes is RESET_BEFORE_SENT there, as nothing was written, and a kept one gives way to another. Each wait in `write_request` also ends as bytes come: a response that begins before the request is whole ends the attempt as MALFORMED_RESPONSE (it may have run; nobody is served) and its connection. The second `may_proceed` right before the first byte is gone, as nothing waits between the two; it is asked again after each wait, as before. What comes between the look and the send itself cannot be told from a response; SETTLE_NS stands against that.

Without the change the new tests printed `assert b'stale' == b'fresh'`; `assert 'SERVED' == 'RESET_BEFORE_SENT'` and `assert 'RESET' == 'RESET_BEFORE_SENT'` (new connection); `assert 'TIMEOUT_BEFORE_SENT' == 'MALFORMED_RESPONSE'` twice and `assert 'RESET_BEFORE_SENT' == 'MALFORMED_RESPONSE'`. The tests of responses cut by an end or reset at any byte, of bodies until the end, of a cancelled attempt's connection and of bytes behind a response held before and are guards. tests/races, tests/upstream and tests/http1 pass (177).

--- a/lugtally/upstream/attempt.py
+++ b/lugtally/upstream/attempt.py
@@ -31,17 +31,16 @@
 ) -> None:
     """Write a request whole; the time left that it tells is that of the moment at which it goes out.
 
+    The caller has just found that it may go out and that nothing has come on the connection.
+
     Raises:
-        AttemptAborted: It was not written whole, so it never ran.
+        AttemptAborted: It was not written whole, so it never ran; or a response came before it was.
     """
     data, sent = b"", 0
     while True:
-        # Before each part: the endpoint may have drained, the client left or the window closed during a wait.
         time_left_ns = deadline_ns - loop.now()
         if time_left_ns <= 0:
             raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)
-        if not may_proceed():
-            raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
         if sent <= request.time_left_offset:
             data = request.write(time_left_ns)  # the same bytes as before, as far as they are out
         try:
@@ -49,10 +48,29 @@
         except BlockingIOError:
             pass
         except OSError as error:
+            _check_no_response(connection)
             raise AttemptAborted(AttemptOutcome.RESET_BEFORE_SENT) from error
         if sent == len(data):
             return
-        connection.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT)
+        connection.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT, or_readable=True)
+        # The endpoint may have drained meanwhile, the client left or the window closed.
+        if not may_proceed():
+            raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
+        _check_no_response(connection)
+
+
+def _check_no_response(connection: UpstreamConnection) -> None:
+    """Check that nothing has come while a request is written.
+
+    A response to half a request serves nobody, or is another request's; but it proves nothing of whether this one ran.
+
+    Raises:
+        AttemptAborted: A response has begun, or the endpoint has ended the connection.
+    """
+    if connection.has_bytes():
+        raise AttemptAborted(AttemptOutcome.MALFORMED_RESPONSE)
+    if not connection.is_quiet():
+        raise AttemptAborted(AttemptOutcome.RESET_BEFORE_SENT)
 
 
 def read_response(loop: EventLoop, connection: UpstreamConnection, deadline_ns: int) -> Message:
--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -107,13 +107,15 @@
         self.sock.close()
         return True
 
-    def wait_writable(self, loop: EventLoop, deadline_ns: int, timeout_outcome: AttemptOutcome) -> None:
-        """Wait until bytes of the request can be written.
+    def wait_writable(
+        self, loop: EventLoop, deadline_ns: int, timeout_outcome: AttemptOutcome, *, or_readable: bool = False
+    ) -> None:
+        """Wait until bytes of the request can be written, or with ``or_readable`` until some have come.
 
         Raises:
             AttemptAborted: With ``timeout_outcome`` at the deadline, or the attempt was cancelled before it was sent.
         """
-        reason = loop.wait(self.fd, WRITABLE, deadline_ns)
+        reason = loop.wait(self.fd, WRITABLE | READABLE if or_readable else WRITABLE, deadline_ns)
         if reason is not WakeReason.READY:
             timed_out = reason is WakeReason.TIMEOUT
             raise AttemptAborted(timeout_outcome if timed_out else AttemptOutcome.CANCELLED_BEFORE_SENT)
@@ -140,13 +142,23 @@
     def is_quiet(self) -> bool:
         """Return whether the connection is open and holds no byte that belongs to no response."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            self._peek()
         except BlockingIOError:
             return True
         except OSError:
             return False
         return False  # it has ended, or holds such bytes
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes have come that have not been read, whatever has become of the connection."""
+        try:
+            return bool(self._peek())
+        except OSError:
+            return False
+
+    def _peek(self) -> bytes:
+        return self.sock.recv(1, socket.MSG_PEEK)
+
     def is_reusable_after(self, response: Message) -> bool:
         """Return whether another request may follow: this response, and nothing more, has been read."""
         return response.keep_alive and not response.streamed and self.parser.is_idle
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -83,7 +83,7 @@
         response is returned with ``streamed`` set and no body.  Without a sink that attempt is cancelled.
         """
         try:
-            connection = self._obtain(endpoint_id, deadline_ns)
+            connection = self._obtain(endpoint_id, deadline_ns, may_proceed)
             try:
                 return self._attempt_over(connection, request, deadline_ns, claim_stream, may_proceed)
             finally:
@@ -110,9 +110,6 @@
         Raises:
             AttemptAborted: It ended without a whole response.
         """
-        # While the connection came up, the endpoint may have drained or the client left.
-        if not may_proceed():
-            raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
         connection.carries_request = True
         attempt.write_request(self._loop, connection, request, deadline_ns, may_proceed)
         response = attempt.read_response(self._loop, connection, deadline_ns)
@@ -127,27 +124,49 @@
 
     # ------------------------------------------------------------ reuse
 
-    def _obtain(self, endpoint_id: int, deadline_ns: int) -> UpstreamConnection:
-        """Return a connection to where the endpoint is now, idle until now or new.
+    def _obtain(self, endpoint_id: int, deadline_ns: int, may_proceed: MayProceed) -> UpstreamConnection:
+        """Return a connection to where the endpoint is now, over which the request may go out at once.
 
         Raises:
-            AttemptAborted: There is none in time.
+            AttemptAborted: There is none in time, or the request may not go out.
         """
         while True:
             connection = self._reuse(endpoint_id, deadline_ns) or self._connect(endpoint_id, deadline_ns)
-            in_time = self._loop.now() < deadline_ns
-            if in_time and self._leads_to(endpoint_id, connection):
+            if self._loop.now() >= deadline_ns:
+                self._close(connection)
+                raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)  # it came up too late to send
+            if not self._leads_to(endpoint_id, connection):
+                self._close(connection)  # the endpoint moved, or was removed, as it came up
+                continue
+            self._check_may_proceed(endpoint_id, connection, may_proceed)
+            # Last of all, as what comes from now on is read as the response.
+            if connection.is_quiet():
                 return connection
-            self._close(connection)  # it came up too late, or the endpoint moved or was removed meanwhile
-            if not in_time:
-                raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)
+            self._close(connection)
+            if not connection.idle_since_ns:
+                raise AttemptAborted(AttemptOutcome.RESET_BEFORE_SENT)  # another new one would end like this one
+
+    def _check_may_proceed(self, endpoint_id: int, connection: UpstreamConnection, may_proceed: MayProceed) -> None:
+        """Ask whether the request may go out: as its connection came up, the endpoint may have drained, say.
+
+        Raises:
+            AttemptAborted: It may not; the connection is idle again.
+        """
+        may_go_out = False
+        try:
+            may_go_out = may_proceed()
+        finally:
+            if not may_go_out:
+                self._release(endpoint_id, connection)
+        if not may_go_out:
+            raise AttemptAborted(AttemptOutcome.CANCELLED_BEFORE_SENT)
 
     def _leads_to(self, endpoint_id: int, connection: UpstreamConnection) -> bool:
         """Return whether the connection goes to where the endpoint is now."""
         return connection.address == self._addresses.get(endpoint_id)
 
     def _reuse(self, endpoint_id: int, deadline_ns: int) -> UpstreamConnection | None:
-        """Return the most recently used idle connection that the other side has not closed meanwhile."""
+        """Return the most recently used idle connection that may be used again, if there is one."""
         while True:
             settled_before_ns = self._loop.now() - SETTLE_NS
             # A second attempt would wait as well: this rate of requests needs another connection.
@@ -162,12 +181,13 @@
             self._close(connection)
 
     def _may_reuse(self, connection: UpstreamConnection) -> bool:
-        """Return whether a request may be sent over an idle connection now, whatever was waited for before."""
-        if connection.is_retired:
-            return False
-        if connection.idle_since_ns < self._loop.now() - self._limits.idle_timeout_ns:
-            return False  # the other side closes it about now: a request would end as a reset
-        return connection.is_quiet()
+        """Return whether a connection that was idle may be used, as far as that does not hang on what comes on it.
+
+        Near its idle timeout the other side closes it: a request would end as a reset.
+        """
+        return not connection.is_retired and (
+            connection.idle_since_ns >= self._loop.now() - self._limits.idle_timeout_ns
+        )
 
     def _wait_until_settled(self, endpoint_id: int, connection: UpstreamConnection, deadline_ns: int) -> None:
         """Wait until the connection may be used, or a byte comes on it.
@@ -179,7 +199,7 @@
         reason = self._loop.wait(connection.fd, READABLE, min(deadline_ns, settled_ns))
         del self._settling[endpoint_id]
         if reason is WakeReason.INTERRUPTED:
-            if self._may_reuse(connection):
+            if self._may_reuse(connection) and connection.is_quiet():
                 self._release(endpoint_id, connection)
             else:
                 self._close(connection)  # a byte came at the same time, say
--- a/tests/races/test_request_writing.py
+++ b/tests/races/test_request_writing.py
@@ -62,7 +62,7 @@
 
     def script() -> None:
         change_at_wait(
-            sidecar, monkeypatch, lambda events: events == WRITABLE and bool(begun), lambda: stop_for(3 * NS_PER_S)
+            sidecar, monkeypatch, lambda events: bool(events & WRITABLE and begun), lambda: stop_for(3 * NS_PER_S)
         )
         start_attempt(sidecar, ends, LONG_HEAD)
         peer = sidecar.server.accept()
@@ -94,7 +94,7 @@
 
     def script() -> None:
         change_at_wait(
-            sidecar, monkeypatch, lambda events: events == WRITABLE and bool(begun), read_and_pass_the_deadline
+            sidecar, monkeypatch, lambda events: bool(events & WRITABLE and begun), read_and_pass_the_deadline
         )
         start_attempt(sidecar, ends, message)
         sidecar.wait_until(lambda: bool(ends))
--- /dev/null
+++ b/tests/races/test_wrong_answers.py
@@ -0,0 +1,213 @@
+"""What an endpoint sends at the wrong time, or not whole, is no answer to any request."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+
+import pytest
+
+from lugtally.eventloop import WRITABLE
+from lugtally.http1 import Message
+from lugtally.upstream import AttemptResponse
+from tests.races.fakes import PeerConnection, Sidecar
+from tests.races.pool_harness import change_at_wait, idle_peers, sidecar_with_endpoint, start_attempt
+
+STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
+LONG_REQUEST = Message("POST", "/", body=bytes(64 * 1024 * 1024))
+"""Longer than any socket's buffers: it waits until its endpoint reads."""
+
+
+@pytest.fixture
+def sidecar() -> Sidecar:
+    """A sidecar whose pool knows the fake server as its one endpoint."""
+    return sidecar_with_endpoint()
+
+
+def reset(peer: PeerConnection) -> None:
+    """Close the peer's end with a reset."""
+    peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.sock.close()
+
+
+def close(peer: PeerConnection) -> None:
+    """Close the peer's end."""
+    peer.sock.close()
+
+
+def test_bytes_that_come_between_the_look_and_the_first_byte_are_no_answer(sidecar: Sidecar) -> None:
+    """A second response came as the balancer was asked for the last time: it was served to the next request."""
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        peer = idle_peers(sidecar, 1)[0]
+        late = [STALE]
+
+        def may_proceed() -> bool:
+            if late:
+                peer.send(late.pop())
+            return True
+
+        def serve_fresh() -> None:
+            fresh = sidecar.server.accept()
+            fresh.read_head()
+            fresh.respond(b"fresh")
+
+        sidecar.loop.spawn(serve_fresh)
+        start_attempt(sidecar, ends, may_proceed=may_proceed)
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    response = ends[0].response
+    assert response is not None
+    assert response.body == b"fresh"
+
+
+GREETINGS: dict[str, Callable[[PeerConnection], None]] = {
+    "response": lambda peer: peer.send(STALE),
+    "end": lambda peer: peer.sock.shutdown(socket.SHUT_WR),
+    "reset": reset,
+}
+
+
+@pytest.mark.parametrize("greet", GREETINGS.values(), ids=GREETINGS)
+def test_a_new_connection_that_answers_or_ends_before_its_request_is_not_used(
+    greet: Callable[[PeerConnection], None], sidecar: Sidecar
+) -> None:
+    """The greeting was served as the answer; an end cost a request that must not run twice its further attempts."""
+    ends: list[AttemptResponse] = []
+    peers: list[PeerConnection] = []
+
+    def may_proceed() -> bool:
+        if not peers:
+            peers.append(PeerConnection(sidecar.loop, sidecar.server.sock.accept()[0]))
+            greet(peers[0])
+        return True
+
+    def script() -> None:
+        start_attempt(sidecar, ends, may_proceed=may_proceed)
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "RESET_BEFORE_SENT"
+    assert sidecar.upstream.open_connections == 0
+
+
+@pytest.mark.parametrize("then", ["stays", "closes", "ends its side"])
+def test_a_response_before_the_request_is_whole_serves_nobody_and_may_have_run(
+    then: str, sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was waited out to the deadline, or taken as a proof that the request never ran."""
+    ends: list[AttemptResponse] = []
+    peers: list[PeerConnection] = []
+
+    def respond() -> None:
+        peers.append(PeerConnection(sidecar.loop, sidecar.server.sock.accept()[0]))
+        peers[0].send(STALE)
+        if then == "closes":
+            peers[0].sock.close()  # over unread bytes: a reset
+        elif then == "ends its side":
+            peers[0].sock.shutdown(socket.SHUT_WR)
+
+    def script() -> None:
+        connecting = [True]
+
+        def is_writing(poll_events: int) -> bool:
+            return bool(poll_events & WRITABLE) and not (connecting and connecting.pop())
+
+        change_at_wait(sidecar, monkeypatch, is_writing, respond)
+        start_attempt(sidecar, ends, LONG_REQUEST)
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "MALFORMED_RESPONSE"
+    assert ends[0].response is None
+    assert sidecar.upstream.open_connections == 0
+
+
+RESPONSES = {
+    "length": b"HTTP/1.1 %s X\r\nContent-Length: 4\r\n\r\nbody",
+    "chunks": b"HTTP/1.1 %s X\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nbo\r\n2\r\ndy\r\n0\r\nT: v\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("status", [b"200", b"503"], ids=["200", "503"])
+@pytest.mark.parametrize("response", RESPONSES.values(), ids=RESPONSES)
+@pytest.mark.parametrize("end", ["end", "reset"])
+def test_a_response_cut_at_any_byte_is_none(end: str, response: bytes, status: bytes, sidecar: Sidecar) -> None:
+    """A guard: it held before."""
+    response %= status
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        for count in range(len(response)):
+            start_attempt(sidecar, ends)
+            peer = sidecar.server.accept()
+            peer.read_head()
+            peer.send(response[:count])
+            if end == "end":
+                peer.sock.close()
+            else:
+                reset(peer)
+            sidecar.wait_until(lambda: len(ends) == count + 1)  # noqa: B023
+
+    sidecar.run(script)
+    assert {attempt_end.outcome.name for attempt_end in ends} == {"RESET"}
+    assert sidecar.upstream.open_connections == 0
+
+
+@pytest.mark.parametrize("status", [b"200", b"503"], ids=["200", "503"])
+def test_a_body_until_the_end_is_whole_at_an_end_and_not_at_a_reset(status: bytes, sidecar: Sidecar) -> None:
+    """A guard: it held before."""
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        for number, finish in enumerate((reset, close), 1):
+            start_attempt(sidecar, ends)
+            peer = sidecar.server.accept()
+            peer.read_head()
+            peer.send(b"HTTP/1.1 %s X\r\n\r\nbody" % status)
+            finish(peer)
+            sidecar.wait_until(lambda: len(ends) == number)  # noqa: B023
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "RESET"
+    assert ends[1].response is not None
+    assert ends[1].response.body == b"body"
+    assert sidecar.upstream.open_connections == 0
+
+
+def test_a_connection_whose_attempt_was_cancelled_is_not_pooled(sidecar: Sidecar) -> None:
+    """A guard: its response is under way and would be the next request's."""
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        task = start_attempt(sidecar, ends)
+        peer = sidecar.server.accept()
+        peer.read_head()
+        peer.send(STALE)  # it is there as the attempt is cancelled, in one turn of the loop
+        sidecar.loop.interrupt(task)
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "CANCELLED"
+    assert sidecar.upstream.open_connections == 0
+
+
+@pytest.mark.parametrize("behind", [STALE, b"x", b"HTTP/1.1 100 Continue\r\n\r\n"], ids=["response", "byte", "interim"])
+def test_a_connection_with_bytes_behind_its_response_is_not_pooled(behind: bytes, sidecar: Sidecar) -> None:
+    """A guard: it held before."""
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        start_attempt(sidecar, ends)
+        peer = sidecar.server.accept()
+        peer.read_head()
+        peer.send(STALE + behind)
+        assert peer.read_to_end() == b""
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "SERVED"
+    assert sidecar.upstream.open_connections == 0
