Attempts: an endless response ends with its attempt's deadline

Cause: `UpstreamConnection.wait_readable` left the deadline to the timer of `EventLoop.wait`, and a descriptor that is ready ends each wait before its timer is looked at. An endpoint that sends without a pause what never becomes a response (chunked trailers are not counted) held its attempt, and its request, for good.

Change: `wait_readable` compares the time before it waits. What is there as a late wait ends is still read once.

Without the change the new test printed `AssertionError: the attempt went on past its deadline`. The same wait in streaming._pass_on_rest counts silence alone, as meant.

--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -124,8 +124,10 @@
         """Wait until bytes of the response can be read.
 
         Raises:
-            AttemptAborted: The deadline came, or the attempt was cancelled.
+            AttemptAborted: The deadline has come, even where more can be read, or the attempt was cancelled.
         """
+        if loop.now() >= deadline_ns:
+            raise AttemptAborted(AttemptOutcome.TIMEOUT)  # an endless response is ready before each timer fires
         reason = loop.wait(self.fd, READABLE, deadline_ns)
         if reason is not WakeReason.READY:
             timed_out = reason is WakeReason.TIMEOUT
--- a/tests/races/test_wrong_answers.py
+++ b/tests/races/test_wrong_answers.py
@@ -8,10 +8,11 @@
 
 import pytest
 
-from lugtally.eventloop import WRITABLE
+from lugtally.eventloop import WRITABLE, WakeReason
 from lugtally.http1 import Message
+from lugtally.units import NS_PER_MS
 from lugtally.upstream import AttemptResponse
-from tests.races.fakes import PeerConnection, Sidecar
+from tests.races.fakes import MAX_WAIT_NS, PeerConnection, Sidecar
 from tests.races.pool_harness import change_at_wait, idle_peers, sidecar_with_endpoint, start_attempt
 
 STALE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
@@ -126,6 +127,31 @@
     assert sidecar.upstream.open_connections == 0
 
 
+def test_an_endless_response_ends_with_the_time_of_its_attempt(
+    sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each wait for its next bytes was over before its timer was looked at: the attempt had no end."""
+    monkeypatch.setattr("tests.races.pool_harness.ATTEMPT_TIMEOUT_NS", 200 * NS_PER_MS)
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        start_attempt(sidecar, ends)
+        peer = sidecar.server.accept()
+        peer.read_head()
+        peer.send(b"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
+        give_up_ns = sidecar.loop.now() + MAX_WAIT_NS // 4
+        while not ends and sidecar.loop.now() < give_up_ns:
+            assert sidecar.loop.wait(peer.sock.fileno(), WRITABLE, give_up_ns) is WakeReason.READY
+            try:
+                peer.sock.send(b"T: v\r\n" * 10_000)
+            except OSError:
+                break
+        assert ends, "the attempt went on past its deadline"
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "TIMEOUT"
+
+
 RESPONSES = {
     "length": b"HTTP/1.1 %s X\r\nContent-Length: 4\r\n\r\nbody",
     "chunks": b"HTTP/1.1 %s X\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nbo\r\n2\r\ndy\r\n0\r\nT: v\r\n\r\n",
