Answer a client that ended its sending: it may still read

A client that half-closes right behind its request got nothing for a request that had been taken.

Decided: nothing begins for it any more and what is out is cancelled, as it cannot be told from a client that has left; but it gets a final answer: 503 where no byte of an attempt may have gone out, else 502. Requests that were read behind it get 503 without the balancer. To a client that has left the answer goes nowhere.

Looked through: a half-close in a streamed response (the stream is cut as before: its end cannot be told from leaving), between pipelined requests, while the balancer decides, in a backoff.

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -58,6 +58,7 @@
         "_shutdown",
         "arrived_ns",
         "client_at_fault",
+        "client_closed",
         "close_if_idle",
         "close_if_incomplete",
         "fd",
@@ -92,6 +93,8 @@
         """The request, or the fault in its place, that was read together with the one before."""
         self.client_at_fault = False
         """Whether a request of it was at fault: the connection ends as soon as all that was read is answered."""
+        self.client_closed = False
+        """Whether the client has ended its sending: it may have left, so nothing begins for it any more."""
         self.wake_up = Event(loop)
         """Set where a wait for a request must look again: bytes have come, or the connection is to be closed."""
         self.since_ns = loop.now()
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -44,6 +44,7 @@
         "_streaming_attempt",
         "_tasks",
         "_watched_since_ns",
+        "_writing_began",
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         self._client_closed = False
         self._next_request_came = False  # bytes of it, which are not read yet
         self._watched_since_ns = 0
+        self._writing_began = False  # bytes of the request may have gone to an endpoint
         # The attempt that has begun to pass its response on: no other response may follow.
         self._streaming_attempt = NO_ATTEMPT
         self._request = PendingRequest(
@@ -77,8 +79,7 @@
     def run(self) -> Response | None:
         """Block until the request is over and return its response.
 
-        ``None`` where the connection is to be closed: the client is gone, or has got its response, or half of it, as
-        it came.
+        ``None`` where the connection is to be closed: the client has got its response, or half of it, as it came.
         """
         loop, dispatcher, connection = self._services.loop, self._services.dispatcher, self._connection
         self._watch_client()
@@ -91,8 +92,11 @@
         streamed = self._streaming_attempt != NO_ATTEMPT
         if streamed and not self._client_closed and not connection.response_truncated:
             connection.lingering_close()
-        if self._client_closed or streamed:
+        if streamed:
             return None
+        if self._client_closed:
+            connection.client_closed = True
+            return self._response_to_disconnected()
         return self._final_response(decision)
 
     def _watch_client(self) -> None:
@@ -113,6 +117,10 @@
         if not self._next_request_came:
             self._connection.note_unreadable(self._watched_since_ns)
 
+    def _response_to_disconnected(self) -> Response:
+        """Return the response to a client that ended its sending: it may have left, or still read."""
+        return failed_response() if self._writing_began else rejected_response(Rejected(0))
+
     def _final_response(self, decision: Decision) -> Response:
         if isinstance(decision, Rejected):
             return rejected_response(decision)
@@ -183,7 +191,10 @@
             return False  # its descriptor may be another connection's by now
         if self._services.loop.is_ready(self._connection.fd, PEER_CLOSED):
             self._client_disconnected()
-        return not self._client_closed and self._services.dispatcher.may_start(self._request, attempt.number)
+        if self._client_closed or not self._services.dispatcher.may_start(self._request, attempt.number):
+            return False
+        self._writing_began = True
+        return True
 
     def _claim_stream(self, attempt: StartAttempt, head: Message) -> ResponseSink | None:
         """Return where an attempt may pass on a long response as it comes; ``None`` where it may not."""
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -8,7 +8,7 @@
 
 from lugtally import balancing
 from lugtally.address import Address
-from lugtally.dispatch import UNKNOWN_TENANT, Dispatcher
+from lugtally.dispatch import UNKNOWN_TENANT, Dispatcher, Rejected
 from lugtally.downstream.acceptor import ConnectionAcceptor
 from lugtally.downstream.connection import DownstreamConnection, RequestTimeoutError
 from lugtally.downstream.exchange import Exchange, ExchangeServices
@@ -156,7 +156,9 @@
             return True
         if connection.has_request:
             return False
-        return connection.client_at_fault or not (connection.has_input or self._may_keep_alive())
+        if connection.client_closed or connection.client_at_fault:
+            return True
+        return not (connection.has_input or self._may_keep_alive())
 
     def _may_keep_alive(self) -> bool:
         """Return whether a connection may stay open after its response.
@@ -178,6 +180,8 @@
         except ProtocolError as error:
             return protocol_error_response(error)
         time_left_ns = max(0, self._deadline_ns(connection, validated) - self._loop.now())
+        if connection.client_closed:
+            return rejected_response(Rejected(0))
         rejected = self._dispatcher.reject_if_overloaded(validated.class_index, time_left_ns)
         if rejected is not None:
             return rejected_response(rejected)
--- a/tests/races/test_shutdown.py
+++ b/tests/races/test_shutdown.py
@@ -265,9 +265,9 @@
         client = sidecar.kept_client(address)
         accepted = next(iter(sidecar.downstream._open)).sock
 
-        def recv(sock: socket.socket, size: int) -> bytes:
+        def recv(sock: socket.socket, *arguments: int) -> bytes:
             try:
-                data = receive(sock, size)
+                data = receive(sock, *arguments)
             except BlockingIOError:
                 if sock is accepted and not sent and sidecar.accepting_is_over():
                     sent.append(1)
