Discovery: what answers no call ends its connection

Cause: `DiscoveryClient._call` kept connection and parser after a response whatever lay behind it. A list that came twice stayed in the parser; the next call took it as its answer as soon as any byte came, and its own answer, a drain say, lay unread until discovery wrote again. What came between two calls, in the pause after an unchanged list, was taken for the next call's answer too, with changes that do not follow the list at hand.

Change: a connection with bytes behind a response is closed, and one is looked at before it is used again; one that has ended between two calls is not written to any more. A copy that crosses the next call cannot be told from its answer; it brings nothing new, and the real answer is read as it comes, or after the pause on a new connection.

--- a/lugtally/discovery/client.py
+++ b/lugtally/discovery/client.py
@@ -87,6 +87,8 @@
         A reused connection may have been closed between two calls, and a watch that is silent past its hold has lost
         its connection: neither says that discovery itself fails, and a backoff would use up the time that is left.
         """
+        if self._sock is not None and not self._is_quiet(self._sock):
+            self.close()  # it has ended, or what has come on it answers no call
         is_reused = self._sock is not None
         try:
             return self._call(target)
@@ -114,8 +116,8 @@
                 continue
             response = self._parser.feed(data) if data else self._parser.end_of_input()
             if response is not None:
-                if not response.keep_alive or not data:
-                    self.close()
+                if not response.keep_alive or not data or not self._parser.is_idle:
+                    self.close()  # bytes behind a response would be read as that of the next call
                 return response
             if not data:
                 raise ConnectionResetError("the connection ended")
@@ -138,6 +140,17 @@
         if reason is WakeReason.TIMEOUT:
             raise timeout_error
 
+    @staticmethod
+    def _is_quiet(sock: socket.socket) -> bool:
+        """Return whether the connection is open and nothing has come on it."""
+        try:
+            sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     @staticmethod
     def _new_parser() -> MessageParser:
         return MessageParser(responses=True, max_body_bytes=MAX_LIST_BYTES)
--- /dev/null
+++ b/tests/races/test_discovery_answers.py
@@ -0,0 +1,70 @@
+"""What discovery sends at the wrong time, or without an end, holds up no later list."""
+
+from __future__ import annotations
+
+import pytest
+import ujson
+
+from lugtally.config.endpoint_list import parse_endpoint_list
+from lugtally.discovery import timing
+from lugtally.eventloop import WakeReason
+from tests.races.fakes import ENDPOINT_B, MAX_WAIT_NS, PeerConnection, Sidecar
+
+
+def start_watch(sidecar: Sidecar) -> PeerConnection:
+    """Start with the cached list of version 1; return the connection of the first call."""
+    cached = {"version": 1, "full": True, "servers": [sidecar.endpoint_row("s-a"), sidecar.endpoint_row("s-b")]}
+    sidecar.endpoint_watcher.start(parse_endpoint_list(cached, "known"))
+    sidecar.endpoint_watcher.watch()
+    connection = sidecar.discovery.accept()
+    assert "from=1&" in connection.read_head()
+    return connection
+
+
+def serialize_list(version: int) -> bytes:
+    """A response of discovery without a change."""
+    body = ujson.dumps({"version": version, "full": False, "servers": []}).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def test_a_list_that_came_twice_does_not_hold_up_the_next() -> None:
+    """The second copy was taken as the answer to the next call, whose own answer lay unread until more came."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        connection = start_watch(sidecar)
+        connection.send(serialize_list(2) * 2)
+        if not connection.read_more():
+            connection = sidecar.discovery.accept()
+        assert "from=2&" in connection.read_head()
+        connection.send_endpoint_list(3, False, sidecar.endpoint_row("s-b", "draining"))
+        sidecar.wait_until(lambda: sidecar.balancer.endpoint_updates()[-1] == ("changes", {ENDPOINT_B: "draining"}))
+
+    sidecar.run(script)
+
+
+def test_a_list_that_comes_between_two_calls_answers_neither(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An unchanged list is followed by a pause; what comes in it was taken as the answer to the next call."""
+    monkeypatch.setattr(timing, "EMPTY_RESPONSE_PAUSE_NS", MAX_WAIT_NS)
+    sidecar = Sidecar()
+    loop_sleep = sidecar.loop.sleep
+
+    def script() -> None:
+        connection = start_watch(sidecar)
+
+        def sleep(duration_ns: int) -> WakeReason:
+            if duration_ns != MAX_WAIT_NS:
+                return loop_sleep(duration_ns)
+            connection.send(serialize_list(9))  # not asked for: its changes do not follow the list at hand
+            return loop_sleep(0)
+
+        monkeypatch.setattr(sidecar.loop, "sleep", sleep)
+        connection.send(serialize_list(1))
+        if not connection.read_more():
+            connection = sidecar.discovery.accept()
+        assert "from=1&" in connection.read_head()
+        connection.send_endpoint_list(2, False, sidecar.endpoint_row("s-b", "draining"))
+        sidecar.wait_until(lambda: sidecar.balancer.endpoint_updates()[-1] == ("changes", {ENDPOINT_B: "draining"}))
+
+    sidecar.run(script)
+    assert sidecar.endpoint_watcher._client.version == 2
