Discovery: an endless list ends with the time of its call

Cause: as for endpoints, `DiscoveryClient._wait` left the deadline to the timer of `EventLoop.wait`, which a descriptor that is always ready never lets fire: no later list was heard of.

Change: the time is compared before each wait.

Without the change the new test printed `AssertionError: the call went on past its time`.

--- a/lugtally/discovery/client.py
+++ b/lugtally/discovery/client.py
@@ -133,7 +133,9 @@
         return sock
 
     def _wait(self, sock: socket.socket, poll_events: int, deadline_ns: int, timeout_error: OSError) -> None:
-        """Wait for the socket; raises ``timeout_error`` at the deadline."""
+        """Wait for the socket; raises ``timeout_error`` at the deadline, even where more can be read."""
+        if self._loop.now() >= deadline_ns:
+            raise timeout_error  # an endless response is ready before each timer fires
         reason = self._loop.wait(sock.fileno(), poll_events, deadline_ns)
         if reason is WakeReason.INTERRUPTED:
             raise InterruptedError("the watch has moved")
--- a/tests/races/test_discovery_answers.py
+++ b/tests/races/test_discovery_answers.py
@@ -7,7 +7,8 @@
 
 from lugtally.config.endpoint_list import parse_endpoint_list
 from lugtally.discovery import timing
-from lugtally.eventloop import WakeReason
+from lugtally.eventloop import WRITABLE, WakeReason
+from lugtally.units import NS_PER_MS
 from tests.races.fakes import ENDPOINT_B, MAX_WAIT_NS, PeerConnection, Sidecar
 
 
@@ -68,3 +69,26 @@
 
     sidecar.run(script)
     assert sidecar.endpoint_watcher._client.version == 2
+
+
+def test_an_endless_list_ends_with_the_time_of_its_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each wait for more was over before its timer was looked at: no list came any more."""
+    monkeypatch.setattr(timing, "WATCH_HOLD_MS", 100)
+    monkeypatch.setattr(timing, "RESPONSE_TIMEOUT_NS", 100 * NS_PER_MS)
+    sidecar = Sidecar()
+
+    def script() -> None:
+        connection = start_watch(sidecar)
+        connection.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
+        give_up_ns = sidecar.loop.now() + MAX_WAIT_NS // 4
+        while sidecar.loop.now() < give_up_ns:
+            sidecar.loop.wait(connection.sock.fileno(), WRITABLE, give_up_ns)
+            try:
+                connection.sock.send(b"T: v\r\n" * 10_000)
+            except OSError:
+                break
+        else:
+            raise AssertionError("the call went on past its time")
+        assert "from=1&" in sidecar.discovery.accept().read_head()
+
+    sidecar.run(script)
