Attempts: a connection that is connected to itself is a refused one

Cause: `UpstreamConnection.connect` took every connection without an error for one to the endpoint. On one machine the kernel may draw the port of an endpoint that is down as our own and connect the socket to itself (one in some 10 000 tries at a port of that range). The request came back as its own response: MALFORMED_RESPONSE, "may have run", for an endpoint that was not there, and while the attempt lasted the endpoint could not listen again.

Change: both addresses are compared once a connection is up; the same ones are a refused connection.

--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -76,6 +76,8 @@
             else:
                 self.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT)
             error_number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if not error_number and self._is_connected_to_itself():
+            error_number = errno.ECONNREFUSED
         if error_number:
             host, port = self.address
             logger.debug(
@@ -87,6 +89,14 @@
             )
             raise AttemptAborted(AttemptOutcome.CONNECTION_REFUSED)
 
+    def _is_connected_to_itself(self) -> bool:
+        """Return whether both ends are this one: our port may be drawn as that of an endpoint that is down.
+
+        The kernel allows that on one machine.  The request would come back as its response, and the port stay taken.
+        """
+        host, port = self.sock.getsockname()[:2]
+        return bool((host, port) == self.address)
+
     def watch(self, loop: EventLoop, on_event: Callable[[], None]) -> None:
         """Call ``on_event`` when bytes come or the connection ends, until :meth:`unwatch`."""
         loop.register(self.fd, READABLE, lambda _: on_event())
--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from lugtally.address import Address
 from lugtally.eventloop import READABLE, WakeReason
 from lugtally.http1 import ForwardedRequest, Message
 from lugtally.units import NS_PER_MS, NS_PER_S
@@ -297,3 +298,81 @@
 
     sidecar.run(script)
     assert sidecar.upstream.open_connections == 0
+
+
+@pytest.mark.parametrize("change", [move, CLOSES["endpoint removed"]], ids=["moved", "removed"])
+def test_what_an_endpoint_answers_from_where_it_was_counts_and_its_connection_is_not_kept(
+    change: Callable[[Sidecar], None], sidecar: Sidecar
+) -> None:
+    """A guard: it held before."""
+    ends: list[AttemptResponse] = []
+
+    def script() -> None:
+        start_attempt(sidecar, ends)
+        peer = sidecar.server.accept()
+        peer.read_head()
+        change(sidecar)
+        peer.respond(b"from the old address")
+        assert peer.read_to_end() == b""
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].response is not None
+    assert ends[0].response.body == b"from the old address"
+    assert sidecar.upstream.open_connections == 0
+
+
+def test_at_the_limit_the_longest_idle_connection_gives_way_and_not_one_that_is_waited_for(
+    sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A guard: it held before."""
+    monkeypatch.setattr(pool, "SETTLE_NS", LONG_SETTLE_NS)
+    sidecar.limits.max_connections = 2
+    other_endpoint = ENDPOINT + 1
+    sidecar.upstream.set_address(other_endpoint, sidecar.second_discovery.address)
+    ends: list[AttemptResponse] = []
+    other_ends: list[str] = []
+
+    def attempt_at_other() -> None:
+        deadline_ns = sidecar.loop.now() + ATTEMPT_TIMEOUT_NS
+        request = ForwardedRequest(Message("GET", "/"))
+        other_ends.append(sidecar.upstream.execute_attempt(other_endpoint, request, deadline_ns).outcome.name)
+
+    def script() -> None:
+        settling, idle = idle_peers(sidecar, 2)
+        start_attempt(sidecar, ends)
+        sidecar.wait_until(lambda: ENDPOINT in sidecar.upstream._settling)
+        sidecar.loop.spawn(attempt_at_other)
+        peer = sidecar.second_discovery.accept()
+        peer.read_head()
+        assert idle.read_to_end() == b""
+        sidecar.loop.spawn(attempt_at_other)
+        sidecar.wait_until(lambda: other_ends == ["NO_DESCRIPTOR"])
+        assert sidecar.upstream.open_connections == 2
+        assert not sidecar.loop.is_ready(settling.sock.fileno(), READABLE)
+        peer.respond()
+        sidecar.wait_until(lambda: other_ends == ["NO_DESCRIPTOR", "SERVED"])
+
+    sidecar.run(script)
+
+
+def test_a_connection_to_itself_is_a_refused_one(sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nobody listens, and our end was given the very port: the kernel connects it to itself, and it echoes requests."""
+    address = sidecar.server.address
+    open_socket = pool.open_socket
+    ends: list[AttemptResponse] = []
+
+    def open_at_the_same_port(to: Address) -> socket.socket:
+        sock = open_socket(to)
+        sock.bind(address)
+        return sock
+
+    def script() -> None:
+        sidecar.server.sock.close()
+        monkeypatch.setattr(pool, "open_socket", open_at_the_same_port)
+        start_attempt(sidecar, ends)
+        sidecar.wait_until(lambda: bool(ends))
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == "CONNECTION_REFUSED"
+    assert sidecar.upstream.open_connections == 0
