Tests: seeded faults on several real sidecars, judged by the checker

Arrivals are taken from the kernel's note (TCP_INFO), so that a judge that runs late itself does not change them; where it ran over 50 ms late, times are not judged and counted.

--- /dev/null
+++ b/tests/fault_injection/clock.py
@@ -0,0 +1,41 @@
+"""The clock of a run: when bytes arrived, by the kernel's own note, and when this process itself ran late."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+
+from tests.fault_injection.records import Interval, RunRecords
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000_000_000
+LAG_PERIOD_NS = 10 * NS_PER_MS
+MAX_OWN_LAG_NS = 50 * NS_PER_MS
+TCP_INFO_BYTES = 104
+LAST_DATA_RECEIVED_OFFSET = 52
+"""Of ``tcpi_last_data_recv`` in ``struct tcp_info``: milliseconds since the latest byte arrived."""
+
+now_ns = time.monotonic_ns
+
+
+def latest_arrival_ns(sock: socket.socket) -> int:
+    """Return when the latest byte arrived at this machine's end of the connection, however late it is read."""
+    at_ns = now_ns()
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return at_ns
+    (age_ms,) = struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)
+    return at_ns - int(age_ms) * NS_PER_MS
+
+
+async def watch_own_lag(records: RunRecords) -> None:
+    """Record each time in which this process ran more than ``MAX_OWN_LAG_NS`` late, until cancelled."""
+    while True:
+        expected_ns = now_ns() + LAG_PERIOD_NS
+        await asyncio.sleep(LAG_PERIOD_NS / NS_PER_S)
+        woke_ns = now_ns()
+        if woke_ns - expected_ns > MAX_OWN_LAG_NS:
+            records.own_lags.append(Interval(expected_ns - LAG_PERIOD_NS, woke_ns))
--- /dev/null
+++ b/tests/fault_injection/discovery.py
@@ -0,0 +1,134 @@
+"""The discovery service: the endpoint list, whole or as changes, with watches that can be reset or fall silent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import socket
+import struct
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from tests.fault_injection.clock import NS_PER_S, now_ns
+from tests.fault_injection.endpoint import Endpoint
+from tests.fault_injection.wire import HEAD_END, serialize_head
+
+READY, DRAINING, GONE = "ready", "draining", "gone"
+_CALL = re.compile(rb"GET /catalog/members(?:\?from=(\d+)&hold_ms=(\d+))? HTTP/1\.1")
+
+
+@dataclass(slots=True)
+class _Row:
+    """An endpoint in the list."""
+
+    endpoint: Endpoint
+    state: str
+    started_ms: int
+    version: int
+
+
+class EndpointCatalog:
+    """The endpoint list with its versions; several discovery services may serve it."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, _Row] = {}
+        self._changed = asyncio.Event()
+        self.version = 1
+
+    def set_state(self, endpoint: Endpoint, state: str, *, started_now: bool = False) -> None:
+        """Put an endpoint into the list, or change its state there."""
+        self.version += 1
+        row = self._rows.get(endpoint.name)
+        started_ms = int(time.time() * 1000) if started_now else (row.started_ms if row is not None else 0)
+        self._rows[endpoint.name] = _Row(endpoint, state, started_ms, self.version)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def list_since(self, version: int | None) -> dict[str, Any]:
+        """Return the list as it is written, whole for ``None``."""
+        rows = [row for row in self._rows.values() if version is None or row.version > version]
+        if version is None:
+            rows = [row for row in rows if row.state != GONE]
+        return {"version": self.version, "full": version is None, "servers": [_serialize(row) for row in rows]}
+
+    async def wait_for_change(self, version: int, hold_s: float) -> None:
+        """Wait while the list has no later version, at most that long."""
+        until_ns = now_ns() + int(hold_s * NS_PER_S)
+        while version >= self.version and (left_ns := until_ns - now_ns()) > 0:
+            try:
+                await asyncio.wait_for(self._changed.wait(), left_ns / NS_PER_S)
+            except TimeoutError:
+                return
+
+
+def _serialize(row: _Row) -> dict[str, Any]:
+    host, port = row.endpoint.address
+    return {
+        "id": row.endpoint.name,
+        "addr": f"{host}:{port}",
+        "zone": row.endpoint.zone,
+        "kind": "m",
+        "cell": row.endpoint.cell,
+        "weight": 1.0,
+        "state": row.state,
+        "started_ms": row.started_ms,
+    }
+
+
+class DiscoveryService:
+    """One address at which the catalog is served."""
+
+    def __init__(self, catalog: EndpointCatalog) -> None:
+        self._catalog = catalog
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._silent_until_ns = 0
+
+    async def start(self) -> str:
+        """Listen; returns the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset every connection."""
+        for writer in [writer for writer in self._writers if not writer.is_closing()]:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    def be_silent(self, duration_s: float) -> None:
+        """Answer no call for that long."""
+        self._silent_until_ns = now_ns() + int(duration_s * NS_PER_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                call = _CALL.match(await reader.readuntil(HEAD_END))
+                if call is None:
+                    break
+                await self._answer(call, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the sidecar has closed it, a fault reset it, or the run is over
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, call: re.Match[bytes], writer: asyncio.StreamWriter) -> None:
+        version = None if call[1] is None else int(call[1])
+        if version is not None:
+            await self._catalog.wait_for_change(version, int(call[2]) / 1000)
+        while (silent_ns := self._silent_until_ns - now_ns()) > 0:
+            await asyncio.sleep(silent_ns / NS_PER_S)
+        body = json.dumps(self._catalog.list_since(version)).encode()
+        writer.write(serialize_head("HTTP/1.1 200 OK", {"Content-Length": str(len(body))}) + body)
+        await writer.drain()
--- /dev/null
+++ b/tests/fault_injection/injector.py
@@ -0,0 +1,224 @@
+"""Carries out scheduled faults on sidecars, endpoints and discovery."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
+
+from tests.fault_injection.behaviour import TimedFault
+from tests.fault_injection.clock import NS_PER_S, now_ns
+from tests.fault_injection.discovery import DRAINING, GONE, READY, DiscoveryService, EndpointCatalog
+from tests.fault_injection.endpoint import Endpoint
+from tests.fault_injection.faults import ScheduledFault
+from tests.fault_injection.records import InjectedFault, RunRecords, SidecarKill, SidecarStop
+from tests.fault_injection.sidecar_process import SidecarProcess
+
+TERMINATION_GRACE_S = 3.7
+"""From SIGTERM to SIGKILL: the longest deadline and 0.7 s."""
+RELOADS_PER_FAULT = 3
+RELOAD_GAP_S = 0.15
+STARVE_PERIOD_S = 0.1
+STARVE_STOPPED_S = 0.06
+GONE_AFTER_DRAIN_S = 0.2
+
+
+@dataclass(slots=True)
+class Site:
+    """What faults can be injected into."""
+
+    sidecars: list[SidecarProcess]
+    endpoints: list[Endpoint]
+    catalog: EndpointCatalog
+    services: list[DiscoveryService]
+    service_addresses: list[str]
+
+
+class FaultInjector:
+    """Plays one schedule."""
+
+    def __init__(self, site: Site, records: RunRecords) -> None:
+        self._site = site
+        self._records = records
+        self._busy_sidecars: set[int] = set()
+        self._busy_endpoints: set[str] = set()
+        self._handlers: dict[TimedFault, Callable[[ScheduledFault], Awaitable[None]]] = {
+            TimedFault.STOP: self._stop_sidecar,
+            TimedFault.TERMINATE: self._terminate_sidecar,
+            TimedFault.KILL: self._kill_sidecar,
+            TimedFault.RELOAD: self._reload_sidecars,
+            TimedFault.DRAIN: self._drain_endpoint,
+            TimedFault.ENDPOINT_KILL: self._kill_endpoint,
+            TimedFault.DISCOVERY_RESET: self._reset_discovery,
+            TimedFault.DISCOVERY_SILENCE: self._silence_discovery,
+            TimedFault.SLOW_DIAL: self._slow_dial,
+            TimedFault.STARVE: self._starve_sidecar,
+            TimedFault.IDLE_FLOOD: self._flood_sidecar,
+        }
+
+    async def play(self, schedule: list[ScheduledFault]) -> None:
+        """Inject each fault at its time; returns when the last one is over."""
+        started_ns = now_ns()
+        async with asyncio.TaskGroup() as faults:
+            for fault in schedule:
+                await asyncio.sleep(max(0.0, fault.at_s - (now_ns() - started_ns) / NS_PER_S))
+                faults.create_task(self._inject(fault))
+
+    async def _inject(self, fault: ScheduledFault) -> None:
+        await self._handlers[fault.fault](fault)
+
+    def _note(self, text: str) -> None:
+        self._records.faults.append(InjectedFault(now_ns(), text))
+
+    # ------------------------------------------------------------ sidecars
+
+    @contextlib.contextmanager
+    def _claim_sidecar(self, fault: ScheduledFault) -> Iterator[SidecarProcess | None]:
+        """Give the fault's sidecar, or ``None`` while another fault has it."""
+        sidecar = self._site.sidecars[fault.target % len(self._site.sidecars)]
+        if sidecar.number in self._busy_sidecars:
+            yield None
+            return
+        self._busy_sidecars.add(sidecar.number)
+        try:
+            yield sidecar
+        finally:
+            self._busy_sidecars.discard(sidecar.number)
+
+    async def _stop_sidecar(self, fault: ScheduledFault) -> None:
+        with self._claim_sidecar(fault) as sidecar:
+            if sidecar is not None:
+                self._note(f"SIGSTOP sidecar {sidecar.number} for {fault.duration_s} s")
+                await self._pause(sidecar, fault.duration_s)
+                self._note(f"SIGCONT sidecar {sidecar.number}")
+
+    async def _pause(self, sidecar: SidecarProcess, duration_s: float) -> None:
+        started_ns = now_ns()
+        stop = SidecarStop(started_ns, started_ns + int(duration_s * NS_PER_S), sidecar.number)
+        sidecar.send_signal(signal.SIGSTOP)
+        self._records.stops.append(stop)
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            sidecar.send_signal(signal.SIGCONT)
+            stop.end_ns = now_ns()
+
+    async def _starve_sidecar(self, fault: ScheduledFault) -> None:
+        with self._claim_sidecar(fault) as sidecar:
+            if sidecar is None:
+                return
+            self._note(f"starve sidecar {sidecar.number} for {fault.duration_s} s")
+            for _ in range(int(fault.duration_s / STARVE_PERIOD_S)):
+                await self._pause(sidecar, STARVE_STOPPED_S)
+                await asyncio.sleep(STARVE_PERIOD_S - STARVE_STOPPED_S)
+
+    async def _terminate_sidecar(self, fault: ScheduledFault) -> None:
+        with self._claim_sidecar(fault) as sidecar:
+            if sidecar is None:
+                return
+            self._note(f"SIGTERM sidecar {sidecar.number}")
+            sidecar.send_signal(signal.SIGTERM)
+            ended = await sidecar.wait_for_exit(TERMINATION_GRACE_S)
+            self._note(f"sidecar {sidecar.number} {'has ended' if ended else 'goes on: SIGKILL'}")
+            sidecar.kill()
+            await sidecar.start()
+            self._note(f"sidecar {sidecar.number} is back")
+
+    async def _kill_sidecar(self, fault: ScheduledFault) -> None:
+        with self._claim_sidecar(fault) as sidecar:
+            if sidecar is None:
+                return
+            self._note(f"SIGKILL sidecar {sidecar.number}")
+            self._records.kills.append(SidecarKill(sidecar.number, now_ns()))
+            sidecar.kill()
+            await sidecar.start()
+            self._note(f"sidecar {sidecar.number} is back")
+
+    async def _reload_sidecars(self, fault: ScheduledFault) -> None:
+        """Move the sidecars between the discovery services several times, with a drain between."""
+        site = self._site
+        self._note("SIGHUP to all sidecars, several times")
+        for turn in range(RELOADS_PER_FAULT):
+            for sidecar in site.sidecars:
+                if sidecar.is_running and sidecar.number not in self._busy_sidecars:
+                    sidecar.reload(site.service_addresses[(fault.target + turn) % len(site.service_addresses)])
+            await asyncio.sleep(RELOAD_GAP_S)
+
+    async def _flood_sidecar(self, fault: ScheduledFault) -> None:
+        """Open connections that say nothing, or half a request, and hold them."""
+        sidecar = self._site.sidecars[fault.target % len(self._site.sidecars)]
+        self._note(f"{fault.strength} idle connections to sidecar {sidecar.number} for {fault.duration_s} s")
+        sockets = []
+        for number in range(fault.strength):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(sidecar.address)
+            sockets.append(sock)
+            if number % 10 == 0:
+                await asyncio.sleep(0)
+        await asyncio.sleep(fault.duration_s / 2)
+        for sock in sockets[: len(sockets) // 4]:
+            with contextlib.suppress(OSError):
+                sock.send(b"GET /campaign-read HTTP/1.1\r\nHost: x\r\n")
+        await asyncio.sleep(fault.duration_s / 2)
+        for sock in sockets:
+            sock.close()
+
+    # ------------------------------------------------------------ endpoints
+
+    @contextlib.contextmanager
+    def _claim_endpoint(self, fault: ScheduledFault) -> Iterator[Endpoint | None]:
+        """Give the fault's endpoint, or ``None`` while another fault has it or most are away already."""
+        endpoints = self._site.endpoints
+        endpoint = endpoints[fault.target % len(endpoints)]
+        if endpoint.name in self._busy_endpoints or len(self._busy_endpoints) >= len(endpoints) // 2:
+            yield None
+            return
+        self._busy_endpoints.add(endpoint.name)
+        try:
+            yield endpoint
+        finally:
+            self._busy_endpoints.discard(endpoint.name)
+
+    async def _drain_endpoint(self, fault: ScheduledFault) -> None:
+        with self._claim_endpoint(fault) as endpoint:
+            if endpoint is None:
+                return
+            self._note(f"{endpoint.name} drains")
+            self._site.catalog.set_state(endpoint, DRAINING)
+            await asyncio.sleep(fault.duration_s)
+            self._site.catalog.set_state(endpoint, GONE)
+            await asyncio.sleep(GONE_AFTER_DRAIN_S)
+            self._note(f"{endpoint.name} joins")
+            self._site.catalog.set_state(endpoint, READY, started_now=True)
+
+    async def _kill_endpoint(self, fault: ScheduledFault) -> None:
+        with self._claim_endpoint(fault) as endpoint:
+            if endpoint is None:
+                return
+            self._note(f"{endpoint.name} is killed")
+            await endpoint.stop()
+            await asyncio.sleep(fault.duration_s)
+            endpoint.restart()
+            self._site.catalog.set_state(endpoint, READY, started_now=True)
+            self._note(f"{endpoint.name} is back")
+
+    async def _slow_dial(self, fault: ScheduledFault) -> None:
+        endpoint = self._site.endpoints[fault.target % len(self._site.endpoints)]
+        self._note(f"{endpoint.name} accepts nothing for {fault.duration_s} s")
+        endpoint.delay_accepts(fault.duration_s)
+
+    # ------------------------------------------------------------ discovery
+
+    async def _reset_discovery(self, fault: ScheduledFault) -> None:
+        self._note("discovery resets its connections")
+        for service in self._site.services:
+            service.reset_connections()
+
+    async def _silence_discovery(self, fault: ScheduledFault) -> None:
+        self._note(f"discovery is silent for {fault.duration_s} s")
+        for service in self._site.services:
+            service.be_silent(fault.duration_s)
--- /dev/null
+++ b/tests/fault_injection/test_fault_injection.py
@@ -0,0 +1,68 @@
+"""A short seeded sequence of faults on real sidecars keeps every invariant; ``__main__`` runs longer ones."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fault_injection.behaviour import ALL_FAULTS, ClientBehaviour, EndpointBehaviour, Fault, TimedFault
+from tests.fault_injection.checker import check
+from tests.fault_injection.endpoint import plan_response
+from tests.fault_injection.faults import draw_schedule
+from tests.fault_injection.report import describe
+from tests.fault_injection.scenario import Scenario, run_scenario
+
+SEED = 35
+DURATION_S = 5.0
+MIN_JUDGED = 200
+"""Fewer requests would show nothing: the clients did not get to send."""
+GROUPS: dict[str, tuple[Fault, ...]] = {
+    "sidecars": (
+        TimedFault.STOP,
+        TimedFault.TERMINATE,
+        TimedFault.KILL,
+        TimedFault.RELOAD,
+        TimedFault.STARVE,
+        TimedFault.IDLE_FLOOD,
+        ClientBehaviour.PIPELINE,
+        ClientBehaviour.ABANDON,
+        ClientBehaviour.SHORT_DEADLINE,
+    ),
+    "endpoints": (
+        *(behaviour for behaviour in EndpointBehaviour if behaviour is not EndpointBehaviour.SOUND),
+        TimedFault.RELOAD,
+        TimedFault.DRAIN,
+        TimedFault.ENDPOINT_KILL,
+        TimedFault.DISCOVERY_RESET,
+        TimedFault.DISCOVERY_SILENCE,
+        TimedFault.SLOW_DIAL,
+        ClientBehaviour.PIECES,
+        ClientBehaviour.SLOW_READER,
+        ClientBehaviour.BAD_CLIENT,
+    ),
+}
+
+
+@pytest.mark.parametrize("group", GROUPS)
+def test_every_accepted_request_gets_its_one_answer(group: str) -> None:
+    scenario = Scenario(SEED, DURATION_S, sidecars=2, clients=30, endpoints=5, faults=GROUPS[group])
+    result = run_scenario(scenario)
+    verdict = check(result.records)
+    report = "\n".join(describe(scenario, result, verdict))
+    assert verdict.judged >= MIN_JUDGED, report
+    assert not verdict.violations, report
+
+
+def test_the_plan_follows_from_the_seed_alone() -> None:
+    timed = tuple(TimedFault)
+    assert draw_schedule(SEED, 60, timed) == draw_schedule(SEED, 60, timed)
+    assert draw_schedule(SEED, 60, timed) != draw_schedule(SEED + 1, 60, timed)
+    behaviours = GROUPS["endpoints"][:9]
+    enabled = tuple(behaviour for behaviour in behaviours if isinstance(behaviour, EndpointBehaviour))
+    plans = [plan_response(SEED, f"r{number}", 0, 1.0, enabled) for number in range(200)]
+    assert plans == [plan_response(SEED, f"r{number}", 0, 1.0, enabled) for number in range(200)]
+    assert {plan.behaviour for plan in plans} == set(EndpointBehaviour)
+
+
+def test_the_short_sequences_inject_every_fault() -> None:
+    grouped = {fault for faults in GROUPS.values() for fault in faults}
+    assert grouped == set(ALL_FAULTS.values())
--- /dev/null
+++ b/tests/fault_injection/wire.py
@@ -0,0 +1,130 @@
+"""HTTP/1.1 as the peers of a sidecar need it: requests read by endpoints, responses read by clients."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+HEAD_END = b"\r\n\r\n"
+
+
+class MalformedResponseError(ValueError):
+    """A client read what is no HTTP response."""
+
+
+@dataclass(slots=True)
+class Head:
+    """A start line and its headers, by lower-case names."""
+
+    start_line: str
+    headers: dict[str, str]
+
+
+def parse_head(data: bytes) -> Head:
+    """Return the head that these bytes, without the empty line, are."""
+    start_line, *lines = data.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    return Head(start_line, headers)
+
+
+@dataclass(slots=True)
+class ReadResponse:
+    """A response as far as it came."""
+
+    status: int
+    body: bytes
+    is_whole: bool
+    closes: bool
+    """Whether its head says that the connection ends after it."""
+
+
+class ResponseReader:
+    """Takes the bytes of one connection and gives its responses, interim ones left out."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._head: Head | None = None
+        self._status = 0
+        self._body = bytearray()
+
+    def feed(self, data: bytes) -> list[ReadResponse]:
+        """Return the responses that these bytes complete.
+
+        Raises:
+            MalformedResponseError: they are no response.
+        """
+        self._buffer += data
+        responses = []
+        while (response := self._next()) is not None:
+            if response.status >= 200:
+                responses.append(response)
+        return responses
+
+    def end(self, was_reset: bool) -> ReadResponse | None:
+        """Return the response that the connection ended in, if one had begun."""
+        if self._head is None:
+            return ReadResponse(0, bytes(self._buffer), False, True) if self._buffer else None
+        until_close = not {"content-length", "transfer-encoding"} & self._head.headers.keys()
+        self._body += self._buffer
+        return ReadResponse(self._status, bytes(self._body), until_close and not was_reset, True)
+
+    def _next(self) -> ReadResponse | None:
+        if self._head is None and not self._read_head():
+            return None
+        assert self._head is not None
+        if not self._read_body(self._head):
+            return None
+        closes = self._head.headers.get("connection", "").lower() == "close"
+        response = ReadResponse(self._status, bytes(self._body), True, closes)
+        self._head = None
+        self._body.clear()
+        return response
+
+    def _read_head(self) -> bool:
+        end = self._buffer.find(HEAD_END)
+        if end < 0:
+            return False
+        head = parse_head(bytes(self._buffer[:end]))
+        words = head.start_line.split(" ")
+        if words[0] != "HTTP/1.1" or len(words) < 2 or not words[1].isdecimal():
+            raise MalformedResponseError(head.start_line[:80])
+        del self._buffer[: end + len(HEAD_END)]
+        self._head, self._status = head, int(words[1])
+        return True
+
+    def _read_body(self, head: Head) -> bool:
+        if self._status < 200:
+            return True
+        if "transfer-encoding" in head.headers:
+            return self._read_chunks()
+        if (length := head.headers.get("content-length")) is None:
+            return False  # until the connection ends
+        missing = int(length) - len(self._body)
+        self._body += self._buffer[:missing]
+        del self._buffer[:missing]
+        return len(self._body) == int(length)
+
+    def _read_chunks(self) -> bool:
+        while (line_end := self._buffer.find(b"\r\n")) >= 0:
+            size = int(bytes(self._buffer[:line_end]), 16)
+            whole = line_end + 2 + size + 2
+            if len(self._buffer) < whole:
+                return False
+            self._body += self._buffer[line_end + 2 : whole - 2]
+            del self._buffer[:whole]
+            if size == 0:
+                return True
+        return False
+
+
+def serialize_head(start_line: str, headers: dict[str, str]) -> bytes:
+    """Return a head with its empty line."""
+    lines = [start_line, *(f"{name}: {value}" for name, value in headers.items())]
+    return "\r\n".join(lines).encode() + HEAD_END
+
+
+def serialize_chunk(data: bytes) -> bytes:
+    """Return one chunk of a chunked body; an empty one ends it."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
