Let connections carry on behind streamed responses, and cut bodies be told from whole ones

A body without a length was passed on to its end of connection: where a sidecar is killed the kernel ends it in the ordinary way, and half a body looks whole (seen: 82736 bytes of 165472).

Change: a streamed response with a length or in chunks leaves the connection open as any other; one without a length is passed on in chunks, but to a client of HTTP/1.0. Where requests have been read behind it a response is held back, up to 1 MiB and to its deadline, so that one which breaks off fails by itself with a 502. The response's head, framing and what is held are one class, downstream/response_stream.py.

Shown by new tests in tests/races/test_pipelines.py: a connection behind each framing, together with and after it, a cut stream with a request behind it, a cut body without a length. Left: a response over 1 MiB that breaks off takes the requests along that were read behind it.

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -4,6 +4,8 @@
 
 import socket
 import struct
+from collections import deque
+from collections.abc import Iterator
 
 from loguru import logger
 
@@ -57,7 +59,7 @@
         "_drained_ns",
         "_evicted",
         "_loop",
-        "_next_request",
+        "_next_requests",
         "_shutdown",
         "arrived_ns",
         "client_at_fault",
@@ -93,8 +95,8 @@
         self.sock = sock
         self.fd = sock.fileno()
         self.parser = MessageParser(responses=False)
-        self._next_request: Message | ProtocolError | None = None
-        """The request, or the fault in its place, that was read together with the one before."""
+        self._next_requests: deque[Message | ProtocolError] = deque()
+        """The requests, or a fault in the place of the last one, that were read together with the one before."""
         self.client_at_fault = False
         """Whether a request of it was at fault: the connection ends as soon as all that was read is answered."""
         self.client_closed = False
@@ -155,33 +157,39 @@
             message = self.parser.feed(data)
         self.had_request, self.idle, self.is_reading = True, False, False
         self.close_if_idle = self.close_if_incomplete = False  # a request has come
-        self._parse_next_request()
+        if not self._next_requests:
+            self._parse_next_requests()
         return message
 
     @property
     def has_request(self) -> bool:
         """Whether a further request has been read whole: it must be answered."""
-        return self._next_request is not None
+        return bool(self._next_requests)
 
     @property
     def has_input(self) -> bool:
         """Whether a further request has been read, or a part of it."""
-        return self._next_request is not None or not self.parser.is_idle
+        return self.has_request or not self.parser.is_idle
+
+    def next_requests(self) -> Iterator[Message]:
+        """Iterate over the further requests that have been read whole, as far as they can be told apart."""
+        return (request for request in self._next_requests if isinstance(request, Message))
 
     def _take_next_request(self) -> Message | None:
-        request, self._next_request = self._next_request, None
+        if not self._next_requests:
+            return None
+        request = self._next_requests.popleft()
         if isinstance(request, ProtocolError):
             raise request
         return request
 
-    def _parse_next_request(self) -> None:
-        """Look for a request that was read together with the last one."""
-        if self.parser.is_idle:
-            return
+    def _parse_next_requests(self) -> None:
+        """Look for requests that were read together with the last one."""
         try:
-            self._next_request = self.parser.feed(b"")
+            while not self.parser.is_idle and (request := self.parser.feed(b"")) is not None:
+                self._next_requests.append(request)
         except ProtocolError as error:
-            self._next_request = error
+            self._next_requests.append(error)
 
     def _send_continue(self) -> bool:
         """Tell a client that waits for it to send the body; return whether it has been told."""
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
 
 from lugtally.dispatch import AttemptOutcome, Decision, Dispatcher, PendingRequest, Rejected, StartAttempt
-from lugtally.dispatch.pending_request import NO_ATTEMPT
 from lugtally.downstream.connection import DownstreamConnection
+from lugtally.downstream.response_stream import ResponseStream
 from lugtally.downstream.responses import (
     Response,
+    StreamedResponse,
     failed_response,
-    forwarded_headers,
     rejected_response,
     served_response,
 )
 from lugtally.eventloop import PEER_CLOSED, READABLE, EventLoop, Task
-from lugtally.http1 import ForwardedRequest, Message, serialize_streamed_head
+from lugtally.http1 import ForwardedRequest, Message
 from lugtally.upstream import ResponseSink, UpstreamPool
 
 
@@ -35,13 +36,15 @@
 
     __slots__ = (
         "_client_closed",
+        "_closes_after",
         "_connection",
         "_forwarded",
+        "_message",
         "_next_request_came",
         "_request",
         "_served",
         "_services",
-        "_streaming_attempt",
+        "_stream",
         "_tasks",
         "_watched_since_ns",
         "_writing_began",
@@ -55,9 +58,14 @@
         class_index: int,
         deadline_ns: int,
         tenant_index: int,
+        closes_after: Callable[[], bool],
     ) -> None:
+        """``closes_after`` says whether the connection ends with the response to this request."""
         self._services = services
         self._connection = connection
+        self._message = message
+        self._closes_after = closes_after
+        self._stream: ResponseStream | None = None  # the response that is passed on as it comes
         self._forwarded = ForwardedRequest(message)
         self._tasks: dict[int, Task] = {}  # by the attempt's number
         self._served: Message | None = None  # the whole response that is the answer
@@ -65,8 +73,6 @@
         self._next_request_came = False  # bytes of it, which are not read yet
         self._watched_since_ns = 0
         self._writing_began = False  # bytes of the request may have gone to an endpoint
-        # The attempt that has begun to pass its response on: no other response may follow.
-        self._streaming_attempt = NO_ATTEMPT
         self._request = PendingRequest(
             services.loop,
             class_index,
@@ -76,11 +82,8 @@
             tenant_index,
         )
 
-    def run(self) -> Response | None:
-        """Block until the request is over and return its response.
-
-        ``None`` where the connection is to be closed: the client has got its response, or half of it, as it came.
-        """
+    def run(self) -> Response | StreamedResponse | None:
+        """Block until the request is over and return its response; ``None`` where only half of it was passed on."""
         loop, dispatcher, connection = self._services.loop, self._services.dispatcher, self._connection
         self._watch_client()
         decision = dispatcher.next_decision(self._request)
@@ -89,11 +92,8 @@
             decision = dispatcher.next_decision(self._request)
         self._stop_watching_client()
         self._release()
-        streamed = self._streaming_attempt != NO_ATTEMPT
-        if streamed and not self._client_closed and not connection.response_truncated:
-            connection.lingering_close()
-        if streamed:
-            return None
+        if self._stream is not None and self._stream.began:
+            return None if connection.response_truncated else StreamedResponse(self._stream.closes)
         if self._client_closed:
             connection.client_closed = True
             return self._response_to_disconnected()
@@ -114,7 +114,7 @@
 
     def _stop_watching_client(self) -> None:
         self._services.loop.unregister(self._connection.fd)
-        if not self._next_request_came:
+        if not self._next_request_came and self._stream is None:  # a write may have ended the watch
             self._connection.note_unreadable(self._watched_since_ns)
 
     def _response_to_disconnected(self) -> Response:
@@ -156,13 +156,9 @@
                 # Every attempt must report its end, or the balancer would wait for it.
                 logger.exception("an attempt failed", event="attempt.failed")
                 outcome = AttemptOutcome.RESET
-        if not self._report_end(attempt, outcome, response):
-            return
-        # The task of the request, woken by the report, goes on only after this one.
-        if self._streaming_attempt == attempt.number:
-            self._connection.response_truncated = False
-        else:
-            self._served = response
+        is_answer = self._report_end(attempt, outcome, response)
+        if is_answer and self._stream is None:
+            self._served = response  # the task of the request, woken by the report, goes on only after this one
 
     def _report_end(self, attempt: StartAttempt, outcome: AttemptOutcome, response: Message | None) -> bool:
         """Report the end of an attempt; return whether its response is the answer."""
@@ -198,29 +194,16 @@
 
     def _claim_stream(self, attempt: StartAttempt, head: Message) -> ResponseSink | None:
         """Return where an attempt may pass on a long response as it comes; ``None`` where it may not."""
-        head_bytes = serialize_streamed_head(head, forwarded_headers(head))
+        connection = self._connection
+        hold_until_ns = self._request.deadline_ns if connection.has_request else None
+        # Before the claim: a fault here costs the attempt alone.
+        stream = ResponseStream(
+            connection, self._message, head, closes=self._closes_after(), hold_until_ns=hold_until_ns
+        )
         if self._client_closed or not self._services.dispatcher.claim_stream(self._request, attempt.number):
             return None
-        self._streaming_attempt = attempt.number
-        # Until its end has been passed on, a close for whatever reason must tell the client that it is not whole.
-        self._connection.response_truncated = True
-        sink = _ConnectionSink(self._connection)
-        sink.send(head_bytes)
-        return sink
-
-
-class _ConnectionSink:
-    """A client's connection as the sink of a streamed response; after a failed write it takes nothing more."""
-
-    __slots__ = ("_connection", "_writable")
-
-    def __init__(self, connection: DownstreamConnection) -> None:
-        self._connection = connection
-        self._writable = True
-
-    def send(self, data: bytes | memoryview) -> bool:
-        self._writable = self._writable and self._connection.write(data)
-        return self._writable
+        self._stream = stream
+        return stream
 
 
 def _cancel_nothing(_: int) -> None:
--- a/lugtally/downstream/responses.py
+++ b/lugtally/downstream/responses.py
@@ -32,6 +32,13 @@
     headers: list[tuple[str, str]]
 
 
+class StreamedResponse(NamedTuple):
+    """A final response that has been passed on whole."""
+
+    closes: bool
+    """Whether its connection ends with it, as announced."""
+
+
 def served_response(message: Message) -> Response:
     """Return the response of the endpoint that served the request."""
     return Response(200, message.body, forwarded_headers(message))
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -17,6 +17,7 @@
 from lugtally.downstream.listener import adopt_listener, bind_listener
 from lugtally.downstream.responses import (
     Response,
+    StreamedResponse,
     health_response,
     internal_error_response,
     protocol_error_response,
@@ -31,6 +32,9 @@
 __all__ = ["DownstreamConnection", "DownstreamServer"]
 
 
+FinalResponse = Response | StreamedResponse
+
+
 class DownstreamServer:
     """All connections of the application to this sidecar."""
 
@@ -129,6 +133,10 @@
             response = internal_error_response()
         if response is None:
             return False
+        if isinstance(response, StreamedResponse):
+            if response.closes:
+                connection.lingering_close()
+            return not response.closes
         if 400 <= response.status < 500:
             connection.client_at_fault = True
         close = self._closes_after(connection, message)
@@ -170,7 +178,7 @@
 
     # ------------------------------------------------------------ requests
 
-    def _respond(self, connection: DownstreamConnection, message: Message) -> Response | None:
+    def _respond(self, connection: DownstreamConnection, message: Message) -> FinalResponse | None:
         """Return the final response to one request; ``None`` where its connection is to be closed without."""
         if message.target.partition("?")[0] == HEALTH_PATH:
             self._health_checks.pace()
@@ -189,13 +197,21 @@
 
     def _exchange(
         self, connection: DownstreamConnection, message: Message, validated: ValidatedRequest
-    ) -> Response | None:
+    ) -> FinalResponse | None:
         correlation_id = message.header_map["x-correlation-id"]
         self._ids_in_progress.add(correlation_id)
         try:
             tenant_index = self._tenant_indexes.get(message.header_map.get("x-account", ""), UNKNOWN_TENANT)
             deadline_ns = self._deadline_ns(connection, validated)
-            exchange = Exchange(self._services, connection, message, validated.class_index, deadline_ns, tenant_index)
+            exchange = Exchange(
+                self._services,
+                connection,
+                message,
+                validated.class_index,
+                deadline_ns,
+                tenant_index,
+                lambda: self._closes_after(connection, message),
+            )
             return exchange.run()
         finally:
             self._ids_in_progress.discard(correlation_id)
--- a/lugtally/downstream/validation.py
+++ b/lugtally/downstream/validation.py
@@ -47,6 +47,13 @@
             raise ProtocolError(400, "Idempotency-Key is missing")  # without it, no duplicate would be dropped
         return ValidatedRequest(request_class.class_index, _time_left_ns(message, settings.deadline_ns))
 
+    def time_left_ns(self, message: Message) -> int | None:
+        """Return the time left of a request; ``None`` where that is at fault."""
+        try:
+            return _time_left_ns(message, self._find_class(message).settings.deadline_ns)
+        except ProtocolError:
+            return None
+
     def _check_correlation_id(self, correlation_id: str | None) -> None:
         if not correlation_id:
             raise ProtocolError(400, "X-Correlation-Id is missing")
--- a/lugtally/http1/head_parser.py
+++ b/lugtally/http1/head_parser.py
@@ -71,7 +71,7 @@
     match = _REQUEST_LINE.fullmatch(line)
     if match is None:
         raise ProtocolError(400, "the first line is malformed")
-    return Message(method=match[1], target=match[2], keep_alive=match[3] != "0")
+    return Message(method=match[1], target=match[2], minor_version=int(match[3]), keep_alive=match[3] != "0")
 
 
 def _parse_status_line(line: str) -> Message:
--- a/lugtally/http1/message.py
+++ b/lugtally/http1/message.py
@@ -16,6 +16,8 @@
     header_map: dict[str, str] = field(default_factory=dict)
     """Values by lower-case name; the first of a repeated header."""
     body: bytes = b""
+    minor_version: int = 1
+    """The version of a request is HTTP/1.0 or HTTP/1.1: the first knows no chunks."""
     keep_alive: bool = True
     """Whether the connection may carry another message."""
     expects_continue: bool = False
--- a/lugtally/http1/serializer.py
+++ b/lugtally/http1/serializer.py
@@ -69,14 +69,18 @@
     return f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode("latin-1")
 
 
-def serialize_streamed_head(response: Message, headers: list[tuple[str, str]]) -> bytes:
-    """Return the head of a response passed on as it comes, in its own framing; its connection ends after it."""
+def serialize_streamed_head(response: Message, headers: list[tuple[str, str]], add_chunks: bool, close: bool) -> bytes:
+    """Return the head of a response passed on as it comes, in its own framing, or with ``add_chunks`` in chunks.
+
+    ``close`` announces that its connection ends after it.
+    """
     lines = _start_of_head(response.status, headers)
-    if "transfer-encoding" in response.header_map:
+    if add_chunks or "transfer-encoding" in response.header_map:
         lines.append("Transfer-Encoding: chunked")
     elif "content-length" in response.header_map:
         lines.append(f"Content-Length: {response.header_map['content-length']}")
-    lines.append("Connection: close")
+    if close:
+        lines.append("Connection: close")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
 
 
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -22,6 +22,13 @@
     def send(self, data: bytes | memoryview) -> bool:
         """Write all of it, waiting as long as the client takes; false where it has left or does not read."""
 
+    def finish(self) -> bool:
+        """Write the end of the response, all of whose body has been sent; false as for :meth:`send`."""
+
+    @property
+    def hold_until_ns(self) -> int | None:
+        """By when it must be whole, as none of it has been passed on; ``None`` where there is no such time."""
+
 
 ClaimStream = Callable[[Message], "ResponseSink | None"]
 """Called with the head of a long response: returns where to pass it on, or ``None`` where another attempt answers."""
@@ -63,7 +70,12 @@
     loop: EventLoop, connection: UpstreamConnection, framing: BodyFraming, sink: ResponseSink
 ) -> AttemptOutcome:
     while not framing.done:
-        reason = loop.wait(connection.fd, READABLE, loop.now() + STREAM_IDLE_TIMEOUT_NS)
+        deadline_ns = loop.now() + STREAM_IDLE_TIMEOUT_NS
+        if (hold_until_ns := sink.hold_until_ns) is not None:
+            if loop.now() >= hold_until_ns:
+                return AttemptOutcome.TIMEOUT
+            deadline_ns = min(deadline_ns, hold_until_ns)
+        reason = loop.wait(connection.fd, READABLE, deadline_ns)
         if reason is not WakeReason.READY:
             return AttemptOutcome.TIMEOUT if reason is WakeReason.TIMEOUT else AttemptOutcome.CANCELLED
         try:
@@ -71,10 +83,14 @@
         except BlockingIOError:
             continue
         if not data:
-            return AttemptOutcome.SERVED if framing.until_close else AttemptOutcome.RESET
+            return _finish(sink) if framing.until_close else AttemptOutcome.RESET
         if not _pass_on(framing, data, sink):
             return AttemptOutcome.CANCELLED
-    return AttemptOutcome.SERVED
+    return _finish(sink)
+
+
+def _finish(sink: ResponseSink) -> AttemptOutcome:
+    return AttemptOutcome.SERVED if sink.finish() else AttemptOutcome.CANCELLED
 
 
 def _pass_on(framing: BodyFraming, data: bytes, sink: ResponseSink) -> bool:
--- a/tests/races/test_pipelines.py
+++ b/tests/races/test_pipelines.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lugtally.http1 import MessageParser
 from lugtally.units import NS_PER_MS
 from tests.races.fakes import PeerConnection, Sidecar, request
 
@@ -113,6 +114,100 @@
     sidecar.run(script)
 
 
+LONG_BODY = b"x" * 100_000
+LONG_RESPONSES = {
+    "length": b"Content-Length: %d\r\n\r\n" % len(LONG_BODY) + LONG_BODY,
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(LONG_BODY) + LONG_BODY + b"\r\n0\r\n\r\n",
+    "until close": b"\r\n" + LONG_BODY,
+}
+
+
+def read_responses(client: PeerConnection, count: int) -> list[tuple[int, bytes]]:
+    """Read that many whole responses; return status and body of each."""
+    parser = MessageParser(responses=True, max_body_bytes=10 * len(LONG_BODY))
+    responses: list[tuple[int, bytes]] = []
+    message = None
+    while len(responses) < count:
+        message = message or parser.feed(client.read())
+        if message is not None:
+            responses.append((message.status, message.body))
+            message = parser.feed(b"")
+    assert parser.is_idle, "bytes behind the last response"
+    return responses
+
+
+def respond_long(connection: PeerConnection, framing: str) -> None:
+    """Write a response that is longer than those that are held whole, and close."""
+    connection.read_head()
+    data = memoryview(b"HTTP/1.1 200 OK\r\n" + LONG_RESPONSES[framing])
+    while data:
+        try:
+            data = data[connection.sock.send(data) :]
+        except BlockingIOError:
+            connection.loop.sleep(NS_PER_MS)
+    connection.sock.close()
+
+
+@pytest.mark.parametrize("framing", LONG_RESPONSES)
+@pytest.mark.parametrize("together", [True, False], ids=["read together", "sent later"])
+def test_a_connection_carries_on_behind_a_streamed_response(framing: str, together: bool) -> None:
+    """Each streamed response ended its connection, and the requests that had been read behind it were dropped."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        second = request("read/2", "r2")
+        client.send(request("read/1", "r1") + (second if together else b""))
+        respond_long(sidecar.server.accept(), framing)
+        if not together:
+            assert read_responses(client, 1) == [(200, LONG_BODY)]
+            client.send(second)
+        respond_to(sidecar, None, 1)
+        expected = [(200, LONG_BODY), (200, b"/read/2")]
+        assert read_responses(client, 2 if together else 1) == expected[0 if together else 1 :]
+
+    sidecar.run(script)
+
+
+def test_a_cut_stream_takes_no_request_behind_it_along() -> None:
+    """Passed on in part, it could only end in a reset of the connection: so it is held back, and fails by itself."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        client.send(request("read/1", "r1") + request("read/2", "r2"))
+        connection = sidecar.server.accept()
+        connection.read_head()
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + bytes(70_000))
+        sidecar.wait_until(lambda: sidecar.dispatcher.in_progress == 1)
+        connection.sock.close()
+        respond_to(sidecar, None, 1)
+        assert read_responses(client, 2) == [(502, b"failed\n"), (200, b"/read/2")]
+
+    sidecar.run(script)
+
+
+def test_a_cut_body_without_length_is_told_from_a_whole_one() -> None:
+    """Its end was that of the connection: where a process is killed the kernel ends it in the ordinary way."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        client.send(request("read"))
+        connection = sidecar.server.accept()
+        connection.read_head()
+        connection.send(b"HTTP/1.1 200 OK\r\n\r\n" + bytes(70_000))
+        received = b""
+        while len(received) < 70_000:
+            received += client.read()
+        assert b"\r\nTransfer-Encoding: chunked\r\n" in received
+        assert not received.endswith(b"0\r\n\r\n")
+        connection.sock.close()
+        assert client.read_to_end().endswith(b"0\r\n\r\n")
+
+    sidecar.run(script)
+
+
 class CountingSocket:
     """A socket that counts what is read from it."""
 
--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -15,6 +15,7 @@
 from lugtally.http1 import ForwardedRequest, Message
 from lugtally.units import NS_PER_MS, NS_PER_S
 from lugtally.upstream import AttemptResponse, pool
+from lugtally.upstream.connection import open_socket
 from tests.races.fakes import MAX_WAIT_NS, PeerConnection, Sidecar
 from tests.races.pool_harness import (
     ATTEMPT_TIMEOUT_NS,
@@ -359,7 +360,6 @@
 def test_a_connection_to_itself_is_a_refused_one(sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch) -> None:
     """Nobody listens, and our end was given the very port: the kernel connects it to itself, and it echoes requests."""
     address = sidecar.server.address
-    open_socket = pool.open_socket
     ends: list[AttemptResponse] = []
 
     def open_at_the_same_port(to: Address) -> socket.socket:
