Give a request no more time than those that were read behind it have

Cause: responses of a connection come in the order of its requests.

Left: a request that is pipelined but not read yet waits for the one before, as nothing is known of its time.

--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -27,6 +27,7 @@
 from lugtally.downstream.validation import RequestValidator, ValidatedRequest
 from lugtally.eventloop import Event, EventLoop
 from lugtally.http1 import Message, ProtocolError, serialize_response
+from lugtally.units import NS_PER_MS
 from lugtally.upstream import UpstreamPool
 
 __all__ = ["DownstreamConnection", "DownstreamServer"]
@@ -34,6 +35,9 @@
 
 FinalResponse = Response | StreamedResponse
 
+PIPELINE_SLACK_NS = 300 * NS_PER_MS
+"""How long after its deadline a request may be answered, as the response before it comes first."""
+
 
 class DownstreamServer:
     """All connections of the application to this sidecar."""
@@ -217,7 +221,13 @@
             self._ids_in_progress.discard(correlation_id)
 
     def _deadline_ns(self, connection: DownstreamConnection, validated: ValidatedRequest) -> int:
-        """Return by when the request must be answered: its time counts from its last byte, not from now."""
+        """Return by when the request must be answered: its time counts from its last byte, not from now.
+
+        Requests that were read behind it cannot be answered before it, so it has no more time than they have.
+        """
         deadline_ns = connection.arrived_ns + validated.time_left_ns
+        for next_request in connection.next_requests():
+            if (time_left_ns := self._validator.time_left_ns(next_request)) is not None:
+                deadline_ns = min(deadline_ns, connection.arrived_ns + time_left_ns + PIPELINE_SLACK_NS)
         state = self._shutdown.state
         return min(deadline_ns, state.last_response_ns) if state.closing else deadline_ns
--- a/tests/races/test_pipelines.py
+++ b/tests/races/test_pipelines.py
@@ -208,6 +208,22 @@
     sidecar.run(script)
 
 
+def test_a_request_has_no_more_time_than_those_that_were_read_behind_it() -> None:
+    """The second had 0.3 s, and its answer waits for the first one's: 5 s later, if the endpoint is silent."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        second = request("read/2", "r2").replace(b"X-Time-Left: 5.000", b"X-Time-Left: 0.300")
+        began_ns = sidecar.loop.now()
+        client.send(request("read/1", "r1") + second)
+        sidecar.server.accept().read_head()
+        assert [status for status, _ in read_responses(client, 2)] == [502, 502]
+        assert sidecar.loop.now() - began_ns < 800 * NS_PER_MS
+
+    sidecar.run(script)
+
+
 class CountingSocket:
     """A socket that counts what is read from it."""
 
