--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -97,9 +97,9 @@
         host, port = self.sock.getsockname()[:2]
         return bool((host, port) == self.address)
 
-    def watch(self, loop: EventLoop, on_event: Callable[[], None]) -> None:
+    def watch(self, loop: EventLoop, on_event: Callable[[int], None]) -> None:
         """Call ``on_event`` when bytes come or the connection ends, until :meth:`unwatch`."""
-        loop.register(self.fd, READABLE, lambda _: on_event())
+        loop.register(self.fd, READABLE, on_event)
         self._watching_loop = loop
 
     def unwatch(self) -> None:
@@ -154,7 +154,7 @@
     def is_quiet(self) -> bool:
         """Return whether the connection is open and holds no byte that belongs to no response."""
         try:
-            self._peek()
+            self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
@@ -164,13 +164,10 @@
     def has_bytes(self) -> bool:
         """Return whether bytes have come that have not been read, whatever has become of the connection."""
         try:
-            return bool(self._peek())
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
         except OSError:
             return False
 
-    def _peek(self) -> bytes:
-        return self.sock.recv(1, socket.MSG_PEEK)
-
     def is_reusable_after(self, response: Message) -> bool:
         """Return whether another request may follow: this response, and nothing more, has been read."""
         return response.keep_alive and not response.streamed and self.parser.is_idle
--- a/lugtally/upstream/idle_connections.py
+++ b/lugtally/upstream/idle_connections.py
@@ -20,13 +20,13 @@
         """Make an empty collection; ``close`` closes a connection that was dropped from it."""
         self._loop = loop
         self._close = close
-        self._by_endpoint: dict[int, list[UpstreamConnection]] = {}  # the most recently used last; none is empty
+        self._by_endpoint: dict[int, list[UpstreamConnection]] = {}  # the most recently used last
 
     def add(self, endpoint_id: int, connection: UpstreamConnection) -> None:
         """Keep a connection; whatever comes on it meanwhile ends it."""
         connections = self._by_endpoint.setdefault(endpoint_id, [])
-        insort(connections, connection, key=lambda other: other.idle_since_ns)
-        connection.watch(self._loop, lambda: self._close_ended(endpoint_id, connection))
+        insort(connections, connection, key=_idle_since)
+        connection.watch(self._loop, lambda _: self._close_ended(endpoint_id, connection))
 
     def take(self, endpoint_id: int, settled_before_ns: int, *, or_unsettled: bool) -> UpstreamConnection | None:
         """Remove and return the most recently used connection that was idle by then.
@@ -59,7 +59,11 @@
     def close_longest_idle(self) -> None:
         """Close the connection that has been idle longest, if there is one."""
         longest_idle = min(
-            ((connections[0].idle_since_ns, endpoint_id) for endpoint_id, connections in self._by_endpoint.items()),
+            (
+                (connections[0].idle_since_ns, endpoint_id)
+                for endpoint_id, connections in self._by_endpoint.items()
+                if connections
+            ),
             default=None,
         )
         if longest_idle is not None:
@@ -74,7 +78,8 @@
 
     def _remove(self, endpoint_id: int, connection: UpstreamConnection) -> None:
         connection.unwatch()
-        connections = self._by_endpoint[endpoint_id]
-        connections.remove(connection)
-        if not connections:
-            del self._by_endpoint[endpoint_id]
+        self._by_endpoint[endpoint_id].remove(connection)
+
+
+def _idle_since(connection: UpstreamConnection) -> int:
+    return connection.idle_since_ns
