Attempts: what waits to go out as an attempt ends stays here

Cause: `UpstreamPool._close` closed the socket, and the kernel goes on sending what lies in its buffer until the other side has read it, and only then ends the connection. An endpoint that did not read for a while got the rest of a request, or all of it behind its first few thousand bytes, after the attempt had been cancelled or was out of time, and could run it.

Change: a connection whose request is not answered is reset as it is closed where bytes of it have not been sent yet (the kernel is asked for that); all others are closed as before. What the endpoint's own kernel holds is out of reach.

Without the change the new test printed `assert 200063 < (200000 // 2)`: every byte came, after the attempt was cancelled. Its second case (partly written) held before and is a guard. With it tests/races and tests/upstream pass (143).

--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import os
 import socket
+import struct
 from collections.abc import Callable
 
 from loguru import logger
@@ -16,6 +18,9 @@
 from lugtally.upstream.errors import AttemptAborted
 
 READ_CHUNK_BYTES = 64 * 1024
+_SIOCOUTQNSD = 0x894B
+"""Linux: asks how many bytes of a TCP connection have not been sent yet."""
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def open_socket(address: Address) -> socket.socket:
@@ -109,14 +114,27 @@
             self._watching_loop = None
 
     def close(self) -> bool:
-        """Close the connection; return whether it was open."""
+        """Close the connection; return whether it was open.
+
+        What of a request has not gone out by then does not go out any more: its attempt is over.
+        """
         if self.fd < 0:
             return False
         self.unwatch()  # first: the number may be another connection's as soon as it is closed
+        if self.carries_request and self._has_unsent_bytes():
+            # Else the kernel would send them as the endpoint reads, and only then the end of the connection.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.fd = -1
         self.sock.close()
         return True
 
+    def _has_unsent_bytes(self) -> bool:
+        try:
+            answer = fcntl.ioctl(self.fd, _SIOCOUTQNSD, bytes(4))
+        except OSError:
+            return False  # a kernel that does not say: the close must go on
+        return any(answer)
+
     def wait_writable(
         self, loop: EventLoop, deadline_ns: int, timeout_outcome: AttemptOutcome, *, or_readable: bool = False
     ) -> None:
--- a/tests/races/test_request_writing.py
+++ b/tests/races/test_request_writing.py
@@ -103,3 +103,36 @@
     sidecar.run(script)
     assert in_time[0]
     assert ends[0].outcome.name == "TIMEOUT_BEFORE_SENT"
+
+
+@pytest.mark.parametrize("buffer_bytes", [4096, 4 * 1024 * 1024], ids=["partly written", "written whole"])
+def test_what_waits_to_go_out_as_an_attempt_ends_stays_here(
+    buffer_bytes: int, sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The kernel sent it after the close: a server that began to read later got the request and could run it."""
+    write_request = attempt.write_request
+    connections: list[UpstreamConnection] = []
+    written: list[bool] = []
+    ends: list[AttemptResponse] = []
+    sidecar.server.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+    def set_buffer_and_write(loop: EventLoop, connection: UpstreamConnection, *arguments: Any) -> None:
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+        connections.append(connection)
+        write_request(loop, connection, *arguments)
+        written.append(True)
+
+    def script() -> None:
+        monkeypatch.setattr(attempt, "write_request", set_buffer_and_write)
+        task = start_attempt(sidecar, ends, LONG_BODY)
+        peer = sidecar.server.accept()
+        sidecar.wait_until(lambda: bool(connections))
+        sidecar.loop.sleep(0)
+        assert bool(written) == (buffer_bytes > len(LONG_BODY.body))
+        sidecar.loop.interrupt(task)
+        sidecar.wait_until(lambda: bool(ends))
+        received = peer.read_to_end()
+        assert len(received) < len(LONG_BODY.body) // 2
+
+    sidecar.run(script)
+    assert ends[0].outcome.name == ("CANCELLED" if written else "CANCELLED_BEFORE_SENT")
