--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -369,7 +369,7 @@
 
     def script() -> None:
         sidecar.server.sock.close()
-        monkeypatch.setattr(pool, "open_socket", open_at_the_same_port)
+        monkeypatch.setattr("lugtally.upstream.pool.open_socket", open_at_the_same_port)
         start_attempt(sidecar, ends)
         sidecar.wait_until(lambda: bool(ends))
 
