Nothing begins at a request's end, and a balancer that fails costs no request its answer

Causes, in dispatch/dispatcher.py: - `may_start` asked for the end of the request, not for its deadline, and `_start_attempt` took the balancer's time as it was: an attempt that dialled or waited in backoff went out after the deadline; one decided on before a stall of the process was begun after it. `_submit` handed on a request whose time was over (`max(0, ...)`). - `_handle_event` swallowed an exception of the balancer: the request of the event, and those whose actions were lost, waited for their deadline and got 502 although nothing had been sent; a lost timer or list was lost for good. An action that raised (`_perform`) took the answer that had come with it, or, from a timer, the process. - The safety net of `next_decision` answered 502 with no attempt started, did not tell the balancer, and fired where its wait was ended by an older signal, before attempts in flight had a turn after a stall.

Change: `PendingRequest.wants` asks for the deadline too, attempts end by it, and a late request is rejected with no event. `GuardedPolicy` reports a fault; then the balancer forgets the request of the event (its numbers of attempts may differ from ours), which is answered at once, or as the attempts in flight end: 503 where no attempt may have run, else 502. A timer's request is known where it was set with nothing else under way for it. A timer that was failed on fires again after 0.5 s, a list is told again whole and the watch asked for. Each action is carried out on its own.

--- a/lugtally/dispatch/balancer_timers.py
+++ b/lugtally/dispatch/balancer_timers.py
@@ -3,26 +3,40 @@
 from __future__ import annotations
 
 from heapq import heappop, heappush
+from typing import NamedTuple
+
+NO_REQUEST = ""
+"""In the place of a request's id: no request waits for the timer alone."""
+
+
+class BalancerTimer(NamedTuple):
+    """One timer; ``sequence`` keeps those of the same time in the order in which they were set."""
+
+    due_ns: int
+    sequence: int
+    token: str
+    request_id: str
+    """The request for which nothing but this timer is under way, or ``NO_REQUEST``."""
 
 
 class BalancerTimers:
-    """A heap of tokens; those of the same time come due in the order in which they were set."""
+    """A heap of timers; those of the same time come due in the order in which they were set."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[int, int, str]] = []
+        self._heap: list[BalancerTimer] = []
         self._sequence = 0
 
-    def add(self, due_ns: int, token: str) -> None:
+    def add(self, due_ns: int, token: str, request_id: str = NO_REQUEST) -> None:
         """Let the token come due at that time."""
         self._sequence += 1
-        heappush(self._heap, (due_ns, self._sequence, token))
+        heappush(self._heap, BalancerTimer(due_ns, self._sequence, token, request_id))
 
-    def pop_due(self, now_ns: int) -> str | None:
-        """Remove and return a token that has come due, or ``None``."""
-        if self._heap and self._heap[0][0] <= now_ns:
-            return heappop(self._heap)[2]
+    def pop_due(self, now_ns: int) -> BalancerTimer | None:
+        """Remove and return a timer that has come due, or ``None``."""
+        if self._heap and self._heap[0].due_ns <= now_ns:
+            return heappop(self._heap)
         return None
 
     def next_due_ns(self) -> int | None:
         """Return when the next token comes due, or ``None``."""
-        return self._heap[0][0] if self._heap else None
+        return self._heap[0].due_ns if self._heap else None
--- a/lugtally/dispatch/dispatcher.py
+++ b/lugtally/dispatch/dispatcher.py
@@ -13,18 +13,21 @@
 from lugtally import balancing
 from lugtally.balancing import Balancer
 from lugtally.dispatch.attempt_outcome import ATTEMPT_RESULTS, FULLY_SENT, AttemptOutcome
-from lugtally.dispatch.balancer_timers import BalancerTimers
+from lugtally.dispatch.balancer_timers import BalancerTimer, BalancerTimers
 from lugtally.dispatch.decision import Decision, Failed, Finished, Rejected, StartAttempt
 from lugtally.dispatch.endpoint_registry import EndpointRegistry, ListedEndpoint
+from lugtally.dispatch.guarded_policy import GuardedPolicy
 from lugtally.dispatch.metrics import RequestMetrics
 from lugtally.dispatch.pending_request import PendingRequest, SentAttempt
-from lugtally.dispatch.policy import BalancingPolicy, BalancingPolicyFactory
-from lugtally.eventloop import EventLoop
+from lugtally.dispatch.policy import BalancingPolicyFactory
+from lugtally.eventloop import EventLoop, WakeReason
 from lugtally.overload.admission import AdmissionController
 from lugtally.units import NS_PER_MS
 
 DEADLINE_MARGIN_NS = 20 * NS_PER_MS
-"""How long after its deadline a request without a decision is failed."""
+"""How long after its deadline a request without a decision is answered."""
+FAULT_RETRY_NS = 500 * NS_PER_MS
+"""How long after the balancer failed on a timer or an endpoint list it is told of it again."""
 USUAL_DURATION_WEIGHT = 0.1
 """The weight of a new duration in the moving average of a class."""
 
@@ -44,11 +47,14 @@
         policy_factory: BalancingPolicyFactory | None = None,
     ) -> None:
         self._loop = loop
-        self._policy: BalancingPolicy = (policy_factory or Balancer)(settings, seed)
+        self._policy = (policy_factory or Balancer)(settings, seed)
+        self._balancer = GuardedPolicy(self._policy)
+        self._subscribes_to_endpoints = settings.subscribe_to_endpoints
         self._pending: dict[str, PendingRequest] = {}
         self._last_id = 0
         self._timers = BalancerTimers()
         self._endpoints = EndpointRegistry()
+        self._endpoints_due_ns: int | None = None  # when the balancer is told the whole list, after a fault
         self._admission: AdmissionController | None = None
         self._usual_duration_ns: dict[int, float] = {}  # by class: moving average of served attempts
         self._close_idle_connections: Callable[[int], None] = _do_nothing
@@ -98,12 +104,12 @@
                 # Its response has begun: the stream's own end ends it, however long it takes.
                 request.decision_ready.wait()
                 continue
-            limit_ns = request.deadline_ns + DEADLINE_MARGIN_NS
-            request.decision_ready.wait(limit_ns)
-            if not request.decisions and not request.is_streaming and self._loop.now() >= limit_ns:
+            reason = request.decision_ready.wait(request.deadline_ns + DEADLINE_MARGIN_NS)
+            # Only where the loop had a turn: after a stall, attempts must first see that their time is over.
+            if reason is not WakeReason.READY and not request.decisions and not request.is_streaming:
                 # Guards the one final answer against a fault: each attempt has timed out by now.
                 logger.error("no decision by the deadline of a request", event="dispatch.deadline_exceeded")
-                self._finish(request, Failed())
+                self._give_up(request)
         return request.decisions.popleft()
 
     def claim_stream(self, request: PendingRequest, number: int) -> bool:
@@ -116,17 +122,16 @@
             return False
         request.streaming_attempt = number
         endpoint_id = request.attempts[number].endpoint_id
-        self._handle_event(balancing.ResponseStarted(request.id, number, endpoint_id))
+        if not self._handle_event(balancing.ResponseStarted(request.id, number, endpoint_id)):
+            self._let_balancer_forget(request)  # it must send nothing more for the request
         for other in request.in_flight - {number}:
             request.cancel_attempt(other)
         return True
 
     def may_start(self, request: PendingRequest, number: int) -> bool:
         """Return whether an attempt's bytes may go out now: asked right before each part of them is written."""
-        if not request.wants(number):
-            return False
-        may_start: Callable[[int, str, int], bool] | None = getattr(self._policy, "may_start", None)
-        return may_start is None or may_start(self._loop.now(), request.id, number)
+        now_ns = self._loop.now()
+        return request.wants(number, now_ns) and self._balancer.may_start(now_ns, request.id, number)
 
     def attempt_finished(
         self,
@@ -147,16 +152,14 @@
         duration_ns = self._loop.now() - attempt.started_ns
         if outcome in FULLY_SENT:
             self.metrics.record_dispatch()
-        self._handle_event(
+        result = ATTEMPT_RESULTS[outcome]
+        attempt.may_have_run = result not in balancing.NOT_PROCESSED
+        is_over = won or request.finished or bound
+        handled = self._handle_event(
             balancing.AttemptFinished(
-                request.id,
-                number,
-                attempt.endpoint_id,
-                ATTEMPT_RESULTS[outcome],
-                won or request.finished or bound,
-                duration_ns,
-                load_report,
-            )
+                request.id, number, attempt.endpoint_id, result, is_over, duration_ns, load_report
+            ),
+            request,
         )
         if won:
             self._note_duration(request.class_index, duration_ns)
@@ -164,6 +167,10 @@
             self._finish(request, Finished())
         elif bound:
             self._finish(request, Failed())  # half a response has gone out: the client's connection ends
+        elif not handled:
+            self._recover(request)
+        else:
+            self._answer_if_stranded(request)
         return won
 
     def client_disconnected(self, request: PendingRequest) -> None:
@@ -177,7 +184,7 @@
 
     def update_endpoints(self, kind: balancing.EndpointUpdateKind, endpoints: Iterable[ListedEndpoint] = ()) -> None:
         """Take an update of the endpoint list, or that none could be had (``FAILED``)."""
-        self._handle_event(balancing.EndpointUpdate(kind, self._endpoints.update(kind, endpoints)))
+        self._tell_endpoints(kind, self._endpoints.update(kind, endpoints))
 
     def was_listed(self, endpoint_id: int) -> bool:
         """Return whether the endpoint was listed at any time since the start."""
@@ -205,8 +212,7 @@
 
     def disabled_count(self) -> int:
         """Return how many listed endpoints get no new work now: drained by operators, or ejected."""
-        ejected_count: Callable[[int], int] = getattr(self._policy, "ejected_count", lambda _: 0)
-        return self._endpoints.drained_count() + ejected_count(self._loop.now())
+        return self._endpoints.drained_count() + self._balancer.ejected_count(self._loop.now())
 
     def request_counts(self) -> dict[str, int]:
         """Return the requests by how they ended so far, and those in progress, by the keys of the status socket."""
@@ -225,19 +231,42 @@
     def run_due_timers(self) -> int | None:
         """Fire the balancer's timers that have come due; returns when the next one does, or ``None``."""
         now_ns = self._loop.now()
-        while (token := self._timers.pop_due(now_ns)) is not None:
-            self._handle_event(balancing.TimerFired(token))
-        return self._timers.next_due_ns()
+        while (timer := self._timers.pop_due(now_ns)) is not None:
+            self._fire_timer(now_ns, timer)
+        if self._endpoints_due_ns is not None and self._endpoints_due_ns <= now_ns:
+            self._tell_endpoints_again()
+        due_ns = self._timers.next_due_ns()
+        if self._endpoints_due_ns is None or due_ns is None:
+            return due_ns if self._endpoints_due_ns is None else self._endpoints_due_ns
+        return min(due_ns, self._endpoints_due_ns)
+
+    def _fire_timer(self, now_ns: int, timer: BalancerTimer) -> None:
+        request = self._pending.get(timer.request_id)
+        if request is not None and request.awaited_timer == timer.token:
+            request.awaited_timer = None
+        if self._handle_event(balancing.TimerFired(timer.token), request):
+            if request is not None:
+                self._answer_if_stranded(request)
+            return
+        # What the token stands for only the balancer knows: perhaps a chain of timers that must not break.
+        self._timers.add(now_ns + FAULT_RETRY_NS, timer.token)
+        for pending in list(self._pending.values()):
+            self._answer_if_stranded(pending)
 
     def _submit(self, request: PendingRequest) -> None:
         request.submitted = True
         self._last_id += 1
         request.id = str(self._last_id)  # our own: a client that repeats an id in flight must not lose one
         self._pending[request.id] = request
-        time_left_ns = max(0, request.deadline_ns - self._loop.now())
-        self._handle_event(
-            balancing.Request(request.id, request.class_index, request.tenant_index, time_left_ns, request.is_retry)
-        )
+        time_left_ns = request.deadline_ns - self._loop.now()
+        if time_left_ns <= 0:
+            self._finish(request, Rejected(0))  # it waited for too long before it came here
+            return
+        event = balancing.Request(request.id, request.class_index, request.tenant_index, time_left_ns, request.is_retry)
+        if self._handle_event(event, request):
+            self._answer_if_stranded(request)
+        else:
+            self._recover(request)
 
     def _finish(self, request: PendingRequest, decision: Decision) -> None:
         """End the request: its last decision, and an end to the attempts that are still in flight."""
@@ -254,27 +283,65 @@
         for number in list(request.in_flight):
             request.cancel_attempt(number)
 
+    def _give_up(self, request: PendingRequest) -> None:
+        """End a request on which the balancer gives no decision: a repeat is safe where no attempt may have run."""
+        self._finish(request, Failed() if request.may_have_run else Rejected(0))
+        self._let_balancer_forget(request)
+
+    def _recover(self, request: PendingRequest) -> None:
+        """Go on without the balancer, which failed on an event of this request.
+
+        What it decided is lost, and its numbers of attempts may differ from ours by now: it decides nothing more for
+        the request.  Attempts that are written may still bring the answer; without one it is given at once.
+        """
+        self._let_balancer_forget(request)
+        request.awaited_timer = None
+        self._answer_if_stranded(request)
+
+    def _answer_if_stranded(self, request: PendingRequest) -> None:
+        """Answer a request for which nothing is under way, where a fault may have lost what was decided on it."""
+        if self._balancer.has_failed and request.is_stranded:
+            self._give_up(request)
+
+    def _let_balancer_forget(self, request: PendingRequest) -> None:
+        self._handle_event(balancing.ClientDisconnected(request.id))
+
     def _note_duration(self, class_index: int, duration_ns: int) -> None:
         usual_ns = self._usual_duration_ns.setdefault(class_index, float(duration_ns))
         self._usual_duration_ns[class_index] = usual_ns + USUAL_DURATION_WEIGHT * (duration_ns - usual_ns)
 
     def _update_endpoint(self, endpoint: balancing.Endpoint | None) -> None:
         if endpoint is not None:
-            self._handle_event(balancing.EndpointUpdate(balancing.EndpointUpdateKind.DELTA, [endpoint]))
+            self._tell_endpoints(balancing.EndpointUpdateKind.DELTA, [endpoint])
+
+    def _tell_endpoints(self, kind: balancing.EndpointUpdateKind, endpoints: list[balancing.Endpoint]) -> None:
+        if not self._handle_event(balancing.EndpointUpdate(kind, endpoints)):
+            self._endpoints_due_ns = self._loop.now() + FAULT_RETRY_NS
 
-    def _handle_event(self, event: balancing.Event) -> None:
+    def _tell_endpoints_again(self) -> None:
+        """Tell the balancer the whole list, after it failed on a part; the watch may have been lost with it."""
+        self._endpoints_due_ns = None
+        if self._subscribes_to_endpoints:
+            self._watch_endpoints()
+        self._tell_endpoints(balancing.EndpointUpdateKind.FULL, self._endpoints.all())
+
+    def _handle_event(self, event: balancing.Event, request: PendingRequest | None = None) -> bool:
+        """Let the balancer decide on an event, of this request if any; return whether it did."""
         now_ns = self._loop.now()
-        try:
-            actions = self._policy.handle(now_ns, event)
-        except Exception:
-            # The request concerned still gets its answer by the deadline in ``next_decision``.
-            event_type = type(event).__name__
-            logger.exception("the balancer failed on {event_type}", event="balancing.failed", event_type=event_type)
-            return
+        actions = self._balancer.handle(now_ns, event)
+        if actions is None:
+            return False
         for action in actions:
-            self._perform(now_ns, action)
+            try:
+                self._perform(now_ns, action, request)
+            except Exception:
+                # The other actions, and what the caller has still to do, must not be lost with it.
+                action_type = type(action).__name__
+                logger.exception("{action_type} failed", event="dispatch.action_failed", action_type=action_type)
+        return True
 
-    def _perform(self, now_ns: int, action: balancing.Action) -> None:
+    def _perform(self, now_ns: int, action: balancing.Action, subject: PendingRequest | None = None) -> None:
+        """Take one action, decided on an event of the request ``subject``."""
         match action:
             case balancing.SendAttempt(request_id, endpoint_id, timeout_ns):
                 if (request := self._pending.get(request_id)) is not None:
@@ -286,17 +353,26 @@
             case balancing.CancelAttempt(request_id, number):
                 self._cancel_attempt(request_id, number)
             case balancing.SetTimer(delay_ns, token):
-                self._timers.add(now_ns + delay_ns, token)
+                self._set_timer(now_ns + delay_ns, token, subject)
             case balancing.CloseIdleConnections(endpoint_id):
                 self._close_idle_connections(endpoint_id)
             case balancing.WatchEndpoints():
                 self._watch_endpoints()
 
+    def _set_timer(self, due_ns: int, token: str, subject: PendingRequest | None) -> None:
+        if subject is None or subject.finished or subject.in_flight:
+            self._timers.add(due_ns, token)
+            return
+        subject.awaited_timer = token  # nothing else is under way for it: this must be what it waits for
+        self._timers.add(due_ns, token, subject.id)
+
     def _start_attempt(self, request: PendingRequest, endpoint_id: int, now_ns: int, timeout_ns: int) -> None:
         number = len(request.attempts)
+        request.awaited_timer = None
         request.attempts.append(SentAttempt(endpoint_id, now_ns))
         request.in_flight.add(number)
-        request.decisions.append(StartAttempt(number, endpoint_id, now_ns + timeout_ns))
+        deadline_ns = min(now_ns + timeout_ns, request.deadline_ns)
+        request.decisions.append(StartAttempt(number, endpoint_id, deadline_ns))
         request.decision_ready.set()
 
     def _finish_unless_streaming(self, request_id: str, decision: Decision) -> None:
--- a/lugtally/dispatch/endpoint_registry.py
+++ b/lugtally/dispatch/endpoint_registry.py
@@ -51,6 +51,10 @@
                 self._remove(endpoint_id)
         return [self._effective(endpoint) for endpoint in updated]
 
+    def all(self) -> list[Endpoint]:
+        """Return the whole list as the balancer is to see it."""
+        return [self._effective(endpoint) for endpoint in self._listed.values()]
+
     def was_listed(self, endpoint_id: int) -> bool:
         """Return whether the endpoint was listed at any time since the start."""
         return endpoint_id in self._ever_listed
--- a/lugtally/dispatch/pending_request.py
+++ b/lugtally/dispatch/pending_request.py
@@ -17,10 +17,11 @@
 
 @dataclass(slots=True)
 class SentAttempt:
-    """Where and when an attempt was started."""
+    """Where and when an attempt was started, and whether it may have run: until its end proves the contrary."""
 
     endpoint_id: int
     started_ns: int
+    may_have_run: bool = True
 
 
 class PendingRequest:
@@ -28,6 +29,7 @@
 
     __slots__ = (
         "attempts",
+        "awaited_timer",
         "cancel_attempt",
         "class_index",
         "deadline_ns",
@@ -64,6 +66,8 @@
         self.in_flight: set[int] = set()
         self.submitted = False
         """Whether the balancer has been told of it."""
+        self.awaited_timer: str | None = None
+        """The token of the balancer's timer that it waits for, with nothing in flight."""
         self.finished = False
         self.streaming_attempt = NO_ATTEMPT
         """The attempt whose response is passed on as it comes: the request is bound to it."""
@@ -73,8 +77,21 @@
         """Whether part of a response has gone to the client."""
         return self.streaming_attempt != NO_ATTEMPT
 
-    def wants(self, number: int) -> bool:
-        """Return whether that attempt may still bring the answer: none has come or begun, and it was not called off."""
-        if self.finished or number not in self.in_flight:
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have processed it."""
+        return any(attempt.may_have_run for attempt in self.attempts)
+
+    @property
+    def is_stranded(self) -> bool:
+        """Whether it is owed an answer and nothing is under way that could bring one."""
+        return not (self.finished or self.is_streaming or self.in_flight or self.awaited_timer is not None)
+
+    def wants(self, number: int, now_ns: int) -> bool:
+        """Return whether that attempt may begin at ``now_ns``, or go on being written.
+
+        It may not where an answer has come or begun, the attempt was called off or the request's time is over.
+        """
+        if self.finished or number not in self.in_flight or now_ns >= self.deadline_ns:
             return False
         return not self.is_streaming or number == self.streaming_attempt
