A backlog that was not emptied proves nothing of when its connections came

Cause: ConnectionAcceptor._wait_for_clients took the time of the poll that reported the listener as one before which nobody had waited, also where accepting had stopped for want of a place with others in the backlog. A poll that was preempted for 0.1 ms passes for one that found nothing ready. The same for a connection after a write that had to wait, as nobody watches for bytes meanwhile.

Change: only a backlog that was empty when it was last accepted from counts; after such a write the next read comes before a wait.

--- a/lugtally/downstream/acceptor.py
+++ b/lugtally/downstream/acceptor.py
@@ -44,6 +44,8 @@
         self._handle_connection = handle_connection
         self._backlog_empty_ns = loop.now()
         """The last time at which no connection was known to wait in the backlog."""
+        self._backlog_is_drained = True
+        """Whether that was when it was last accepted from: else some may have waited since before."""
         self._task: Task | None = None
         self.listener: socket.socket | None = None
         self._listener_is_shared = False
@@ -75,19 +77,20 @@
             if len(self._connections) < self._max_connections:
                 self._accept_batch(listener, self._max_connections, MAX_ACCEPTS_PER_TURN)
             else:
+                self._backlog_is_drained = False
                 reason = self._make_room(self._loop.now() + EVICTION_INTERVAL_NS)
 
     def _wait_for_clients(self, listener: socket.socket) -> WakeReason:
-        may_accept = len(self._connections) < self._max_connections
         watched_since_ns = self._loop.now()
         reason = self._loop.wait(listener.fileno(), READABLE)
-        if reason is WakeReason.READY and may_accept:  # else others may have waited since before
+        if reason is WakeReason.READY and self._backlog_is_drained:
             empty_ns = self._loop.not_ready_before_ns(watched_since_ns)
             self._backlog_empty_ns = max(self._backlog_empty_ns, empty_ns)
         return reason
 
     def _accept_batch(self, listener: socket.socket, max_connections: int, max_accepts: int) -> None:
         """Accept what waits, within these limits."""
+        self._backlog_is_drained = False
         while listener.fileno() >= 0 and len(self._connections) < max_connections and max_accepts > 0:
             max_accepts -= 1
             called_ns = self._loop.now()
@@ -95,6 +98,7 @@
                 sock, _ = listener.accept()
             except BlockingIOError:
                 self._backlog_empty_ns = called_ns
+                self._backlog_is_drained = True
                 return
             except ConnectionAbortedError:
                 continue  # that client has gone again
--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -61,6 +61,7 @@
         "_loop",
         "_next_requests",
         "_shutdown",
+        "_write_stalled",
         "arrived_ns",
         "client_at_fault",
         "client_closed",
@@ -97,6 +98,7 @@
         self.parser = MessageParser(responses=False)
         self._next_requests: deque[Message | ProtocolError] = deque()
         """The requests, or a fault in the place of the last one, that were read together with the one before."""
+        self._write_stalled = False
         self.client_at_fault = False
         """Whether a request of it was at fault: the connection ends as soon as all that was read is answered."""
         self.client_closed = False
@@ -136,8 +138,10 @@
             self.since_ns = self._loop.now()
         message = self._take_next_request()
         self.idle = message is None and self.parser.is_idle
-        # Just after a response, most likely nothing is there yet: wait first, and save a call.
-        wait_first = self.idle and self.had_request
+        # Just after a response, most likely nothing is there yet: wait first, and save a call.  Not after a write that
+        # took long, as nobody has watched for bytes meanwhile.
+        wait_first = self.idle and self.had_request and not self._write_stalled
+        self._write_stalled = False
         continue_sent = False
         self.is_reading = message is None
         while message is None:
@@ -278,6 +282,7 @@
                 try:
                     view = view[self.sock.send(view) :]
                 except BlockingIOError:
+                    self._write_stalled = True
                     deadline_ns = self._client_deadline_ns(self._loop.now() + WRITE_STALL_TIMEOUT_NS)
                     if self._loop.wait(self.fd, WRITABLE, deadline_ns) is not WakeReason.READY:
                         return False
--- a/tests/races/test_arrival.py
+++ b/tests/races/test_arrival.py
@@ -201,3 +201,33 @@
         sidecar.process.send_signal(signal.SIGCONT)
         assert client.recv(65536).startswith(b"HTTP/1.1 503")
         assert sidecar.requests_seen() == (["first"] if kept else [])
+
+
+def test_a_backlog_that_is_not_empty_proves_nothing_of_when_its_connections_came() -> None:
+    """One place becomes free each time; the poll that reports the next client took long on a busy machine."""
+    sidecar = Sidecar(max_clients=1)
+
+    def script() -> None:
+        address = sidecar.listen_with_one_endpoint()
+        poll_once = sidecar.loop._poll_once
+
+        def poll_slowly(due_ns: int | None) -> None:
+            poll_once(due_ns)
+            sidecar.loop._poll_waited = True  # as where it was preempted
+
+        clients = [sidecar.client(address) for _ in range(3)]
+        clients[0].send(request("read", "slow"))
+        connection = sidecar.server.accept()
+        connection.read_head()
+        for number, client in enumerate(clients[1:]):
+            client.send(short_request(f"late{number}"))
+        sidecar.loop.sleep(int(STALL_S * 1000) * NS_PER_MS)
+        sidecar.loop._poll_once = poll_slowly  # type: ignore[method-assign]
+        connection.respond()
+        assert clients[0].read().startswith(b"HTTP/1.1 200")
+        for client in clients[1:]:
+            assert client.read().startswith(b"HTTP/1.1 503")
+            client.sock.close()
+
+    sidecar.run(script)
+    assert_late_one_was_not_submitted(sidecar)
