A streamed body with a length is claimed once its beginning is there, like any other

Cause: `stream_response` buffered the first 64 KiB of a body only where it had no Content-Length; one told by its length claimed the request with the head alone. Cut within the beginning, its client got a reset where another attempt would have had the answer; silent there, it held its client for 5 s of STREAM_IDLE_TIMEOUT_NS, whatever its deadline, and was reset then.

Change: the beginning of every streamed body is buffered, within the attempt's deadline, before the claim. It costs up to 64 KiB for each such response until it has come, as for the other framings; the first bytes reach the client later.

Related paths: cuts after the head, after one byte and at 60 000 bytes, closed and reset, for the three framings; bytes behind a streamed body go to nobody and the connection is not used again (no change needed); bodies cut after the claim are in the table of two attempts. The test of a head that cannot be written waits for the claim now: the claim came with the head before.

--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -44,19 +44,16 @@
     """Pass a long body on as it comes; beyond its beginning at most one read of it is in memory.
 
     Raises:
-        AttemptAborted: A body without a length failed before any of it reached the client.
+        AttemptAborted: The body failed before any of it reached the client.
     """
     framing, data = connection.parser.detach_body()
-    beginning = b""
     try:
-        if "content-length" not in response.header_map:
-            beginning, is_whole = _buffer_beginning(loop, connection, framing, data, deadline_ns)
-            data = b""
-            if is_whole and framing.until_close:
-                response.body, response.streamed = beginning, False  # a response like any other
-                return AttemptOutcome.SERVED
+        beginning, is_whole = _buffer_beginning(loop, connection, framing, data, deadline_ns)
+        if is_whole and framing.until_close:
+            response.body, response.streamed = beginning, False  # a response like any other
+            return AttemptOutcome.SERVED
         sink = claim_stream(response) if claim_stream is not None else None
-        if sink is None or not sink.send(beginning) or not _pass_on(framing, data, sink):
+        if sink is None or not sink.send(beginning):
             return AttemptOutcome.CANCELLED
         del beginning, data  # neither stays in memory for as long as the stream lasts
         return _pass_on_rest(loop, connection, framing, sink)
@@ -84,7 +81,7 @@
             continue
         if not data:
             return _finish(sink) if framing.until_close else AttemptOutcome.RESET
-        if not _pass_on(framing, data, sink):
+        if not sink.send(memoryview(data)[: framing.feed(data)]):
             return AttemptOutcome.CANCELLED
     return _finish(sink)
 
@@ -93,16 +90,10 @@
     return AttemptOutcome.SERVED if sink.finish() else AttemptOutcome.CANCELLED
 
 
-def _pass_on(framing: BodyFraming, data: bytes, sink: ResponseSink) -> bool:
-    """Send what of these bytes belongs to the body; false where the client has left or stopped reading."""
-    count = framing.feed(data)
-    return not count or sink.send(memoryview(data)[:count])
-
-
 def _buffer_beginning(
     loop: EventLoop, connection: UpstreamConnection, framing: BodyFraming, data: bytes, deadline_ns: int
 ) -> tuple[bytes, bool]:
-    """Return the beginning of a body without a length, as far as other responses are buffered, and if it is whole.
+    """Return the beginning of a body, as far as other responses are buffered, and whether it is whole.
 
     Nothing of it has reached the client yet: where the connection breaks, or the body does not end in time, the
     request can still be retried at another endpoint, or answered as failed.
--- a/tests/races/test_streams.py
+++ b/tests/races/test_streams.py
@@ -388,6 +388,7 @@
         client, connections = start_hedged(sidecar)
         monkeypatch.setattr(DownstreamConnection, "write", write_half)
         begin_stream(connections[0], 0, "length")
+        sidecar.wait_until(lambda: bool(sidecar.balancer.attempt_results()))
         send(connections[1], b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
         answer = read_answer(client)
         assert answer.was_reset
@@ -435,3 +436,85 @@
 
     sidecar.run(script)
     assert sidecar.dispatcher.request_counts()["failed"] == 1
+
+
+def retry_once(event: balancing.Event) -> list[balancing.Action]:
+    """Send each request, once more where that failed, and then fail it."""
+    if isinstance(event, balancing.Request):
+        return [balancing.SendAttempt(event.id, ENDPOINT_A, event.time_left_ns)]
+    if isinstance(event, balancing.AttemptFinished) and not event.request_finished:
+        if event.attempt:
+            return [balancing.FailRequest(event.request_id)]
+        return [balancing.SendAttempt(event.request_id, ENDPOINT_A, 5_000 * NS_PER_MS)]
+    return []
+
+
+@pytest.mark.parametrize(
+    ("framing", "how"),
+    # Nothing tells the ordinary end of a body without length or chunks from that of a whole one.
+    [("length", "close"), ("length", "reset"), ("chunked", "close"), ("chunked", "reset"), ("until close", "reset")],
+)
+@pytest.mark.parametrize("position", [0, 1, 60_000])
+def test_a_body_cut_within_its_buffered_beginning_is_no_answer(position: int, framing: str, how: str) -> None:
+    """Told by its length it was passed on at once: its client got a reset, where another server had the answer."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        address = sidecar.listen_with_one_endpoint()
+        sidecar.balancer.decide = retry_once
+        client = sidecar.client(address)
+        client.send(request("read"))
+        connection = sidecar.server.accept()
+        connection.read_head()
+        begun = body_of(0, position)
+        if framing == "chunked":
+            begun = b"%x\r\n%b" % (BODY_BYTES, begun)
+        send(connection, HEADS[framing] + begun)
+        leave(connection.sock, how)
+        other = sidecar.server.accept()
+        other.read_head()
+        begin_stream(other, 1, framing)
+        end_stream(other, 1, framing)
+        assert read_answer(client).body() == body_of(1)
+
+    sidecar.run(script)
+    assert sidecar.balancer.attempt_results() == [balancing.AttemptResult.RESET, balancing.AttemptResult.OK]
+
+
+@pytest.mark.parametrize("framing", STREAMED)
+def test_a_body_that_falls_silent_within_its_beginning_fails_by_the_deadline(framing: str) -> None:
+    """Passed on at once, it held its client for 5 s of silence, whatever its deadline, and then reset it."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        client = sidecar.client(sidecar.listen_with_one_endpoint())
+        client.send(request("read").replace(b"5.000", b"1.000"))
+        connection = sidecar.server.accept()
+        connection.read_head()
+        begun = b"%x\r\nab" % BODY_BYTES if framing == "chunked" else b"ab"
+        send(connection, HEADS[framing] + begun)
+        assert client.read().startswith(b"HTTP/1.1 502")
+
+    sidecar.run(script)
+    assert sidecar.balancer.attempt_results() == [balancing.AttemptResult.TIMEOUT]
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_bytes_behind_a_streamed_body_go_to_nobody(framing: str) -> None:
+    """Neither to this client nor, on a connection that is used again, to the next one."""
+    sidecar = Sidecar()
+
+    def script() -> None:
+        address = sidecar.listen_with_one_endpoint()
+        client = sidecar.client(address)
+        client.send(request("read"))
+        connection = sidecar.server.accept()
+        connection.read_head()
+        begin_stream(connection, 0, framing)
+        end_stream(connection, 0, framing)
+        send(connection, b"b" * 100)
+        assert read_answer(client).body() == body_of(0)
+        assert connection.read_to_end() == b""
+
+    sidecar.run(script)
+    assert sidecar.upstream.open_connections == 0
