An attempt that the balancer recorded and never ordered leaves its books with the request

Cause: the balancer records an attempt (`BalancerState.start_attempt`) before the rest of an event's decisions; where these raise, the order never reaches the dispatcher, and nobody reports the attempt's end: it held a place at its endpoint and in the concurrency limit for good. Found on the way: `_note_duration` took streams, which last as long as their client reads, into the usual duration by which the overload guard sheds requests.

Change: with a request that it gives up after a fault, the dispatcher reports the one attempt that the balancer may have recorded besides those ordered as never sent. Streams do not count for the usual duration.

Related paths: a hedge lost with a timer while the other attempt is served stays in the books until it is taken for lost; left, as the dispatcher cannot tell which requests had one.

--- a/lugtally/dispatch/dispatcher.py
+++ b/lugtally/dispatch/dispatcher.py
@@ -162,7 +162,8 @@
             request,
         )
         if won:
-            self._note_duration(request.class_index, duration_ns)
+            if not bound:  # a stream lasts as long as its client takes to read it
+                self._note_duration(request.class_index, duration_ns)
             self.metrics.record_success(request.class_index)
             self._finish(request, Finished())
         elif bound:
@@ -304,6 +305,16 @@
             self._give_up(request)
 
     def _let_balancer_forget(self, request: PendingRequest) -> None:
+        """Tell the balancer that nothing more comes of a request.
+
+        On the event that it failed on it may have recorded one attempt more, which it never ordered: left in its books,
+        that would take a place at an endpoint for good.
+        """
+        if self._balancer.has_failed:
+            never_ordered = len(request.attempts)
+            self._handle_event(
+                balancing.AttemptFinished(request.id, never_ordered, 0, balancing.AttemptResult.NEVER_SENT, True, 0)
+            )
         self._handle_event(balancing.ClientDisconnected(request.id))
 
     def _note_duration(self, class_index: int, duration_ns: int) -> None:
--- a/tests/dispatch/test_balancer_faults.py
+++ b/tests/dispatch/test_balancer_faults.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from lugtally import balancing, dispatch
+from lugtally.balancing import outlier_detection, retry_budget
+from lugtally.balancing.balancer import Balancer
 from lugtally.dispatch import dispatcher as dispatcher_module
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.dispatch.endpoint_registry import DRAINING, READY, ListedEndpoint
@@ -89,6 +92,49 @@
     fixture.run(work)
 
 
+@pytest.mark.parametrize("fails_on", ["the first attempt", "the retry"])
+def test_the_balancers_books_are_right_after_a_fault(fails_on: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """An attempt that it recorded and never ordered took its place at the endpoint for good."""
+    settings = balancing.Settings(max_attempts=4, timer_resolution_ns=NS_PER_MS)
+    balancer = Balancer(settings, 1)
+    loop = EventLoop()
+    dispatcher = dispatch.Dispatcher(settings, 1, loop, lambda *_: balancer)
+    listed = [ListedEndpoint(endpoint_id, 0, 0, READY, 0) for endpoint_id in (7, 8)]
+    dispatcher.update_endpoints(balancing.EndpointUpdateKind.CACHED, listed)
+    watch_attempt = outlier_detection.watch_attempt
+    watched: list[int] = []
+
+    def fail_once(*arguments: Any) -> None:
+        watched.append(1)
+        if len(watched) == (1 if fails_on == "the first attempt" else 2):
+            raise RuntimeError
+        watch_attempt(*arguments)
+
+    monkeypatch.setattr(outlier_detection, "watch_attempt", fail_once)
+    monkeypatch.setattr(retry_budget, "try_spend", lambda *_: True)
+
+    def new_request() -> dispatch.PendingRequest:
+        return dispatch.PendingRequest(loop, 0, loop.now() + TIME_LEFT_NS, False, lambda _: None)
+
+    def work() -> None:
+        pending = new_request()
+        decision = dispatcher.next_decision(pending)
+        if fails_on == "the retry":
+            assert isinstance(decision, dispatch.StartAttempt)
+            dispatcher.attempt_finished(pending, 0, AttemptOutcome.CONNECTION_REFUSED)
+            decision = dispatcher.next_decision(pending)
+        assert decision == dispatch.Rejected(0)
+        assert len(watched) == (1 if fails_on == "the first attempt" else 2)
+        assert not balancer.state.requests
+        assert not balancer.state.attempts
+        assert not any(endpoint.in_flight for endpoint in balancer.state.endpoints.values())
+        after = new_request()
+        assert isinstance(dispatcher.next_decision(after), dispatch.StartAttempt), "the next event is not sound"
+        assert dispatcher.attempt_finished(after, 0, AttemptOutcome.SERVED)
+
+    run_task(loop, dispatcher, work)
+
+
 @pytest.mark.parametrize(
     ("outcome", "decision"),
     [
@@ -147,6 +193,7 @@
         assert not pending.finished
         assert fixture.dispatcher.attempt_finished(pending, 0, AttemptOutcome.SERVED)
         assert fixture.dispatcher.next_decision(pending) == dispatch.Finished()
+        assert not fixture.dispatcher._usual_duration_ns, "a stream lasts as long as its client takes"
 
     fixture.run(work)
 
