--- a/tests/races/test_pool.py
+++ b/tests/races/test_pool.py
@@ -220,7 +220,7 @@
         peer = sidecar.server.accept()
         if failing == "claim_stream":
             peer.read_head()
-            peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
+            peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + bytes(70_000))  # it is claimed then
             assert peer.read_to_end() == b""
         sidecar.wait_until(lambda: bool(failed))
         assert sidecar.upstream.open_connections == (1 if failing == "may_proceed" else 0)
