Read requests that are pipelined while one is in progress, and keep their time

Cause: a request that came behind one in progress stayed unread, so nothing was known of its time; the one before it, at a silent endpoint, kept it until its own deadline.

A held response without a length fails at 1 MiB in place of being passed on.

--- a/lugtally/dispatch/dispatcher.py
+++ b/lugtally/dispatch/dispatcher.py
@@ -107,11 +107,18 @@
             reason = request.decision_ready.wait(request.deadline_ns + DEADLINE_MARGIN_NS)
             # Only where the loop had a turn: after a stall, attempts must first see that their time is over.
             if reason is not WakeReason.READY and not request.decisions and not request.is_streaming:
-                # Guards the one final answer against a fault: each attempt has timed out by now.
-                logger.error("no decision by the deadline of a request", event="dispatch.deadline_exceeded")
+                # Guards the one final answer against a fault: else each attempt has timed out by now.
+                if not request.deadline_was_shortened:
+                    logger.error("no decision by the deadline of a request", event="dispatch.deadline_exceeded")
                 self._give_up(request)
         return request.decisions.popleft()
 
+    def shorten_deadline(self, request: PendingRequest, deadline_ns: int) -> None:
+        """Answer a request by an earlier time than was thought."""
+        request.deadline_ns = deadline_ns
+        request.deadline_was_shortened = True
+        request.decision_ready.set()  # whoever waits for it waits for less
+
     def claim_stream(self, request: PendingRequest, number: int) -> bool:
         """Return whether an attempt with the head of a long response may pass it on; the first to ask may.
 
--- a/lugtally/dispatch/pending_request.py
+++ b/lugtally/dispatch/pending_request.py
@@ -33,6 +33,7 @@
         "cancel_attempt",
         "class_index",
         "deadline_ns",
+        "deadline_was_shortened",
         "decision_ready",
         "decisions",
         "finished",
@@ -58,6 +59,8 @@
         self.class_index = class_index
         self.tenant_index = tenant_index
         self.deadline_ns = deadline_ns
+        self.deadline_was_shortened = False
+        """Whether it had more time when its attempts began, which may go on for longer then."""
         self.is_retry = is_retry
         self.cancel_attempt = cancel_attempt
         self.decisions: deque[Decision] = deque()
--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -6,6 +6,7 @@
 import struct
 from collections import deque
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -16,6 +17,8 @@
 
 RECEIVE_BYTES = 16 * 1024
 """Read at a time; small, as each connection may hold that much that it has not parsed."""
+MAX_REQUESTS_AHEAD = 32
+"""How many requests of a connection may have been read while one is in progress, before no more are read."""
 CLIENT_IDLE_TIMEOUT_NS = 2_050 * NS_PER_MS
 """How long a connection may have no request.
 
@@ -52,6 +55,15 @@
         super().__init__(408, "the request did not become whole in time")
 
 
+@dataclass(slots=True, frozen=True)
+class ReceivedRequest:
+    """A request that has been read whole."""
+
+    message: Message
+    arrived_ns: int
+    """No earlier than this its last byte has come: its time counts from here."""
+
+
 class DownstreamConnection:
     """One client socket and its parser."""
 
@@ -60,6 +72,7 @@
         "_evicted",
         "_loop",
         "_next_requests",
+        "_received_after_ns",
         "_shutdown",
         "_write_stalled",
         "arrived_ns",
@@ -91,13 +104,15 @@
         self._shutdown = shutdown or ShutdownState()
         self._drained_ns = loop.now() if connected_after_ns is None else connected_after_ns
         """The last time at which no byte was known to be unread."""
+        self._received_after_ns = self._drained_ns
+        """No earlier than this the bytes that were read last have come."""
         self.arrived_ns = self._drained_ns
-        """No earlier than this the last byte of the request read last has come: its time counts from here."""
+        """No earlier than this the last byte of the present request has come: its time counts from here."""
         self.sock = sock
         self.fd = sock.fileno()
         self.parser = MessageParser(responses=False)
-        self._next_requests: deque[Message | ProtocolError] = deque()
-        """The requests, or a fault in the place of the last one, that were read together with the one before."""
+        self._next_requests: deque[ReceivedRequest | ProtocolError] = deque()
+        """The requests, or a fault in the place of the last one, that were read with or behind the one before."""
         self._write_stalled = False
         self.client_at_fault = False
         """Whether a request of it was at fault: the connection ends as soon as all that was read is answered."""
@@ -136,15 +151,15 @@
             self._loop.sleep(0)  # a request that came together with the last one lets others go first
         if self.had_request:
             self.since_ns = self._loop.now()
-        message = self._take_next_request()
-        self.idle = message is None and self.parser.is_idle
+        request = self._take_next_request()
+        self.idle = request is None and self.parser.is_idle
         # Just after a response, most likely nothing is there yet: wait first, and save a call.  Not after a write that
         # took long, as nobody has watched for bytes meanwhile.
         wait_first = self.idle and self.had_request and not self._write_stalled
         self._write_stalled = False
         continue_sent = False
-        self.is_reading = message is None
-        while message is None:
+        self.is_reading = request is None
+        while request is None:
             continue_sent = continue_sent or self._send_continue()
             data = None if wait_first and not self.close_if_idle else self._receive()
             wait_first = False
@@ -158,12 +173,12 @@
             if not data:
                 return None
             self._note_bytes()
-            message = self.parser.feed(data)
+            request = self._parse(data)
         self.had_request, self.idle, self.is_reading = True, False, False
         self.close_if_idle = self.close_if_incomplete = False  # a request has come
-        if not self._next_requests:
-            self._parse_next_requests()
-        return message
+        self.arrived_ns = request.arrived_ns
+        self._parse_next_requests(b"")
+        return request.message
 
     @property
     def has_request(self) -> bool:
@@ -175,11 +190,32 @@
         """Whether a further request has been read, or a part of it."""
         return self.has_request or not self.parser.is_idle
 
-    def next_requests(self) -> Iterator[Message]:
+    @property
+    def may_read_ahead(self) -> bool:
+        """Whether more may be read while a request is in progress."""
+        if not self._next_requests:
+            return True
+        return len(self._next_requests) < MAX_REQUESTS_AHEAD and not isinstance(self._next_requests[-1], ProtocolError)
+
+    def read_ahead(self) -> bool:
+        """Read what has come while a request is in progress; return whether that was all of it.
+
+        Whatever is read must be answered; but of a request that is not read it is not known when its time is over.
+        """
+        try:
+            data = self._receive()
+        except OSError:
+            return False  # the client's end, which the loop reports
+        if not data:
+            return data is None
+        self._parse_next_requests(data)
+        return len(data) < RECEIVE_BYTES
+
+    def next_requests(self) -> Iterator[ReceivedRequest]:
         """Iterate over the further requests that have been read whole, as far as they can be told apart."""
-        return (request for request in self._next_requests if isinstance(request, Message))
+        return (request for request in self._next_requests if isinstance(request, ReceivedRequest))
 
-    def _take_next_request(self) -> Message | None:
+    def _take_next_request(self) -> ReceivedRequest | None:
         if not self._next_requests:
             return None
         request = self._next_requests.popleft()
@@ -187,11 +223,18 @@
             raise request
         return request
 
-    def _parse_next_requests(self) -> None:
-        """Look for requests that were read together with the last one."""
+    def _parse(self, data: bytes) -> ReceivedRequest | None:
+        message = self.parser.feed(data)
+        return None if message is None else ReceivedRequest(message, self._received_after_ns)
+
+    def _parse_next_requests(self, data: bytes) -> None:
+        """Look for requests in what has been read behind the present one."""
+        if self._next_requests and isinstance(self._next_requests[-1], ProtocolError):
+            return
         try:
-            while not self.parser.is_idle and (request := self.parser.feed(b"")) is not None:
+            while (data or not self.parser.is_idle) and (request := self._parse(data)) is not None:
                 self._next_requests.append(request)
+                data = b""
         except ProtocolError as error:
             self._next_requests.append(error)
 
@@ -211,7 +254,7 @@
         except BlockingIOError:
             self._drained_ns = called_ns
             return None
-        self.arrived_ns = self._drained_ns
+        self._received_after_ns = self._drained_ns
         if len(data) < RECEIVE_BYTES:
             self._drained_ns = called_ns
         return data
@@ -251,7 +294,7 @@
             self.idle = False
             if self.had_request:  # the first request's time began with the connection
                 self.since_ns = self._loop.now()
-        elif self.arrived_ns > self.since_ns + REQUEST_TIMEOUT_NS:
+        elif self._received_after_ns > self.since_ns + REQUEST_TIMEOUT_NS:
             raise RequestTimeoutError
 
     # ------------------------------------------------------------ eviction
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -38,15 +38,16 @@
         "_client_closed",
         "_closes_after",
         "_connection",
+        "_deadline_ns",
         "_forwarded",
         "_message",
-        "_next_request_came",
         "_request",
         "_served",
         "_services",
         "_stream",
         "_tasks",
         "_watched_since_ns",
+        "_watches_input",
         "_writing_began",
     )
 
@@ -56,27 +57,32 @@
         connection: DownstreamConnection,
         message: Message,
         class_index: int,
-        deadline_ns: int,
+        deadline_ns: Callable[[], int],
         tenant_index: int,
         closes_after: Callable[[], bool],
     ) -> None:
-        """``closes_after`` says whether the connection ends with the response to this request."""
+        """Begin an exchange.
+
+        ``deadline_ns`` says by when the response must be there, which may be earlier as further requests are read;
+        ``closes_after`` whether the connection ends with it.
+        """
         self._services = services
         self._connection = connection
         self._message = message
+        self._deadline_ns = deadline_ns
         self._closes_after = closes_after
         self._stream: ResponseStream | None = None  # the response that is passed on as it comes
         self._forwarded = ForwardedRequest(message)
         self._tasks: dict[int, Task] = {}  # by the attempt's number
         self._served: Message | None = None  # the whole response that is the answer
         self._client_closed = False
-        self._next_request_came = False  # bytes of it, which are not read yet
         self._watched_since_ns = 0
+        self._watches_input = False  # whether the loop reports the next bytes of the client
         self._writing_began = False  # bytes of the request may have gone to an endpoint
         self._request = PendingRequest(
             services.loop,
             class_index,
-            deadline_ns,
+            deadline_ns(),
             message.header_map.get("x-repeat") == "1",
             self._cancel_attempt,
             tenant_index,
@@ -100,21 +106,37 @@
         return self._final_response(decision)
 
     def _watch_client(self) -> None:
-        """Notice the end of the client, and when the first bytes of its next request come, which are not read yet."""
+        """Notice the end of the client, and when the next bytes of it come."""
         self._watched_since_ns = self._services.loop.now()
-        self._services.loop.register(self._connection.fd, PEER_CLOSED | READABLE, self._note_readable)
+        self._watches_input = True
+        self._services.loop.register(self._connection.fd, PEER_CLOSED | READABLE, self._handle_input)
 
-    def _note_readable(self, poll_events: int) -> None:
+    def _handle_input(self, poll_events: int) -> None:
         self._connection.note_readable(self._watched_since_ns)
-        self._next_request_came = True
         if poll_events & ~READABLE:
+            self._watches_input = False
             self._client_disconnected()
-        else:
+        elif not self._read_ahead():
+            self._watches_input = False
             self._services.loop.register(self._connection.fd, PEER_CLOSED, lambda _: self._client_disconnected())
 
+    def _read_ahead(self) -> bool:
+        """Read further requests, unless the connection ends with this one; return whether to go on watching for more.
+
+        They cannot be answered before this one, so it has no more time than they have.
+        """
+        connection = self._connection
+        if self._stream is not None or not connection.may_read_ahead or self._closes_after():
+            return False
+        has_read_all = connection.read_ahead()
+        deadline_ns = self._deadline_ns()
+        if deadline_ns < self._request.deadline_ns:
+            self._services.dispatcher.shorten_deadline(self._request, deadline_ns)
+        return has_read_all
+
     def _stop_watching_client(self) -> None:
         self._services.loop.unregister(self._connection.fd)
-        if not self._next_request_came and self._stream is None:  # a write may have ended the watch
+        if self._watches_input and self._stream is None:  # a write may have ended the watch
             self._connection.note_unreadable(self._watched_since_ns)
 
     def _response_to_disconnected(self) -> Response:
--- a/lugtally/downstream/response_stream.py
+++ b/lugtally/downstream/response_stream.py
@@ -7,7 +7,7 @@
 from lugtally.http1 import MAX_BODY_BYTES, Message, serialize_streamed_head
 
 MAX_HELD_BYTES = 16 * MAX_BODY_BYTES
-"""A longer response is passed on although requests wait behind it: memory is short."""
+"""A longer response is passed on although requests wait behind it, as memory is short; one without a length fails."""
 _LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -29,7 +29,8 @@
         hold_until_ns: int | None,
     ) -> None:
         """``closes``: whether the connection ends with it.  ``hold_until_ns``: until when it may be held back."""
-        has_framing = "transfer-encoding" in head.header_map or "content-length" in head.header_map
+        self._has_length = "content-length" in head.header_map
+        has_framing = self._has_length or "transfer-encoding" in head.header_map
         self._chunked = not has_framing and request.minor_version > 0
         self._connection = connection
         self._held = bytearray(serialize_streamed_head(head, forwarded_headers(head), self._chunked, closes))
@@ -48,8 +49,11 @@
         self._held += data
         if self._chunked and data:
             self._held += b"\r\n"
-        if self.hold_until_ns is not None and len(self._held) <= MAX_HELD_BYTES:
-            return True
+        if self.hold_until_ns is not None:
+            if len(self._held) <= MAX_HELD_BYTES:
+                return True
+            if not self._has_length:
+                return False  # nothing says that it ever ends
         self.hold_until_ns = None
         return self._flush()
 
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -206,13 +206,12 @@
         self._ids_in_progress.add(correlation_id)
         try:
             tenant_index = self._tenant_indexes.get(message.header_map.get("x-account", ""), UNKNOWN_TENANT)
-            deadline_ns = self._deadline_ns(connection, validated)
             exchange = Exchange(
                 self._services,
                 connection,
                 message,
                 validated.class_index,
-                deadline_ns,
+                lambda: self._deadline_ns(connection, validated),
                 tenant_index,
                 lambda: self._closes_after(connection, message),
             )
@@ -227,7 +226,7 @@
         """
         deadline_ns = connection.arrived_ns + validated.time_left_ns
         for next_request in connection.next_requests():
-            if (time_left_ns := self._validator.time_left_ns(next_request)) is not None:
-                deadline_ns = min(deadline_ns, connection.arrived_ns + time_left_ns + PIPELINE_SLACK_NS)
+            if (time_left_ns := self._validator.time_left_ns(next_request.message)) is not None:
+                deadline_ns = min(deadline_ns, next_request.arrived_ns + time_left_ns + PIPELINE_SLACK_NS)
         state = self._shutdown.state
         return min(deadline_ns, state.last_response_ns) if state.closing else deadline_ns
