--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -4,21 +4,18 @@
 
 import socket
 import struct
-from collections import deque
-from collections.abc import Iterator
-from dataclasses import dataclass
 
 from loguru import logger
 
+from lugtally.downstream.arrival import ArrivalBound
+from lugtally.downstream.request_queue import RequestQueue
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.eventloop import PEER_CLOSED, READABLE, WRITABLE, Event, EventLoop, WakeReason
-from lugtally.http1 import Message, MessageParser, ProtocolError
+from lugtally.http1 import Message, ProtocolError
 from lugtally.units import NS_PER_MS
 
 RECEIVE_BYTES = 16 * 1024
 """Read at a time; small, as each connection may hold that much that it has not parsed."""
-MAX_REQUESTS_AHEAD = 32
-"""How many requests of a connection may have been read while one is in progress, before no more are read."""
 CLIENT_IDLE_TIMEOUT_NS = 2_050 * NS_PER_MS
 """How long a connection may have no request.
 
@@ -55,26 +52,15 @@
         super().__init__(408, "the request did not become whole in time")
 
 
-@dataclass(slots=True, frozen=True)
-class ReceivedRequest:
-    """A request that has been read whole."""
-
-    message: Message
-    arrived_ns: int
-    """No earlier than this its last byte has come: its time counts from here."""
-
-
 class DownstreamConnection:
     """One client socket and its parser."""
 
     __slots__ = (
-        "_drained_ns",
         "_evicted",
         "_loop",
-        "_next_requests",
-        "_received_after_ns",
         "_shutdown",
         "_write_stalled",
+        "arrival",
         "arrived_ns",
         "client_at_fault",
         "client_closed",
@@ -85,7 +71,7 @@
         "idle",
         "is_lingering",
         "is_reading",
-        "parser",
+        "requests",
         "response_truncated",
         "since_ns",
         "sock",
@@ -102,17 +88,13 @@
         """``connected_after_ns`` is a time before which the client had not connected: now, if it is not given."""
         self._loop = loop
         self._shutdown = shutdown or ShutdownState()
-        self._drained_ns = loop.now() if connected_after_ns is None else connected_after_ns
-        """The last time at which no byte was known to be unread."""
-        self._received_after_ns = self._drained_ns
-        """No earlier than this the bytes that were read last have come."""
-        self.arrived_ns = self._drained_ns
+        self.arrival = ArrivalBound(loop, loop.now() if connected_after_ns is None else connected_after_ns)
+        self.arrived_ns = self.arrival.received_after_ns
         """No earlier than this the last byte of the present request has come: its time counts from here."""
         self.sock = sock
         self.fd = sock.fileno()
-        self.parser = MessageParser(responses=False)
-        self._next_requests: deque[ReceivedRequest | ProtocolError] = deque()
-        """The requests, or a fault in the place of the last one, that were read with or behind the one before."""
+        self.requests = RequestQueue()
+        """Those behind the present one, and what has been read of the next."""
         self._write_stalled = False
         self.client_at_fault = False
         """Whether a request of it was at fault: the connection ends as soon as all that was read is answered."""
@@ -147,12 +129,12 @@
             ProtocolError: the client sent no sound request, or not all of it in time.
             OSError: the connection broke.
         """
-        if self.has_input:
+        if self.requests.has_input:
             self._loop.sleep(0)  # a request that came together with the last one lets others go first
         if self.had_request:
             self.since_ns = self._loop.now()
-        request = self._take_next_request()
-        self.idle = request is None and self.parser.is_idle
+        request = self.requests.take()
+        self.idle = not self.requests.has_input and request is None
         # Just after a response, most likely nothing is there yet: wait first, and save a call.  Not after a write that
         # took long, as nobody has watched for bytes meanwhile.
         wait_first = self.idle and self.had_request and not self._write_stalled
@@ -173,30 +155,13 @@
             if not data:
                 return None
             self._note_bytes()
-            request = self._parse(data)
+            self.requests.feed(data, self.arrival.received_after_ns)
+            request = self.requests.take()
         self.had_request, self.idle, self.is_reading = True, False, False
         self.close_if_idle = self.close_if_incomplete = False  # a request has come
         self.arrived_ns = request.arrived_ns
-        self._parse_next_requests(b"")
         return request.message
 
-    @property
-    def has_request(self) -> bool:
-        """Whether a further request has been read whole: it must be answered."""
-        return bool(self._next_requests)
-
-    @property
-    def has_input(self) -> bool:
-        """Whether a further request has been read, or a part of it."""
-        return self.has_request or not self.parser.is_idle
-
-    @property
-    def may_read_ahead(self) -> bool:
-        """Whether more may be read while a request is in progress."""
-        if not self._next_requests:
-            return True
-        return len(self._next_requests) < MAX_REQUESTS_AHEAD and not isinstance(self._next_requests[-1], ProtocolError)
-
     def read_ahead(self) -> bool:
         """Read what has come while a request is in progress; return whether that was all of it.
 
@@ -208,39 +173,12 @@
             return False  # the client's end, which the loop reports
         if not data:
             return data is None
-        self._parse_next_requests(data)
+        self.requests.feed(data, self.arrival.received_after_ns)
         return len(data) < RECEIVE_BYTES
 
-    def next_requests(self) -> Iterator[ReceivedRequest]:
-        """Iterate over the further requests that have been read whole, as far as they can be told apart."""
-        return (request for request in self._next_requests if isinstance(request, ReceivedRequest))
-
-    def _take_next_request(self) -> ReceivedRequest | None:
-        if not self._next_requests:
-            return None
-        request = self._next_requests.popleft()
-        if isinstance(request, ProtocolError):
-            raise request
-        return request
-
-    def _parse(self, data: bytes) -> ReceivedRequest | None:
-        message = self.parser.feed(data)
-        return None if message is None else ReceivedRequest(message, self._received_after_ns)
-
-    def _parse_next_requests(self, data: bytes) -> None:
-        """Look for requests in what has been read behind the present one."""
-        if self._next_requests and isinstance(self._next_requests[-1], ProtocolError):
-            return
-        try:
-            while (data or not self.parser.is_idle) and (request := self._parse(data)) is not None:
-                self._next_requests.append(request)
-                data = b""
-        except ProtocolError as error:
-            self._next_requests.append(error)
-
     def _send_continue(self) -> bool:
         """Tell a client that waits for it to send the body; return whether it has been told."""
-        head = self.parser.pending_head
+        head = self.requests.parser.pending_head
         if head is None or not head.expects_continue:
             return False
         self.write(_CONTINUE)
@@ -252,27 +190,16 @@
         try:
             data = self.sock.recv(RECEIVE_BYTES)
         except BlockingIOError:
-            self._drained_ns = called_ns
+            self.arrival.note_empty(called_ns)
             return None
-        self._received_after_ns = self._drained_ns
-        if len(data) < RECEIVE_BYTES:
-            self._drained_ns = called_ns
+        self.arrival.note_received(called_ns, is_drained=len(data) < RECEIVE_BYTES)
         return data
 
-    def note_readable(self, watched_since_ns: int) -> None:
-        """Take it that the loop has reported bytes, for which it has been watching since then."""
-        self._drained_ns = max(self._drained_ns, self._loop.not_ready_before_ns(watched_since_ns))
-
-    def note_unreadable(self, watched_since_ns: int) -> None:
-        """Take it that the loop has reported no bytes, for which it has been watching since then."""
-        if watched_since_ns <= self._loop.last_poll_ns:
-            self._drained_ns = max(self._drained_ns, self._loop.last_poll_ns)
-
     def _wait_for_bytes(self) -> None:
         watched_since_ns = self._loop.now()
 
         def note_bytes(_: int) -> None:
-            self.note_readable(watched_since_ns)
+            self.arrival.note_readable(watched_since_ns)
             self.wake_up.set()
 
         self._loop.register(self.fd, READABLE, note_bytes)
@@ -294,7 +221,7 @@
             self.idle = False
             if self.had_request:  # the first request's time began with the connection
                 self.since_ns = self._loop.now()
-        elif self._received_after_ns > self.since_ns + REQUEST_TIMEOUT_NS:
+        elif self.arrival.received_after_ns > self.since_ns + REQUEST_TIMEOUT_NS:
             raise RequestTimeoutError
 
     # ------------------------------------------------------------ eviction
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -112,7 +112,7 @@
         self._services.loop.register(self._connection.fd, PEER_CLOSED | READABLE, self._handle_input)
 
     def _handle_input(self, poll_events: int) -> None:
-        self._connection.note_readable(self._watched_since_ns)
+        self._connection.arrival.note_readable(self._watched_since_ns)
         if poll_events & ~READABLE:
             self._watches_input = False
             self._client_disconnected()
@@ -126,7 +126,7 @@
         They cannot be answered before this one, so it has no more time than they have.
         """
         connection = self._connection
-        if self._stream is not None or not connection.may_read_ahead or self._closes_after():
+        if self._stream is not None or connection.requests.is_full or self._closes_after():
             return False
         has_read_all = connection.read_ahead()
         deadline_ns = self._deadline_ns()
@@ -137,7 +137,7 @@
     def _stop_watching_client(self) -> None:
         self._services.loop.unregister(self._connection.fd)
         if self._watches_input and self._stream is None:  # a write may have ended the watch
-            self._connection.note_unreadable(self._watched_since_ns)
+            self._connection.arrival.note_unreadable(self._watched_since_ns)
 
     def _response_to_disconnected(self) -> Response:
         """Return the response to a client that ended its sending: it may have left, or still read."""
@@ -217,7 +217,7 @@
     def _claim_stream(self, attempt: StartAttempt, head: Message) -> ResponseSink | None:
         """Return where an attempt may pass on a long response as it comes; ``None`` where it may not."""
         connection = self._connection
-        hold_until_ns = self._request.deadline_ns if connection.has_request else None
+        hold_until_ns = self._request.deadline_ns if connection.requests.has_request else None
         # Before the claim: a fault here costs the attempt alone.
         stream = ResponseStream(
             connection, self._message, head, closes=self._closes_after(), hold_until_ns=hold_until_ns
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -166,11 +166,11 @@
         """
         if not message.keep_alive:
             return True
-        if connection.has_request:
+        if connection.requests.has_request:
             return False
         if connection.client_closed or connection.client_at_fault:
             return True
-        return not (connection.has_input or self._may_keep_alive())
+        return not (connection.requests.has_input or self._may_keep_alive())
 
     def _may_keep_alive(self) -> bool:
         """Return whether a connection may stay open after its response.
@@ -225,7 +225,7 @@
         Requests that were read behind it cannot be answered before it, so it has no more time than they have.
         """
         deadline_ns = connection.arrived_ns + validated.time_left_ns
-        for next_request in connection.next_requests():
+        for next_request in connection.requests:
             if (time_left_ns := self._validator.time_left_ns(next_request.message)) is not None:
                 deadline_ns = min(deadline_ns, next_request.arrived_ns + time_left_ns + PIPELINE_SLACK_NS)
         state = self._shutdown.state
