Fault injection: floods of half requests; timelines name the faults of their own sidecar

Every other flood sends half a request on each connection, as these hold their places longest. A client whose patience is over sends no more on that connection. The requests sent well before the close of a kept connection are shown, as whether they were read cannot be seen from outside.

--- a/tests/fault_injection/checker.py
+++ b/tests/fault_injection/checker.py
@@ -88,6 +88,8 @@
     refused_or_failed: int = 0
     left: int = 0
     not_judged: Counter[NotJudged] = field(default_factory=Counter)
+    pending_at_close: list[str] = field(default_factory=list)
+    """The ids behind ``NotJudged.PENDING_AT_CLOSE``, for a reader to look at."""
 
     def counts(self) -> dict[Rule, int]:
         """Return the number of violations of each rule."""
@@ -165,6 +167,8 @@
             self._verdict.left += 1
         elif (reason := self._excuse(request, answers)) is not None:
             self._verdict.not_judged[reason] += 1
+            if reason is NotJudged.PENDING_AT_CLOSE:
+                self._verdict.pending_at_close.append(request.request_id)
         else:
             self._add(Rule.NO_ANSWER, request.request_id, self._missing_answer_detail(request, answers))
 
--- a/tests/fault_injection/client.py
+++ b/tests/fault_injection/client.py
@@ -143,8 +143,7 @@
                 await connection.wait_for_answers(self._random.uniform(0, MAX_ABANDON_DELAY_S))
                 connection.abandon(reset=self._random.random() < 0.5)
                 return
-            await connection.wait_for_answers()
-            if behaviour is ClientBehaviour.BAD_CLIENT:
+            if not await connection.wait_for_answers() or behaviour is ClientBehaviour.BAD_CLIENT:
                 return
             await asyncio.sleep(self._random.uniform(0, MAX_THINK_S))
 
@@ -261,18 +260,19 @@
                 self._sock.close()
         return True
 
-    async def wait_for_answers(self, limit_s: float | None = None) -> None:
-        """Wait until every request sent has its answer, the connection has ended, or patience or the limit has."""
+    async def wait_for_answers(self, limit_s: float | None = None) -> bool:
+        """Wait until every request sent has its answer; false where the connection, patience or the limit is over."""
         limit_ns = None if limit_s is None else now_ns() + int(limit_s * NS_PER_S)
         while self._unanswered and self.is_open:
             deadlines = [request.deadline_ns for request in self._unanswered if request.last_byte_ns is not None]
             patience_ns = max(deadlines, default=now_ns()) + PATIENCE_AFTER_DEADLINE_NS
             left_ns = (patience_ns if limit_ns is None else limit_ns) - now_ns()
             if left_ns <= 0:
-                return
+                return False
             self._answered.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._answered.wait(), left_ns / NS_PER_S)
+        return not self._unanswered
 
     def abandon(self, reset: bool) -> None:
         """Leave while requests may be unanswered."""
--- a/tests/fault_injection/injector.py
+++ b/tests/fault_injection/injector.py
@@ -23,6 +23,7 @@
 RELOAD_GAP_S = 0.15
 STARVE_PERIOD_S = 0.1
 STARVE_STOPPED_S = 0.06
+HALF_REQUEST = b"GET /campaign-read HTTP/1.1\r\nHost: x\r\n"
 GONE_AFTER_DRAIN_S = 0.2
 
 
@@ -70,8 +71,9 @@
     async def _inject(self, fault: ScheduledFault) -> None:
         await self._handlers[fault.fault](fault)
 
-    def _note(self, text: str) -> None:
-        self._records.faults.append(InjectedFault(now_ns(), text))
+    def _note(self, text: str, sidecar: SidecarProcess | None = None) -> None:
+        number = None if sidecar is None else sidecar.number
+        self._records.faults.append(InjectedFault(now_ns(), text, number))
 
     # ------------------------------------------------------------ sidecars
 
@@ -91,9 +93,9 @@
     async def _stop_sidecar(self, fault: ScheduledFault) -> None:
         with self._claim_sidecar(fault) as sidecar:
             if sidecar is not None:
-                self._note(f"SIGSTOP sidecar {sidecar.number} for {fault.duration_s} s")
+                self._note(f"SIGSTOP sidecar {sidecar.number} for {fault.duration_s} s", sidecar)
                 await self._pause(sidecar, fault.duration_s)
-                self._note(f"SIGCONT sidecar {sidecar.number}")
+                self._note(f"SIGCONT sidecar {sidecar.number}", sidecar)
 
     async def _pause(self, sidecar: SidecarProcess, duration_s: float) -> None:
         started_ns = now_ns()
@@ -110,7 +112,7 @@
         with self._claim_sidecar(fault) as sidecar:
             if sidecar is None:
                 return
-            self._note(f"starve sidecar {sidecar.number} for {fault.duration_s} s")
+            self._note(f"starve sidecar {sidecar.number} for {fault.duration_s} s", sidecar)
             for _ in range(int(fault.duration_s / STARVE_PERIOD_S)):
                 await self._pause(sidecar, STARVE_STOPPED_S)
                 await asyncio.sleep(STARVE_PERIOD_S - STARVE_STOPPED_S)
@@ -119,23 +121,23 @@
         with self._claim_sidecar(fault) as sidecar:
             if sidecar is None:
                 return
-            self._note(f"SIGTERM sidecar {sidecar.number}")
+            self._note(f"SIGTERM sidecar {sidecar.number}", sidecar)
             sidecar.send_signal(signal.SIGTERM)
             ended = await sidecar.wait_for_exit(TERMINATION_GRACE_S)
-            self._note(f"sidecar {sidecar.number} {'has ended' if ended else 'goes on: SIGKILL'}")
+            self._note(f"sidecar {sidecar.number} {'has ended' if ended else 'goes on: SIGKILL'}", sidecar)
             sidecar.kill()
             await sidecar.start()
-            self._note(f"sidecar {sidecar.number} is back")
+            self._note(f"sidecar {sidecar.number} is back", sidecar)
 
     async def _kill_sidecar(self, fault: ScheduledFault) -> None:
         with self._claim_sidecar(fault) as sidecar:
             if sidecar is None:
                 return
-            self._note(f"SIGKILL sidecar {sidecar.number}")
+            self._note(f"SIGKILL sidecar {sidecar.number}", sidecar)
             self._records.kills.append(SidecarKill(sidecar.number, now_ns()))
             sidecar.kill()
             await sidecar.start()
-            self._note(f"sidecar {sidecar.number} is back")
+            self._note(f"sidecar {sidecar.number} is back", sidecar)
 
     async def _reload_sidecars(self, fault: ScheduledFault) -> None:
         """Move the sidecars between the discovery services several times, with a drain between."""
@@ -148,25 +150,27 @@
             await asyncio.sleep(RELOAD_GAP_S)
 
     async def _flood_sidecar(self, fault: ScheduledFault) -> None:
-        """Open connections that say nothing, or half a request, and hold them."""
+        """Open connections that say nothing, or half a request each, and hold them."""
         sidecar = self._site.sidecars[fault.target % len(self._site.sidecars)]
-        self._note(f"{fault.strength} idle connections to sidecar {sidecar.number} for {fault.duration_s} s")
-        sockets = []
-        for number in range(fault.strength):
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.connect_ex(sidecar.address)
-            sockets.append(sock)
-            if number % 10 == 0:
-                await asyncio.sleep(0)
-        await asyncio.sleep(fault.duration_s / 2)
-        for sock in sockets[: len(sockets) // 4]:
-            with contextlib.suppress(OSError):
-                sock.send(b"GET /campaign-read HTTP/1.1\r\nHost: x\r\n")
-        await asyncio.sleep(fault.duration_s / 2)
+        says_half = fault.strength % 2 == 1
+        what = "connections with half a request" if says_half else "idle connections"
+        self._note(f"{fault.strength} {what} to sidecar {sidecar.number} for {fault.duration_s} s", sidecar)
+        sockets = [await self._open_flooding(sidecar, says_half) for _ in range(fault.strength)]
+        await asyncio.sleep(fault.duration_s)
         for sock in sockets:
             sock.close()
 
+    @staticmethod
+    async def _open_flooding(sidecar: SidecarProcess, says_half: bool) -> socket.socket:
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(sidecar.address)
+        if says_half:
+            await asyncio.sleep(0)
+            with contextlib.suppress(OSError):
+                sock.send(HALF_REQUEST)
+        return sock
+
     # ------------------------------------------------------------ endpoints
 
     @contextlib.contextmanager
--- a/tests/fault_injection/records.py
+++ b/tests/fault_injection/records.py
@@ -138,6 +138,8 @@
 
     at_ns: int
     text: str
+    sidecar: int | None = None
+    """The one that it befell; ``None`` where it concerns them all."""
 
 
 @dataclass(slots=True)
--- a/tests/fault_injection/report.py
+++ b/tests/fault_injection/report.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from tests.fault_injection.checker import Verdict, Violation
+from tests.fault_injection.checker import NotJudged, Verdict, Violation
 from tests.fault_injection.records import RunRecords, SentRequest
 from tests.fault_injection.scenario import RunResult, Scenario
 
@@ -40,6 +40,9 @@
         shown[_shape(violation)] += 1
         if shown[_shape(violation)] <= MAX_TIMELINES_PER_SHAPE:
             yield from timeline(violation, result)
+    for request_id in verdict.pending_at_close[:MAX_TIMELINES_PER_SHAPE]:
+        yield f"not judged {request_id}: {NotJudged.PENDING_AT_CLOSE.value}"
+        yield from _timeline(request_id, result)
 
 
 def _shape(violation: Violation) -> str:
@@ -55,7 +58,11 @@
 def timeline(violation: Violation, result: RunResult) -> Iterator[str]:
     """Yield what happened to one request, in milliseconds from the start of the run."""
     yield f"{violation.rule.name.lower()} {violation.request_id}: {violation.detail}"
-    request = result.records.requests.get(violation.request_id)
+    yield from _timeline(violation.request_id, result)
+
+
+def _timeline(request_id: str, result: RunResult) -> Iterator[str]:
+    request = result.records.requests.get(request_id)
     if request is None:
         return
     for at_ns, text in sorted(_events(request, result.records)):
@@ -109,5 +116,7 @@
     if request.last_byte_ns is None:
         return
     for fault in records.faults:
+        if fault.sidecar not in (None, request.sidecar):
+            continue
         if -NEARBY_FAULTS_NS <= fault.at_ns - request.last_byte_ns <= request.time_left_ns + NEARBY_FAULTS_NS:
             yield fault.at_ns, f"fault: {fault.text}"
