A flood of half requests holds its places for half a second each

Cause: of more half requests than places each kept one for 1 s and then 0.3 s behind its 408, row after row; a whole request in the backlog waited for two rows.

Change: a half request gives way after 0.5 s, and is closed at once behind its 408, as another waits for the place.

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -38,7 +38,7 @@
 """How long the first byte on a new connection may take even where others wait for its place."""
 MIN_LINGER_BEFORE_EVICTION_NS = 20 * NS_PER_MS
 """How long a client has to read its last response and to end even where others wait for its connection's place."""
-MIN_REQUEST_TIME_BEFORE_EVICTION_NS = 1_000 * NS_PER_MS
+MIN_REQUEST_TIME_BEFORE_EVICTION_NS = 500 * NS_PER_MS
 """How long a request may take to become whole even where others wait for its connection's place."""
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # as SO_LINGER: the close resets the connection
@@ -158,7 +158,7 @@
             self.requests.feed(data, self.arrival.received_after_ns)
             request = self.requests.take()
         self.had_request, self.idle, self.is_reading = True, False, False
-        self.close_if_idle = self.close_if_incomplete = False  # a request has come
+        self.close_if_idle = self.close_if_incomplete = self._evicted = False  # a request has come
         self.arrived_ns = request.arrived_ns
         return request.message
 
@@ -237,7 +237,7 @@
 
     def evict(self) -> None:
         """Have the connection closed, but for a request that is whole by now, or a response that a reset would cut."""
-        self._evicted = self.is_lingering
+        self._evicted = True
         self.close_if_idle = self.idle
         self.close_if_incomplete = self.is_reading and not self.idle
         self.wake_up.set()
@@ -300,6 +300,8 @@
         it may still be writing, and a close over unread bytes would reset its connection.  One whose fault is that
         it was slow has had its time.
         """
+        if self._evicted:
+            return  # another waits for the place
         silence_ns = SHORT_LINGER_NS if was_slow else LINGER_SILENCE_TIMEOUT_NS
         linger_ns = SHORT_LINGER_NS if was_slow else MAX_LINGER_NS
         deadline_ns = self._client_deadline_ns(self._loop.now() + linger_ns)
--- a/tests/races/test_connection_limit.py
+++ b/tests/races/test_connection_limit.py
@@ -300,3 +300,26 @@
             client.sock.close()
 
     sidecar.run(script)
+
+
+def test_a_flood_of_half_requests_holds_a_whole_one_up_for_no_longer_than_its_time() -> None:
+    """Two rows of them took the places one after the other, each for 1 s and 0.3 s behind its 408."""
+    sidecar = Sidecar(max_clients=8)
+
+    def script() -> None:
+        address = sidecar.listen_with_one_endpoint()
+        respond_to_all(sidecar)
+        halves = connect(sidecar, address, 16)
+        for client in halves:
+            client.send(HALF_A_REQUEST)
+        sidecar.wait_until(lambda: sidecar.downstream.open == 8)
+        began_ns = sidecar.loop.now()
+        late = sidecar.client(address)
+        late.send(request("read").replace(b"X-Time-Left: 5.000", b"X-Time-Left: 2.000"))
+        assert late.read().startswith(b"HTTP/1.1 200")
+        waited_ns = sidecar.loop.now() - began_ns
+        assert waited_ns < 2 * NS_PER_S, f"it was answered after {waited_ns / NS_PER_MS:.0f} ms"
+        for client in halves:
+            client.sock.close()
+
+    sidecar.run(script)
