Read ahead also where many connections are open

Change: only draining, a fault of the client and its Connection: close keep requests from being read ahead.

The tests' reads of several responses fail where the connection ends, in place of looping.

--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -40,6 +40,7 @@
         "_connection",
         "_deadline_ns",
         "_forwarded",
+        "_may_read_ahead",
         "_message",
         "_request",
         "_served",
@@ -60,17 +61,19 @@
         deadline_ns: Callable[[], int],
         tenant_index: int,
         closes_after: Callable[[], bool],
+        may_read_ahead: Callable[[], bool],
     ) -> None:
         """Begin an exchange.
 
         ``deadline_ns`` says by when the response must be there, which may be earlier as further requests are read;
-        ``closes_after`` whether the connection ends with it.
+        ``closes_after`` whether the connection ends with it; ``may_read_ahead`` whether further requests are welcome.
         """
         self._services = services
         self._connection = connection
         self._message = message
         self._deadline_ns = deadline_ns
         self._closes_after = closes_after
+        self._may_read_ahead = may_read_ahead
         self._stream: ResponseStream | None = None  # the response that is passed on as it comes
         self._forwarded = ForwardedRequest(message)
         self._tasks: dict[int, Task] = {}  # by the attempt's number
@@ -121,12 +124,12 @@
             self._services.loop.register(self._connection.fd, PEER_CLOSED, lambda _: self._client_disconnected())
 
     def _read_ahead(self) -> bool:
-        """Read further requests, unless the connection ends with this one; return whether to go on watching for more.
+        """Read further requests, where they are welcome; return whether to go on watching for more.
 
         They cannot be answered before this one, so it has no more time than they have.
         """
         connection = self._connection
-        if self._stream is not None or connection.requests.is_full or self._closes_after():
+        if self._stream is not None or connection.requests.is_full or not self._may_read_ahead():
             return False
         has_read_all = connection.read_ahead()
         deadline_ns = self._deadline_ns()
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -172,6 +172,10 @@
             return True
         return not (connection.requests.has_input or self._may_keep_alive())
 
+    def _may_read_ahead(self, connection: DownstreamConnection, message: Message) -> bool:
+        """Return whether requests behind this one are read before it is answered, and the connection kept for them."""
+        return message.keep_alive and not connection.client_at_fault and not self._shutdown.state.draining
+
     def _may_keep_alive(self) -> bool:
         """Return whether a connection may stay open after its response.
 
@@ -214,6 +218,7 @@
                 lambda: self._deadline_ns(connection, validated),
                 tenant_index,
                 lambda: self._closes_after(connection, message),
+                lambda: self._may_read_ahead(connection, message),
             )
             return exchange.run()
         finally:
--- a/tests/races/fakes.py
+++ b/tests/races/fakes.py
@@ -122,6 +122,15 @@
         head, _, self.received = self.received.partition(b"\r\n\r\n")
         return head.partition(b"\r\n")[0].decode()
 
+    def read_until(self, is_enough: Callable[[bytes], bool]) -> bytes:
+        """Read until what has come is enough; fail where the connection ends before."""
+        received = self.received
+        while not is_enough(received):
+            data = self.read()
+            assert data, f"the connection ended after {received!r}"
+            received += data
+        return received
+
     def read_to_end(self) -> bytes:
         """Read until the connection ends."""
         received = self.received
--- a/tests/races/test_arrival.py
+++ b/tests/races/test_arrival.py
@@ -75,9 +75,7 @@
         client.send(short_request("late"))
         sidecar.loop.sleep(int(STALL_S * 1000) * NS_PER_MS)
         connection.respond()
-        received = client.read()
-        while received.count(b"HTTP/1.1 ") < 2:
-            received += client.read()
+        received = client.read_until(lambda data: data.count(b"HTTP/1.1 ") == 2)
         assert received.startswith(b"HTTP/1.1 200")
         assert b"HTTP/1.1 503" in received
 
@@ -95,9 +93,7 @@
         connection.read_head()
         sidecar.loop.sleep(int(STALL_S * 1000) * NS_PER_MS)
         connection.respond()
-        received = client.read()
-        while received.count(b"HTTP/1.1 ") < 2:
-            received += client.read()
+        received = client.read_until(lambda data: data.count(b"HTTP/1.1 ") == 2)
         assert b"HTTP/1.1 503" in received
 
     sidecar.run(script)
--- a/tests/races/test_pipelines.py
+++ b/tests/races/test_pipelines.py
@@ -130,7 +130,10 @@
     responses: list[tuple[int, bytes]] = []
     message = None
     while len(responses) < count:
-        message = message or parser.feed(client.read())
+        if message is None:
+            data = client.read()
+            assert data, f"the connection ended after {responses}"
+            message = parser.feed(data)
         if message is not None:
             responses.append((message.status, message.body))
             message = parser.feed(b"")
@@ -199,9 +202,7 @@
         connection = sidecar.server.accept()
         connection.read_head()
         connection.send(b"HTTP/1.1 200 OK\r\n\r\n" + bytes(70_000))
-        received = b""
-        while len(received) < 70_000:
-            received += client.read()
+        received = client.read_until(lambda data: len(data) >= 70_000)
         assert b"\r\nTransfer-Encoding: chunked\r\n" in received
         assert not received.endswith(b"0\r\n\r\n")
         connection.sock.close()
@@ -228,9 +229,10 @@
     sidecar.run(script)
 
 
-def test_a_request_has_no_more_time_than_those_that_come_behind_it_later() -> None:
+@pytest.mark.parametrize("max_clients", [64, 1], ids=["few connections", "many connections"])
+def test_a_request_has_no_more_time_than_those_that_come_behind_it_later(max_clients: int) -> None:
     """Unread, nothing was known of their time: they were answered when the first one's was over."""
-    sidecar = Sidecar()
+    sidecar = Sidecar(max_clients=max_clients)
 
     def script() -> None:
         client = sidecar.client(sidecar.listen_with_one_endpoint())
