Make the clock and the queued request cheaper: a request asks for the time some forty times

Change: the loop's clock is the system's function, without a call of ours in between; a request in the queue is a named tuple.

--- a/lugtally/downstream/request_queue.py
+++ b/lugtally/downstream/request_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from lugtally.http1 import Message, MessageParser, ProtocolError
 
@@ -11,8 +11,7 @@
 """How many requests may wait behind the one in progress before no more are read."""
 
 
-@dataclass(slots=True, frozen=True)
-class ReceivedRequest:
+class ReceivedRequest(NamedTuple):
     """A request that has been read whole."""
 
     message: Message
--- a/lugtally/eventloop/clock.py
+++ b/lugtally/eventloop/clock.py
@@ -4,10 +4,11 @@
 
 import time
 
+monotonic_ns = time.monotonic_ns
+"""Return the time of the clock that timers and the balancer run on.  It never goes back.
 
-def monotonic_ns() -> int:
-    """Return the time of the clock that timers and the balancer run on.  It never goes back."""
-    return time.monotonic_ns()
+The function itself and no call of it: a request asks for the time some forty times.
+"""
 
 
 def wall_clock_ns() -> int:
