--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,7 @@
 from standins import bad_client
 from standins.deployment import Deployment, run_case
 from standins.record import Record
+from standins.sidecar_process import CannotRunError
 
 RATE = 40.0
 SECONDS = 16.0
@@ -52,6 +53,8 @@
     finally:
         if process.returncode is None:
             process.kill()
+    if process.returncode or not output:
+        raise CannotRunError("the bad client could not run")
     record.note("bad-client-ends")
     return output.decode().strip()
 
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.  TROUBLE=0 leaves the bad client out.
 cd "$(dirname "$0")/../.." && test -x .venv/bin/python || exit 2
-PYTHONPATH=review exec .venv/bin/python -B review/1/case.py
+exec .venv/bin/python -B review/run_case.py review/1/case.py
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 from standins.long_answers import LongAnswerServer, Reading, long_request, read_answer
 from standins.messages import abort
 from standins.record import Record
-from standins.sidecar_process import Sidecar
+from standins.sidecar_process import CannotRunError, Sidecar
 
 RATE = 2_000_000.0
 """Bytes a second that the clients read."""
@@ -49,6 +49,8 @@
         clients.close()
     finally:
         await deployment.end()
+    if not any(reading.length == YearlyServer.size for reading in readings):
+        raise CannotRunError("no long answer began")
     lost = [reading for reading in readings if not reading.is_whole()]
     for reading in readings:
         record.say(f"long answer: {reading.read} of {reading.length} bytes, {reading.ending}")
