Event loop: log which task ran longest without yielding

Cause: the log could not tell a process that got no processor time from one whose own task kept the event loop busy: `sidecar.timer_lag` had the delay alone.

Change: the event loop measures each run of a task between two blocking calls (one reading of the clock a run), and `sidecar.timer_lag` has the fields `task` and `task_ms` for the longest one.

--- a/lugtally/daemon/maintenance.py
+++ b/lugtally/daemon/maintenance.py
@@ -32,15 +32,18 @@
 
 
 def _log_timer_lag(loop: EventLoop) -> None:
-    """Log the largest delay of a timer since the last call.
+    """Log the largest delay of a timer since the last call, and the longest run of a task.
 
     The delay is caused by the machine, a garbage collection or a long iteration of the event loop, and also delays
-    responses.
+    responses.  If the longest run takes most of the delay, that task did not yield to the others.
     """
+    longest_run = loop.reset_longest_run()
     if loop.max_timer_lag_ns > TIMER_LAG_WARNING_NS:
         logger.warning(
-            "timers fired up to {lag_ms:.0f} ms late",
+            "timers fired up to {lag_ms:.0f} ms late; {task} ran for {task_ms:.0f} ms without yielding",
             event="sidecar.timer_lag",
             lag_ms=loop.max_timer_lag_ns / NS_PER_MS,
+            task=longest_run.function,
+            task_ms=longest_run.duration_ns / NS_PER_MS,
         )
     loop.max_timer_lag_ns = 0
--- a/lugtally/eventloop/loop.py
+++ b/lugtally/eventloop/loop.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from lugtally.eventloop.clock import monotonic_ns, wall_clock_ns
-from lugtally.eventloop.task import Task, Waiter, WakeReason
+from lugtally.eventloop.task import Task, TaskRun, Waiter, WakeReason
 from lugtally.eventloop.timers import TimerHeap
 from lugtally.units import NS_PER_MS
 
@@ -50,6 +50,8 @@
         self._poll_blocked = False  # whether the last poll found no descriptor ready at first, and blocked
         self.max_timer_lag_ns = 0
         """Largest delay of a timer after its deadline.  The code that reads the value resets it to 0."""
+        self._longest_run_ns = 0
+        self._longest_run_function: Callable[..., object] | None = None
 
     now = staticmethod(monotonic_ns)
     wall_clock = staticmethod(wall_clock_ns)
@@ -62,6 +64,12 @@
         """
         return self.now() - (self._last_poll_ns if self._poll_blocked else self._previous_poll_ns)
 
+    def reset_longest_run(self) -> TaskRun:
+        """Return the longest run of a task between two blocking calls, and start a new measurement."""
+        function, duration_ns = self._longest_run_function, self._longest_run_ns
+        self._longest_run_function, self._longest_run_ns = None, 0
+        return TaskRun("" if function is None else _function_name(function), duration_ns)
+
     @property
     def last_poll_ns(self) -> int:
         """The time of the last poll; every descriptor that was registered and ready by then has been reported."""
@@ -82,7 +90,7 @@
 
     def spawn(self, function: Callable[..., object], *arguments: Any) -> Task:
         """Start a task, in this turn or the next.  An exception ends only this task, and is logged."""
-        task = Task()
+        task = Task(function)
 
         def run(_: WakeReason) -> None:
             try:
@@ -213,10 +221,16 @@
         self._last_poll_ns = before_ns if was_delayed else returned_ns
 
     def _run_tasks(self) -> None:
+        started_ns = self.now()
         while self._runnable:
             waiter = self._runnable.popleft()
             self._current_task = waiter.task
             waiter.task.greenlet.switch(waiter.wake_reason)
+            ended_ns = self.now()
+            if ended_ns - started_ns > self._longest_run_ns:
+                self._longest_run_ns = ended_ns - started_ns
+                self._longest_run_function = waiter.task.function
+            started_ns = ended_ns
         self._current_task = None
 
     def _fire_timers(self) -> None:
@@ -224,3 +238,7 @@
         for timer in self._timers.pop_due(now_ns):
             self.max_timer_lag_ns = max(self.max_timer_lag_ns, now_ns - timer.deadline_ns)
             self.resume(timer.waiter, WakeReason.TIMEOUT)
+
+
+def _function_name(function: Callable[..., object]) -> str:
+    return str(getattr(function, "__qualname__", function))
--- a/lugtally/eventloop/task.py
+++ b/lugtally/eventloop/task.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
 
 class WakeReason(Enum):
@@ -17,9 +18,11 @@
 class Task:
     """A greenlet of the event loop."""
 
-    __slots__ = ("greenlet", "interrupted", "waiter")
+    __slots__ = ("function", "greenlet", "interrupted", "waiter")
 
-    def __init__(self) -> None:
+    def __init__(self, function: Callable[..., object]) -> None:
+        self.function = function
+        """What the task runs."""
         self.greenlet: Any = None
         self.waiter: Waiter | None = None
         """The blocking call in progress; ``None`` while the task runs."""
@@ -27,6 +30,14 @@
         """Never cleared: every later blocking call of the task returns ``INTERRUPTED`` immediately."""
 
 
+class TaskRun(NamedTuple):
+    """The time between two blocking calls of a task.  No other task runs in it."""
+
+    function: str
+    """The name of the function that the task runs; empty if no task has run."""
+    duration_ns: int
+
+
 class Waiter:
     """One blocking call of a task.  The first reason to wake the task ends the call; later reasons are ignored."""
 
--- a/tests/eventloop/test_loop.py
+++ b/tests/eventloop/test_loop.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import time
+
 from lugtally.eventloop import Event, EventLoop, WakeReason
-from lugtally.units import NS_PER_MS
+from lugtally.units import NS_PER_MS, NS_PER_S
+
+LONG_RUN_NS = 20 * NS_PER_MS
 
 
 def test_an_interrupted_task_does_not_block_again(loop: EventLoop) -> None:
@@ -62,3 +66,18 @@
     loop.run(lambda: None)
     assert reasons == [WakeReason.TIMEOUT], "the timer of a task that still blocks was removed"
     assert len(loop._timers) < 1000
+
+
+def test_longest_run_names_task_that_does_not_yield(loop: EventLoop) -> None:
+    def run_long() -> None:
+        time.sleep(LONG_RUN_NS / NS_PER_S)  # blocks the loop
+        loop.sleep(0)
+        loop.stop()
+
+    loop.spawn(loop.sleep, 0)
+    loop.spawn(run_long)
+    loop.run(lambda: None)
+    longest_run = loop.reset_longest_run()
+    assert longest_run.function.endswith("run_long")
+    assert longest_run.duration_ns >= LONG_RUN_NS
+    assert loop.reset_longest_run().duration_ns == 0
