Downstream: a client that keeps its socket full no longer stalls the event loop

Cause: a task yields only in a blocking call, and RequestReader._receive_request blocked only when recv found nothing. The input had no bound: empty lines, trailers and chunk extensions completed no request and never failed. Evidence: sidecar.timer_lag says that DownstreamServer._handle_connection ran for 2515 ms of a lag of 2350 ms.

Change: the reader yields after each read that completes no request and after each millisecond of parsing; empty lines and trailers are limited to 16 KiB, chunk extensions by their excess over the data; complete small chunks are parsed in one pass; InputThrottle limits such input, discards and error responses to a quarter of the time over all connections; a time limit or an eviction ends a request whose socket is never empty after 0.1 s; an eviction ends the discarding after a 4xx, which has 1 MiB. Related paths with the same cause: the admin address, small chunks and endless trailers of endpoints.

Why it works: bounds end a client that sends on, the yield lets others run meanwhile, the throttle covers clients that connect again.

Two tests changed: the endless responses of test_endless_response_is_aborted_at_deadline and test_endless_list_is_aborted_at_call_timeout are endless trailers, which now fail as malformed first. Both lift the limit of trailers, so that they test the deadline as before; the limit has tests of its own.

--- a/lugtally/admin/server.py
+++ b/lugtally/admin/server.py
@@ -150,10 +150,10 @@
         """
         parser = MessageParser(responses=False, max_body_bytes=MAX_BODY_BYTES)
         while True:
+            self._wait_for_data(connection)
             try:
                 data = connection.sock.recv(READ_BYTES)
             except BlockingIOError:
-                self._wait_for_data(connection)
                 continue
             if not data:
                 raise _ConnectionClosed
@@ -162,19 +162,20 @@
                 return message
 
     def _wait_for_data(self, connection: _Connection) -> None:
-        """Block until data is received.
+        """Block until data is received, also if there is some: other tasks must run between two reads.
 
         Raises:
             _ConnectionClosed: The connection was evicted.
-            _CallTimeout: The call was not complete within ``CALL_TIMEOUT_NS``.
+            _CallTimeout: The call was not complete within ``CALL_TIMEOUT_NS``, even if there is data.
         """
+        deadline_ns = connection.accepted_ns + CALL_TIMEOUT_NS
         fd = connection.sock.fileno()
         self._loop.register(fd, READABLE, lambda _: connection.wake.set())
-        reason = connection.wake.wait(connection.accepted_ns + CALL_TIMEOUT_NS)
+        reason = connection.wake.wait(deadline_ns)
         self._loop.unregister(fd)
         if connection.evicted:
             raise _ConnectionClosed
-        if reason is WakeReason.TIMEOUT:
+        if reason is WakeReason.TIMEOUT or self._loop.now() >= deadline_ns:
             raise _CallTimeout
 
     def _write_response(self, connection: _Connection, response: AdminResponse) -> None:
--- a/lugtally/downstream/closing.py
+++ b/lugtally/downstream/closing.py
@@ -13,6 +13,7 @@
 
 from lugtally.downstream.connection import RECEIVE_BYTES, DownstreamConnection
 from lugtally.downstream.connection_state import TransitionCause
+from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.eventloop import PEER_CLOSED, READABLE, WakeReason
 from lugtally.units import NS_PER_MS
 
@@ -22,6 +23,8 @@
 """How long in total to wait before the close for a client that has sent, or still sends, further input."""
 SHORT_LINGER_NS = 300 * NS_PER_MS
 """How long to wait before the close for a client that sends nothing, or whose request timed out."""
+MAX_DISCARDED_BYTES = 1024 * 1024
+"""How much input is discarded.  Then the connection is closed, even if the close resets it."""
 
 
 def lingering_close(connection: DownstreamConnection) -> None:
@@ -46,31 +49,48 @@
         _log_disconnect(error)
 
 
-def discard_input(connection: DownstreamConnection, timed_out: bool) -> None:
-    """Shut down the sending side and discard input until the client stops sending or closes.
+def discard_input(connection: DownstreamConnection, throttle: InputThrottle, timed_out: bool) -> None:
+    """Shut down the sending side and discard input until the client stops sending, closes or is evicted.
 
     After a malformed request the boundaries of further requests are unknown.  Input is still received, because a client
     may read its error response only after it has sent everything.  ``timed_out`` says that the request timed out; the
     wait is shorter then.
     """
-    if connection.evicted:
-        return  # another client waits for this connection to be closed
     silence_timeout_ns = SHORT_LINGER_NS if timed_out else LINGER_SILENCE_TIMEOUT_NS
     max_linger_ns = SHORT_LINGER_NS if timed_out else MAX_LINGER_NS
     loop = connection.loop
     deadline_ns = connection.client_deadline_ns(loop.now() + max_linger_ns)
+    remaining_bytes = MAX_DISCARDED_BYTES
     try:
         connection.sock.shutdown(socket.SHUT_WR)
-        while (
-            loop.wait(connection.fd, READABLE, min(deadline_ns, loop.now() + silence_timeout_ns)) is WakeReason.READY
-            and loop.now() < deadline_ns
-            and connection.sock.recv(RECEIVE_BYTES)
-        ):
-            pass  # discarded
+        while remaining_bytes > 0 and _wait_for_input(connection, min(deadline_ns, loop.now() + silence_timeout_ns)):
+            called_ns = loop.now()
+            data = connection.sock.recv(RECEIVE_BYTES)
+            throttle.count_read(called_ns)
+            if not data or called_ns >= deadline_ns:
+                return
+            remaining_bytes -= len(data)
     except OSError as error:
         _log_disconnect(error)
 
 
+def _wait_for_input(connection: DownstreamConnection, deadline_ns: int) -> bool:
+    """Wait for input, the client's close, an eviction or the deadline; return whether there is input or a close."""
+    is_readable = False
+
+    def handle_readable(_: int) -> None:
+        nonlocal is_readable
+        is_readable = True
+        connection.wake_up.set()
+
+    connection.loop.register(connection.fd, READABLE, handle_readable)
+    reason = WakeReason.READY
+    while reason is WakeReason.READY and not is_readable and not connection.evicted:
+        reason = connection.wake_up.wait(deadline_ns)  # returns immediately if the event is already set
+    connection.loop.unregister(connection.fd)
+    return is_readable
+
+
 def _wait_for_client_close(connection: DownstreamConnection, deadline_ns: int) -> bool:
     """Wait for the client's close, an eviction or the deadline; return whether the client closed."""
     loop = connection.loop
--- a/lugtally/downstream/request_reader.py
+++ b/lugtally/downstream/request_reader.py
@@ -5,6 +5,7 @@
 from lugtally.downstream.arrival import ArrivalBound
 from lugtally.downstream.connection import RECEIVE_BYTES, DownstreamConnection
 from lugtally.downstream.connection_state import ConnectionState, TransitionCause
+from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.request_queue import ReceivedRequest, RequestQueue
 from lugtally.eventloop import READABLE, WakeReason
 from lugtally.http1 import ProtocolError
@@ -21,6 +22,15 @@
 
 For the first request of a connection the time starts when the connection is accepted.
 """
+PARSED_PART_BYTES = 2 * 1024
+"""Input is parsed in parts of this size; the parser checks after each of them whether to yield."""
+MAX_PARSE_TURN_NS = NS_PER_MS
+"""After this time the parser yields.  A read may contain thousands of small chunks or hundreds of small requests."""
+OVERDUE_READ_NS = 100 * NS_PER_MS
+"""How long an incomplete request is still read after its time limit, an eviction or the end of a shutdown.
+
+Its rest may have arrived before that, while the process was busy or stopped.
+"""
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -35,10 +45,14 @@
 class RequestReader:
     """Reads requests from one connection and moves it through the states up to ``PROCESSING``."""
 
-    __slots__ = ("arrival", "connection", "queue")
+    __slots__ = ("_overdue_since_ns", "_throttle", "arrival", "connection", "queue")
 
-    def __init__(self, connection: DownstreamConnection) -> None:
+    def __init__(self, connection: DownstreamConnection, throttle: InputThrottle) -> None:
+        """``throttle`` is shared by all connections of the server."""
         self.connection = connection
+        self._throttle = throttle
+        self._overdue_since_ns: int | None = None
+        """The first read of an incomplete request whose connection is to be closed."""
         self.arrival = ArrivalBound(connection.loop, connection.connected_after_ns)
         self.queue = RequestQueue()
         """The requests received after the one in progress; the last one may be incomplete."""
@@ -71,7 +85,7 @@
         Reading ahead shows the deadlines of the further requests.  Every request that is read must be answered.
         """
         try:
-            data = self._receive()
+            data = self._receive(self.connection.loop.now())
         except OSError:
             return False  # the event loop reports the close separately
         if not data:
@@ -105,10 +119,11 @@
         """
         connection = self.connection
         continue_sent = False
-        request = None
-        while request is None:
+        self._overdue_since_ns = None
+        while True:
             continue_sent = continue_sent or self._send_continue()
-            data = None if wait_first and not connection.close_requested else self._receive()
+            called_ns = connection.loop.now()
+            data = None if wait_first and not connection.close_requested else self._receive(called_ns)
             wait_first = False
             if data is None:
                 if connection.close_requested:
@@ -118,14 +133,53 @@
                 continue
             if not data:
                 return None
-            if connection.state is ConnectionState.READING_REQUEST:
-                self._check_request_timeout()
-            else:
-                self._start_request_timeout()
-            self.queue.feed(data, self.arrival.arrived_after_ns)
-            request = self.queue.pop()
-        connection.transition(TransitionCause.REQUEST_COMPLETE)
-        return request
+            if (request := self._parse(data, called_ns)) is not None:
+                connection.transition(TransitionCause.REQUEST_COMPLETE)
+                return request
+            wait_first = len(data) < RECEIVE_BYTES and not connection.close_requested
+            if not wait_first:  # otherwise, the wait yields
+                self._yield(called_ns)
+
+    def _parse(self, data: bytes, called_ns: int) -> ReceivedRequest | None:
+        """Add the bytes that were read at ``called_ns`` to the request; return it if it is complete."""
+        if self.connection.state is ConnectionState.READING_REQUEST:
+            self._check_request_timeout()
+        else:
+            self._start_request_timeout()
+        arrived_after_ns = self.arrival.arrived_after_ns
+        for start in range(0, len(data), PARSED_PART_BYTES):
+            if start and self.connection.loop.now() - called_ns >= MAX_PARSE_TURN_NS:
+                self._yield(called_ns)
+                called_ns = self.connection.loop.now()
+            self.queue.feed(data[start : start + PARSED_PART_BYTES], arrived_after_ns)
+        return self.queue.pop()
+
+    def _yield(self, called_ns: int) -> None:
+        """Let other tasks run, after input that was read at ``called_ns`` and completes no request.
+
+        The socket of a client that sends as fast as it is read is never empty: without this call, the event loop would
+        not run any other task.
+        """
+        connection = self.connection
+        due_ns = self._throttle.count_read(called_ns)
+        deadline_ns = self._overdue_deadline_ns() if connection.close_requested else self._read_deadline_ns()
+        connection.wake_up.wait(min(due_ns, deadline_ns))
+        if connection.loop.now() >= deadline_ns:
+            connection.close_requested_in = connection.state
+
+    def _overdue_deadline_ns(self) -> int:
+        """Return until when an incomplete request is read although its connection is to be closed.
+
+        Raises:
+            RequestTimeoutError: that time has passed, and no complete request has been received.
+        """
+        now_ns = self.connection.loop.now()
+        if self._overdue_since_ns is None:
+            self._overdue_since_ns = now_ns
+        deadline_ns = self._overdue_since_ns + OVERDUE_READ_NS
+        if now_ns >= deadline_ns and not self.queue.has_request:
+            raise RequestTimeoutError
+        return deadline_ns
 
     def _reject_incomplete_request(self) -> None:
         """Raise :class:`RequestTimeoutError`, unless no byte of a request has been received."""
@@ -140,9 +194,11 @@
         self.connection.write(_CONTINUE)
         return True
 
-    def _receive(self) -> bytes | None:
-        """Return the available bytes; ``None`` if there are none, and ``b""`` if the client closed its sending side."""
-        called_ns = self.connection.loop.now()
+    def _receive(self, called_ns: int) -> bytes | None:
+        """Return the available bytes; ``None`` if there are none, and ``b""`` if the client closed its sending side.
+
+        ``called_ns`` is the current time.
+        """
         try:
             data = self.connection.sock.recv(RECEIVE_BYTES)
         except BlockingIOError:
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -18,9 +18,10 @@
 from lugtally.downstream.exchange import Exchange, ExchangeServices
 from lugtally.downstream.graceful_shutdown import GracefulShutdown
 from lugtally.downstream.health import HEALTH_PATH, HealthCheckRateLimiter
+from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.listener import adopt_listener, bind_listener
 from lugtally.downstream.request_queue import ReceivedRequest
-from lugtally.downstream.request_reader import RequestReader, RequestTimeoutError
+from lugtally.downstream.request_reader import REQUEST_TIMEOUT_NS, RequestReader, RequestTimeoutError
 from lugtally.downstream.responses import (
     FinalResponse,
     StreamedResponse,
@@ -57,6 +58,7 @@
         """The correlation IDs of the requests in progress."""
         self._validator = RequestValidator(classes, tenants, self._ids_in_progress)
         self._health_checks = HealthCheckRateLimiter(loop)
+        self._input_throttle = InputThrottle(loop)
         self._connection_closed = Event(loop)
         shutdown_state = ShutdownState()
         self._reuse_policy = ReusePolicy(shutdown_state, self._connections, max_connections)
@@ -113,7 +115,7 @@
         """Answer the requests of a connection in order, until it is to be closed, and close it."""
         try:
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            reader = RequestReader(connection)
+            reader = RequestReader(connection, self._input_throttle)
             while (request := reader.read_request()) is not None:
                 if not self._handle_request(reader, request):
                     return
@@ -154,12 +156,20 @@
             lingering_close(connection)
         return not closes_connection
 
-    @staticmethod
-    def _reject_malformed(connection: DownstreamConnection, error: ProtocolError) -> None:
+    def _reject_malformed(self, connection: DownstreamConnection, error: ProtocolError) -> None:
         """Send the error response to a malformed or incomplete request, as the last response of the connection."""
         connection.start_discarding()
+        timed_out = isinstance(error, RequestTimeoutError)
+        if not timed_out:
+            self._delay_rejection(connection)
         if connection.write(serialize_response(*protocol_error_response(error), close=True)):
-            discard_input(connection, timed_out=isinstance(error, RequestTimeoutError))
+            discard_input(connection, self._input_throttle, timed_out)
+
+    def _delay_rejection(self, connection: DownstreamConnection) -> None:
+        """Delay the error response if there are many: some clients connect and send the same again immediately."""
+        due_ns = self._input_throttle.count_rejection()
+        if due_ns > self._loop.now():
+            connection.wake_up.wait(min(due_ns, connection.waiting_since_ns + REQUEST_TIMEOUT_NS))
 
     # ------------------------------------------------------------ requests
 
--- a/lugtally/http1/body_framing.py
+++ b/lugtally/http1/body_framing.py
@@ -6,7 +6,7 @@
 
 from lugtally.http1.chunked_body import ChunkedBody
 from lugtally.http1.errors import ProtocolError
-from lugtally.http1.limits import MAX_CHUNK_LINE_BYTES
+from lugtally.http1.limits import MAX_CHUNK_LINE_BYTES, MAX_STREAMED_BODY_BYTES
 
 
 class BodyFraming:
@@ -27,6 +27,11 @@
         self._line = bytearray()  # the received part of a chunk-size or trailer line
         self.done = not chunked and length == 0
 
+    @property
+    def chunked(self) -> bool:
+        """Whether the body is chunked."""
+        return self._chunks is not None
+
     @property
     def until_close(self) -> bool:
         """Whether the body ends with the connection."""
@@ -57,6 +62,8 @@
                 position += count
                 chunks.consume_data(count)
             else:
+                if not self._line:
+                    position = chunks.consume_complete_chunks(data, position, MAX_STREAMED_BODY_BYTES, None)
                 position = self._feed_line(chunks, data, position)
         self.done = chunks.done
         return position
--- a/lugtally/http1/parser.py
+++ b/lugtally/http1/parser.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from lugtally.http1.body_framing import BodyFraming, DetachedBody
 from lugtally.http1.chunked_body import ChunkedBody
 from lugtally.http1.errors import ProtocolError
@@ -17,6 +19,7 @@
 )
 from lugtally.http1.message import Message
 
+_EMPTY_LINES = re.compile(rb"(?:\r\n)+")
 # One cache for all parsers of responses in the process.
 _response_heads = HeadCache()
 _find_cached_head = _response_heads.get
@@ -29,6 +32,7 @@
         "_body",
         "_buffer",
         "_chunks",
+        "_empty_line_bytes",
         "_head",
         "_interim_responses",
         "_max_body_bytes",
@@ -50,6 +54,7 @@
         self._max_body_bytes = max_body_bytes
         self._streams = streams
         self._buffer = bytearray()
+        self._empty_line_bytes = 0  # before the head that is being received
         self._head: Message | None = None
         self._remaining = 0  # bytes of the body that have not been received, or CHUNKED or UNTIL_CLOSE
         self._chunks: ChunkedBody | None = None  # None if the body is not chunked
@@ -120,9 +125,8 @@
 
     def _read_head(self) -> Message | None:
         """Return the head at the start of the buffer and prepare to read its body, or ``None`` if it is incomplete."""
-        if not self._responses:
-            while self._buffer[:2] == b"\r\n":  # RFC 9112, 2.2: some old clients send an extra CRLF after a body
-                del self._buffer[:2]
+        if not self._responses and self._buffer.startswith(b"\r\n"):
+            self._skip_empty_lines()
         end = self._buffer.find(b"\r\n\r\n", 0, MAX_HEAD_BYTES + 4)
         if end < 0:
             self._check_partial_head()
@@ -131,9 +135,16 @@
             return self._read_cacheable_head(end)
         return self._parse_head(end)
 
+    def _skip_empty_lines(self) -> None:
+        """Remove the empty lines before a request (RFC 9112, 2.2): some old clients send an extra CRLF after a body."""
+        lines = _EMPTY_LINES.match(self._buffer)
+        if lines is not None:
+            self._empty_line_bytes += lines.end()
+            del self._buffer[: lines.end()]
+
     def _check_partial_head(self) -> None:
         """Reject an incomplete head that is too large or cannot be completed."""
-        if len(self._buffer) > MAX_HEAD_BYTES:
+        if self._empty_line_bytes + len(self._buffer) > MAX_HEAD_BYTES:
             raise ProtocolError(431, "the head is too large")
         if self._buffer.find(b"\n\n") >= 0 or self._buffer.startswith(b"\x16\x03"):
             raise ProtocolError(400, "the head is malformed")  # bare LF or TLS: it would never be complete
@@ -155,6 +166,7 @@
         return message
 
     def _parse_head(self, end: int) -> Message:
+        self._empty_line_bytes = 0
         message = parse_head(self._buffer, end, self._responses)
         declared_length = declared_body_length(message.header_map)
         if self._responses:
@@ -220,6 +232,8 @@
                 chunks.consume_data(count)
                 if chunks.data_remaining:
                     return False
+            max_bytes = self._max_body_bytes - len(self._body)
+            del self._buffer[: chunks.consume_complete_chunks(self._buffer, 0, max_bytes, self._body)]
             line = self._read_line()
             if line is None:
                 return False
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -16,6 +16,12 @@
 """A streamed response is aborted if no byte of it is received for this long."""
 
 
+PARSED_PART_BYTES = 4 * 1024
+"""A chunked body is parsed in parts of this size, so that the task can yield between them."""
+MAX_PARSE_TURN_NS = NS_PER_MS
+"""After this time the task yields.  One read may contain thousands of small chunks."""
+
+
 class ResponseSink(Protocol):
     """The destination of a streamed response: the connection to the client."""
 
@@ -97,11 +103,27 @@
             continue
         if not data:
             return _finish(sink) if framing.until_close else AttemptOutcome.RESET
-        if not sink.send(memoryview(data)[: framing.feed(data)]):
+        if not sink.send(memoryview(data)[: _feed(loop, framing, data)]):
             return AttemptOutcome.CANCELLED
     return _finish(sink)
 
 
+def _feed(loop: EventLoop, framing: BodyFraming, data: bytes) -> int:
+    """Return how many of the bytes belong to the body; yield to other tasks if it has many small chunks."""
+    if not framing.chunked:
+        return framing.feed(data)
+    body_bytes = 0
+    started_ns = loop.now()
+    for start in range(0, len(data), PARSED_PART_BYTES):
+        body_bytes += framing.feed(data[start : start + PARSED_PART_BYTES])
+        if framing.done:
+            break
+        if loop.now() - started_ns >= MAX_PARSE_TURN_NS:
+            loop.sleep(0)
+            started_ns = loop.now()
+    return body_bytes
+
+
 def _finish(sink: ResponseSink) -> AttemptOutcome:
     return AttemptOutcome.SERVED if sink.finish() else AttemptOutcome.CANCELLED
 
@@ -117,7 +139,7 @@
     Raises:
         AttemptAborted: The connection was closed, the deadline passed or the attempt was cancelled.
     """
-    buffered = bytearray(data[: framing.feed(data)])
+    buffered = bytearray(data[: _feed(loop, framing, data)])
     while not framing.done and len(buffered) <= MAX_BODY_BYTES:
         connection.wait_readable(loop, deadline_ns)
         try:
@@ -128,5 +150,5 @@
             if framing.until_close:
                 return _BodyPrefix(bytes(buffered), is_complete=True)
             raise AttemptAborted(AttemptOutcome.RESET)
-        buffered += data[: framing.feed(data)]
+        buffered += data[: _feed(loop, framing, data)]
     return _BodyPrefix(bytes(buffered), framing.done)
--- a/tests/discovery/test_endpoint_lists.py
+++ b/tests/discovery/test_endpoint_lists.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import Any
 
 import pytest
@@ -198,6 +199,7 @@
 
 def test_endless_list_is_aborted_at_call_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     """The response never ends and is always readable, so that no wait for bytes times out."""
+    monkeypatch.setattr("lugtally.http1.chunked_body.MAX_TRAILER_BYTES", sys.maxsize)  # else the response is malformed
     monkeypatch.setattr(timing, "WATCH_HOLD_MS", 100)
     monkeypatch.setattr(timing, "RESPONSE_TIMEOUT_NS", 100 * NS_PER_MS)
     sidecar = Sidecar()
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -4,5 +4,6 @@
 
 from tests.dispatch.scripted_balancer import balancer
 from tests.fakes import sidecar
+from tests.flooding import frozen_objects
 
-__all__ = ["balancer", "sidecar"]
+__all__ = ["balancer", "frozen_objects", "sidecar"]
--- a/tests/downstream/test_request_reader.py
+++ b/tests/downstream/test_request_reader.py
@@ -6,6 +6,7 @@
 
 from lugtally.downstream.connection import DownstreamConnection
 from lugtally.downstream.connection_state import ConnectionState, TransitionCause
+from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.request_reader import RequestReader
 from lugtally.eventloop import EventLoop
 
@@ -23,7 +24,7 @@
     stalls: list[bool] = []
 
     def script() -> None:
-        reader = RequestReader(connection)
+        reader = RequestReader(connection, InputThrottle(loop))
         remote.sendall(REQUEST % 1 + REQUEST % 2)
         for _ in range(2):
             request = reader.read_request()
--- a/tests/upstream/test_unexpected_responses.py
+++ b/tests/upstream/test_unexpected_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import sys
 from collections.abc import Callable
 
 import pytest
@@ -110,6 +111,7 @@
 
 def test_endless_response_is_aborted_at_deadline(sidecar: Sidecar, monkeypatch: pytest.MonkeyPatch) -> None:
     """The socket is always readable, so that no wait times out."""
+    monkeypatch.setattr("lugtally.http1.chunked_body.MAX_TRAILER_BYTES", sys.maxsize)  # else the response is malformed
     monkeypatch.setattr("tests.upstream.pool_harness.ATTEMPT_TIMEOUT_NS", 200 * NS_PER_MS)
     results: list[FinishedAttempt] = []
 
