Log a client that is disconnected because it does not read its response

Change: `downstream.write_timed_out` has how long the write waited, and how many written bytes the client's kernel had not acknowledged before and after it (SIOCOUTQ; absent where it is not supported).

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -6,9 +6,12 @@
 import socket
 import struct
 
+from loguru import logger
+
 from lugtally.downstream.connection_state import ConnectionState, TransitionCause, next_state
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.eventloop import WRITABLE, Event, EventLoop, WakeReason
+from lugtally.eventloop.tcp_socket import unacknowledged_bytes
 from lugtally.units import NS_PER_MS
 
 RECEIVE_BYTES = 16 * 1024
@@ -136,13 +139,27 @@
                     view = view[self.sock.send(view) :]
                 except BlockingIOError:
                     self.write_stalled = True
-                    deadline_ns = self.client_deadline_ns(self.loop.now() + WRITE_STALL_TIMEOUT_NS)
-                    if self.loop.wait(self.fd, WRITABLE, deadline_ns) is not WakeReason.READY:
+                    if not self._wait_until_writable():
                         return False
         except OSError:
             return False  # the client disconnected while its response was written: other connections are not affected
         return True
 
+    def _wait_until_writable(self) -> bool:
+        """Block until the socket is writable; return false if the client does not read."""
+        started_ns, unacknowledged = self.loop.now(), unacknowledged_bytes(self.sock)
+        deadline_ns = self.client_deadline_ns(started_ns + WRITE_STALL_TIMEOUT_NS)
+        if self.loop.wait(self.fd, WRITABLE, deadline_ns) is WakeReason.READY:
+            return True
+        logger.info(
+            "a client was disconnected because it did not read its response",
+            event="downstream.write_timed_out",
+            waited_ms=(self.loop.now() - started_ns) / NS_PER_MS,
+            unacknowledged_before=unacknowledged,
+            unacknowledged_after=unacknowledged_bytes(self.sock),
+        )
+        return False
+
     def client_deadline_ns(self, deadline_ns: int) -> int:
         """Return the earlier of this deadline and the one that a graceful shutdown sets for waiting for the client."""
         if not self.shutdown_state.draining:
--- a/lugtally/eventloop/tcp_socket.py
+++ b/lugtally/eventloop/tcp_socket.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+
+_SIOCOUTQ = 0x5411
+"""The Linux ioctl request that returns how many bytes in the send queue of a TCP socket have not been acknowledged."""
 
 
 def create_tcp_socket(host: str) -> socket.socket:
@@ -24,3 +29,12 @@
     except OSError:
         return False
     return False  # closed by the peer, or unread bytes
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int | None:
+    """Return how many written bytes the peer's kernel has not acknowledged; ``None`` if that is not supported."""
+    try:
+        count = fcntl.ioctl(sock.fileno(), _SIOCOUTQ, bytes(4))
+    except OSError:
+        return None
+    return int(struct.unpack("i", count)[0])
