Downstream: a client that reads steadily is not disconnected, least of all by a shutdown

Cause: a write waited until the socket was writable, for at most 50 ms once the last response of the shutdown was due. A full send buffer becomes writable only when a third of its 4 MB is free; at 2 MB/s that takes over half a second. The wait measured the buffer, not the client.

Change: while a write waits, SendProgress checks every 0.1 s how many written bytes the client's kernel has not acknowledged. A client is disconnected if that has not changed for 5 s, or for 2.5 s once the last response of a shutdown is due; where the ioctl is not supported, only a writable socket counts. Same cause on related paths: the 5 s of ordinary service, the lingering close over unread input, the close of an idle connection. These closes wait for the acknowledgement of the last response.

Why it works: a client that reads lets its kernel acknowledge further bytes long before the socket is writable; one that has stopped does not. The checks happen only while a write or a close waits.

--- a/lugtally/downstream/closing.py
+++ b/lugtally/downstream/closing.py
@@ -14,6 +14,7 @@
 from lugtally.downstream.connection import RECEIVE_BYTES, DownstreamConnection
 from lugtally.downstream.connection_state import TransitionCause
 from lugtally.downstream.input_throttle import InputThrottle
+from lugtally.downstream.send_progress import PROGRESS_CHECK_INTERVAL_NS, SendProgress
 from lugtally.eventloop import PEER_CLOSED, READABLE, WakeReason
 from lugtally.units import NS_PER_MS
 
@@ -38,6 +39,7 @@
     try:
         connection.sock.shutdown(socket.SHUT_WR)
         has_closed = _wait_for_client_close(connection, connection.waiting_since_ns + SHORT_LINGER_NS)
+        _wait_until_acknowledged(connection)
         if not _has_unread_input(connection):
             return
         connection.transition(TransitionCause.UNREAD_INPUT_FOUND)
@@ -49,6 +51,17 @@
         _log_disconnect(error)
 
 
+def close_idle(connection: DownstreamConnection) -> None:
+    """Give the client time to read its last response before the caller closes a connection that waits for a request.
+
+    If the client sends a request after the close, the kernel resets the connection.
+    """
+    try:
+        _wait_until_acknowledged(connection)
+    except OSError as error:
+        _log_disconnect(error)
+
+
 def discard_input(connection: DownstreamConnection, throttle: InputThrottle, timed_out: bool) -> None:
     """Shut down the sending side and discard input until the client stops sending, closes or is evicted.
 
@@ -104,6 +117,22 @@
     return has_closed
 
 
+def _wait_until_acknowledged(connection: DownstreamConnection) -> None:
+    """Wait while the client reads what has been written, unless it is evicted and a close would not reset it.
+
+    The close of a socket with unread input, or input after the close, resets the connection.  The reset discards what
+    the client's kernel has not received.
+    """
+    progress = SendProgress(connection.sock, connection.loop.now())
+    while progress.unacknowledged and not connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        now_ns = connection.loop.now()
+        deadline_ns = connection.stall_deadline_ns(progress.last_ns)
+        if now_ns >= deadline_ns or (connection.evicted and not _has_unread_input(connection)):
+            return
+        connection.wake_up.wait(min(deadline_ns, now_ns + PROGRESS_CHECK_INTERVAL_NS))
+        progress.update(connection.loop.now())
+
+
 def _has_unread_input(connection: DownstreamConnection) -> bool:
     try:
         return bool(connection.sock.recv(1, socket.MSG_PEEK))
--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -9,17 +9,19 @@
 from loguru import logger
 
 from lugtally.downstream.connection_state import ConnectionState, TransitionCause, next_state
+from lugtally.downstream.send_progress import PROGRESS_CHECK_INTERVAL_NS, SendProgress
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.eventloop import WRITABLE, Event, EventLoop, WakeReason
-from lugtally.eventloop.tcp_socket import unacknowledged_bytes
 from lugtally.units import NS_PER_MS
 
 RECEIVE_BYTES = 16 * 1024
 """Largest number of bytes that one read returns; small, because each connection may buffer that much unparsed input."""
 WRITE_STALL_TIMEOUT_NS = 5_000 * NS_PER_MS
-"""How long a write waits for a client that does not read."""
+"""How long a write waits for a client that reads nothing."""
+SHUTDOWN_STALL_TIMEOUT_NS = 2_500 * NS_PER_MS
+"""As ``WRITE_STALL_TIMEOUT_NS``, once the last response of a graceful shutdown is due."""
 SHUTDOWN_CLIENT_TIMEOUT_NS = 50 * NS_PER_MS
-"""How long a graceful shutdown waits, after its last response is due, for a client to read or to close."""
+"""How long a graceful shutdown waits, after its last response is due, for a client to close."""
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER (on, 0 s): the close resets the connection
 
@@ -146,20 +148,35 @@
         return True
 
     def _wait_until_writable(self) -> bool:
-        """Block until the socket is writable; return false if the client does not read."""
-        started_ns, unacknowledged = self.loop.now(), unacknowledged_bytes(self.sock)
-        deadline_ns = self.client_deadline_ns(started_ns + WRITE_STALL_TIMEOUT_NS)
-        if self.loop.wait(self.fd, WRITABLE, deadline_ns) is WakeReason.READY:
-            return True
+        """Block until the socket is writable; return false if the client reads nothing, or the task is interrupted."""
+        started_ns = self.loop.now()
+        progress = SendProgress(self.sock, started_ns)
+        unacknowledged_before = progress.unacknowledged
+        while (now_ns := self.loop.now()) < (deadline_ns := self.stall_deadline_ns(progress.last_ns)):
+            reason = self.loop.wait(self.fd, WRITABLE, min(deadline_ns, now_ns + PROGRESS_CHECK_INTERVAL_NS))
+            if reason is not WakeReason.TIMEOUT:
+                return reason is WakeReason.READY
+            progress.update(self.loop.now())
         logger.info(
             "a client was disconnected because it did not read its response",
             event="downstream.write_timed_out",
-            waited_ms=(self.loop.now() - started_ns) / NS_PER_MS,
-            unacknowledged_before=unacknowledged,
-            unacknowledged_after=unacknowledged_bytes(self.sock),
+            waited_ms=(now_ns - started_ns) / NS_PER_MS,
+            unacknowledged_before=unacknowledged_before,
+            unacknowledged_after=progress.unacknowledged,
         )
         return False
 
+    def stall_deadline_ns(self, last_progress_ns: int) -> int:
+        """Return until when to wait for a client that has read nothing since ``last_progress_ns``.
+
+        A graceful shutdown waits no longer than its last response is due, but for a client that has been reading.
+        """
+        deadline_ns = last_progress_ns + WRITE_STALL_TIMEOUT_NS
+        if not self.shutdown_state.draining:
+            return deadline_ns
+        last_response_ns = self.shutdown_state.last_response_ns + SHUTDOWN_CLIENT_TIMEOUT_NS
+        return min(deadline_ns, max(last_response_ns, last_progress_ns + SHUTDOWN_STALL_TIMEOUT_NS))
+
     def client_deadline_ns(self, deadline_ns: int) -> int:
         """Return the earlier of this deadline and the one that a graceful shutdown sets for waiting for the client."""
         if not self.shutdown_state.draining:
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -10,7 +10,7 @@
 from lugtally.address import Address
 from lugtally.dispatch import Dispatcher, Rejected
 from lugtally.downstream.acceptor import ConnectionAcceptor
-from lugtally.downstream.closing import discard_input, lingering_close
+from lugtally.downstream.closing import close_idle, discard_input, lingering_close
 from lugtally.downstream.connection import ClientStatus, DownstreamConnection
 from lugtally.downstream.connection_policy import ReusePolicy
 from lugtally.downstream.connection_state import TransitionCause
@@ -119,6 +119,7 @@
             while (request := reader.read_request()) is not None:
                 if not self._handle_request(reader, request):
                     return
+            close_idle(connection)
         except ProtocolError as error:
             self._reject_malformed(connection, error)
         except OSError as error:
