--- a/lugtally/admin/server.py
+++ b/lugtally/admin/server.py
@@ -14,6 +14,7 @@
 from lugtally.address import Address
 from lugtally.admin.calls import AdminBackend, AdminCall, AdminResponse, execute_call, parse_call
 from lugtally.eventloop import READABLE, Event, EventLoop, WakeReason, send_all
+from lugtally.eventloop.tcp_socket import listen_tcp
 from lugtally.http1 import Message, MessageParser, ProtocolError, serialize_response
 from lugtally.units import NS_PER_MS
 
@@ -64,7 +65,7 @@
         self._backend = backend
         self._connections: set[_Connection] = set()
         self._connection_closed = Event(loop)
-        self._listener = _listen(address)
+        self._listener = listen_tcp(address.host, address.port, LISTEN_BACKLOG)
         loop.spawn(self._accept_connections)
 
     def close(self) -> None:
@@ -191,16 +192,3 @@
             connection.sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass  # the caller has reset the connection
-
-
-def _listen(address: Address) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
-        listener.listen(LISTEN_BACKLOG)
-    except OSError:
-        listener.close()
-        raise
-    return listener
--- a/lugtally/downstream/closing.py
+++ b/lugtally/downstream/closing.py
@@ -16,6 +16,7 @@
 from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.send_progress import PROGRESS_CHECK_INTERVAL_NS, SendProgress
 from lugtally.eventloop import PEER_CLOSED, READABLE, WakeReason
+from lugtally.eventloop.tcp_socket import has_unread_input
 from lugtally.units import NS_PER_MS
 
 LINGER_SILENCE_TIMEOUT_NS = 1_000 * NS_PER_MS
@@ -40,7 +41,7 @@
         connection.sock.shutdown(socket.SHUT_WR)
         has_closed = _wait_for_client_close(connection, connection.waiting_since_ns + SHORT_LINGER_NS)
         _wait_until_acknowledged(connection)
-        if not _has_unread_input(connection):
+        if not has_unread_input(connection.sock):
             return
         connection.transition(TransitionCause.UNREAD_INPUT_FOUND)
         if not has_closed:
@@ -127,19 +128,12 @@
     while progress.unacknowledged and not connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
         now_ns = connection.loop.now()
         deadline_ns = connection.stall_deadline_ns(progress.last_ns)
-        if now_ns >= deadline_ns or (connection.evicted and not _has_unread_input(connection)):
+        if now_ns >= deadline_ns or (connection.evicted and not has_unread_input(connection.sock)):
             return
         connection.wake_up.wait(min(deadline_ns, now_ns + PROGRESS_CHECK_INTERVAL_NS))
         progress.update(connection.loop.now())
 
 
-def _has_unread_input(connection: DownstreamConnection) -> bool:
-    try:
-        return bool(connection.sock.recv(1, socket.MSG_PEEK))
-    except BlockingIOError:
-        return False
-
-
 def _log_disconnect(error: OSError) -> None:
     logger.debug(
         "the client disconnected before the close: {reason}",
--- a/lugtally/downstream/listener.py
+++ b/lugtally/downstream/listener.py
@@ -5,6 +5,7 @@
 import socket
 
 from lugtally.address import Address
+from lugtally.eventloop.tcp_socket import listen_tcp
 
 LISTEN_BACKLOG = 1024
 """How many clients may wait to be accepted; the kernel may set a lower limit."""
@@ -16,12 +17,8 @@
     Raises:
         OSError: the address cannot be bound.
     """
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(address)
-    listener.listen(LISTEN_BACKLOG)
-    return listener
+    host, port = address
+    return listen_tcp(host, port, LISTEN_BACKLOG)
 
 
 def adopt_listener(fd: int) -> socket.socket:
--- a/lugtally/eventloop/tcp_socket.py
+++ b/lugtally/eventloop/tcp_socket.py
@@ -20,6 +20,35 @@
     return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
 
 
+def listen_tcp(host: str, port: int, backlog: int) -> socket.socket:
+    """Return a non-blocking socket that listens on this address only.
+
+    Raises:
+        OSError: The address cannot be bound, or no file descriptor is available.
+    """
+    listener = create_tcp_socket(host)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def has_unread_input(sock: socket.socket) -> bool:
+    """Return whether there are bytes to read, even if the peer has closed the connection after them.
+
+    Raises:
+        OSError: The connection failed.
+    """
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return False
+
+
 def is_open_without_input(sock: socket.socket) -> bool:
     """Return whether the connection is open and there is nothing to read."""
     try:
--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -14,7 +14,7 @@
 from lugtally.address import Address
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import READABLE, WRITABLE, EventLoop, WakeReason
-from lugtally.eventloop.tcp_socket import create_tcp_socket
+from lugtally.eventloop.tcp_socket import create_tcp_socket, has_unread_input
 from lugtally.http1 import Message, MessageParser
 from lugtally.upstream.errors import AttemptAborted
 
@@ -180,7 +180,7 @@
     def has_bytes(self) -> bool:
         """Return whether there are bytes to read, even if the endpoint has closed the connection after them."""
         try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
+            return has_unread_input(self.sock)
         except OSError:
             return False
 
