--- a/lugtally/downstream/input_throttle.py
+++ b/lugtally/downstream/input_throttle.py
@@ -12,7 +12,7 @@
 TIME_SHARE_DIVISOR = 4
 """Input that completes no request uses at most one in this many parts of the time, on all connections together."""
 MIN_READ_COST_NS = 50_000
-"""Time that a read takes at least, including the turn of the event loop."""
+"""Smallest cost of a read, which includes its turn of the event loop."""
 MAX_READ_COST_NS = 5 * NS_PER_MS
 """Largest cost of a read; if it took longer, the process was stopped or got no CPU."""
 REJECTION_COST_NS = 500_000
--- a/lugtally/downstream/request_reader.py
+++ b/lugtally/downstream/request_reader.py
@@ -22,10 +22,10 @@
 
 For the first request of a connection the time starts when the connection is accepted.
 """
-PARSED_PART_BYTES = 2 * 1024
-"""Input is parsed in parts of this size; the parser checks after each of them whether to yield."""
+PARSE_SLICE_BYTES = 2 * 1024
+"""Input is parsed in slices of this size; the reader checks before each further one whether to yield."""
 MAX_PARSE_TURN_NS = NS_PER_MS
-"""After this time the parser yields.  A read may contain thousands of small chunks or hundreds of small requests."""
+"""After this time the reader yields.  A read may contain thousands of small chunks or hundreds of small requests."""
 OVERDUE_READ_NS = 100 * NS_PER_MS
 """How long an incomplete request is still read after its time limit, an eviction or the end of a shutdown.
 
@@ -147,11 +147,11 @@
         else:
             self._start_request_timeout()
         arrived_after_ns = self.arrival.arrived_after_ns
-        for start in range(0, len(data), PARSED_PART_BYTES):
+        for start in range(0, len(data), PARSE_SLICE_BYTES):
             if start and self.connection.loop.now() - called_ns >= MAX_PARSE_TURN_NS:
                 self._yield(called_ns)
                 called_ns = self.connection.loop.now()
-            self.queue.feed(data[start : start + PARSED_PART_BYTES], arrived_after_ns)
+            self.queue.feed(data[start : start + PARSE_SLICE_BYTES], arrived_after_ns)
         return self.queue.pop()
 
     def _yield(self, called_ns: int) -> None:
--- a/lugtally/downstream/send_progress.py
+++ b/lugtally/downstream/send_progress.py
@@ -1,8 +1,8 @@
 """Whether a client reads what was written to its connection.
 
-A socket with a full send buffer becomes writable only when a good part of the buffer is free.  A client that reads
-steadily may take seconds for that, so that the wait alone does not tell it from one that has stopped.  The number of
-bytes that its kernel has not acknowledged does.
+A socket with a full send buffer becomes writable only when about a third of the buffer is free.  A client that reads
+steadily may take seconds for that, so that the wait alone does not distinguish it from one that has stopped.  The
+number of bytes that its kernel has not acknowledged does.
 """
 
 from __future__ import annotations
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -16,8 +16,8 @@
 """A streamed response is aborted if no byte of it is received for this long."""
 
 
-PARSED_PART_BYTES = 4 * 1024
-"""A chunked body is parsed in parts of this size, so that the task can yield between them."""
+PARSE_SLICE_BYTES = 4 * 1024
+"""A chunked body is parsed in slices of this size, so that the task can yield between them."""
 MAX_PARSE_TURN_NS = NS_PER_MS
 """After this time the task yields.  One read may contain thousands of small chunks."""
 
@@ -114,8 +114,8 @@
         return framing.feed(data)
     body_bytes = 0
     started_ns = loop.now()
-    for start in range(0, len(data), PARSED_PART_BYTES):
-        body_bytes += framing.feed(data[start : start + PARSED_PART_BYTES])
+    for start in range(0, len(data), PARSE_SLICE_BYTES):
+        body_bytes += framing.feed(data[start : start + PARSE_SLICE_BYTES])
         if framing.done:
             break
         if loop.now() - started_ns >= MAX_PARSE_TURN_NS:
--- a/tests/downstream/test_flooding_clients.py
+++ b/tests/downstream/test_flooding_clients.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True)
-class UsualClient:
+class OtherClient:
     """Sends one request after another, each on a new connection, and records how late each response is."""
 
     sidecar: Sidecar
@@ -33,7 +33,7 @@
         while not self.stopped:
             due_ns = loop.now() + int(TIME_LEFT_S * NS_PER_S)
             client = self.sidecar.client(self.address)
-            client.send(request("read", f"usual{len(self.statuses)}", time_left_s=TIME_LEFT_S))
+            client.send(request("read", f"other{len(self.statuses)}", time_left_s=TIME_LEFT_S))
             self.statuses.append(client.read()[:12])
             self.latenesses_ns.append(loop.now() - due_ns)
             client.sock.close()
@@ -58,24 +58,24 @@
 def test_flooding_clients_do_not_delay_requests_of_others(flood: Flood, connections: int, sidecar: Sidecar) -> None:
     """Regression: a client that kept its socket full stalled the event loop, and requests of others were lost."""
     delays = LoopDelays(sidecar.loop)
-    usual: list[UsualClient] = []
+    others: list[OtherClient] = []
 
     def script() -> None:
         address = sidecar.listen_with_one_endpoint()
         sidecar.loop.spawn(respond_to_all, sidecar)
-        usual.append(UsualClient(sidecar, address))
+        others.append(OtherClient(sidecar, address))
         process = start_flood(address, connections, flood)
-        sidecar.loop.spawn(usual[0].run)
+        sidecar.loop.spawn(others[0].run)
         sidecar.loop.spawn(delays.record)
         sidecar.wait_until(lambda: process.poll() is not None)
-        delays.stopped = usual[0].stopped = True
+        delays.stopped = others[0].stopped = True
         assert process.stdout is not None
         with process.stdout as output:
             assert int(output.read()) >= connections
 
     sidecar.run(script)
-    assert set(usual[0].statuses) == {b"HTTP/1.1 200"}
-    assert max(usual[0].latenesses_ns) <= ANSWER_SLACK_NS + PROCESS_SLACK_NS
+    assert set(others[0].statuses) == {b"HTTP/1.1 200"}
+    assert max(others[0].latenesses_ns) <= ANSWER_SLACK_NS + PROCESS_SLACK_NS
     delays.assert_within_slack()
 
 
--- a/tests/downstream/test_slow_readers.py
+++ b/tests/downstream/test_slow_readers.py
@@ -15,7 +15,7 @@
 from tests.fakes import PeerConnection, Sidecar, request
 
 BYTES_PER_S = 2_000_000
-"""How fast the clients read: a full send buffer takes over half a second to become writable."""
+"""How fast the clients read: a full send buffer takes over 0.5 s to become writable."""
 LONG_BODY_BYTES = 10_000_000
 """More than the buffers of both sockets."""
 BUFFERED_BODY_BYTES = 3_000_000
@@ -69,13 +69,13 @@
 
 @pytest.fixture
 def draining_sidecar(monkeypatch: pytest.MonkeyPatch) -> DrainingSidecar:
-    """A sidecar whose shutdown takes a second if all clients read."""
+    """A sidecar whose shutdown takes 1 s if all clients read."""
     monkeypatch.setattr(shutdown_state, "MAX_AWAITED_DEADLINE_NS", 0)
     return DrainingSidecar()
 
 
 @pytest.mark.parametrize("knows_progress", [True, False], ids=["ioctl", "no ioctl"])
-def test_client_that_reads_steadily_gets_whole_response_in_shutdown(
+def test_steady_reader_gets_complete_response_in_shutdown(
     knows_progress: bool, monkeypatch: pytest.MonkeyPatch, draining_sidecar: DrainingSidecar
 ) -> None:
     """Regression: it was disconnected 50 ms after the last response was due, because its socket was not writable."""
@@ -92,8 +92,8 @@
     draining_sidecar.run(script)
 
 
-def test_client_that_stops_reading_is_disconnected_in_shutdown(draining_sidecar: DrainingSidecar) -> None:
-    """It reads for half a second after the start of the shutdown."""
+def test_stopped_reader_is_disconnected_in_shutdown(draining_sidecar: DrainingSidecar) -> None:
+    """It reads for 0.5 s after the start of the shutdown."""
 
     def script() -> None:
         client = start_response(draining_sidecar, LONG_BODY_BYTES)
@@ -106,7 +106,7 @@
     draining_sidecar.run(script)
 
 
-def test_client_that_reads_steadily_is_not_disconnected(monkeypatch: pytest.MonkeyPatch, sidecar: Sidecar) -> None:
+def test_steady_reader_is_not_disconnected(monkeypatch: pytest.MonkeyPatch, sidecar: Sidecar) -> None:
     """Regression: a client was disconnected if its send buffer took longer than the timeout to become writable."""
     monkeypatch.setattr(downstream_connection, "WRITE_STALL_TIMEOUT_NS", 300 * NS_PER_MS)
 
@@ -117,7 +117,7 @@
     sidecar.run(script)
 
 
-def test_client_that_stops_reading_is_disconnected(monkeypatch: pytest.MonkeyPatch, sidecar: Sidecar) -> None:
+def test_stopped_reader_is_disconnected(monkeypatch: pytest.MonkeyPatch, sidecar: Sidecar) -> None:
     monkeypatch.setattr(downstream_connection, "WRITE_STALL_TIMEOUT_NS", 300 * NS_PER_MS)
 
     def script() -> None:
@@ -152,9 +152,7 @@
     sidecar.run(script)
 
 
-def test_close_of_idle_connection_does_not_truncate_last_response(
-    monkeypatch: pytest.MonkeyPatch, sidecar: Sidecar
-) -> None:
+def test_idle_close_does_not_truncate_last_response(monkeypatch: pytest.MonkeyPatch, sidecar: Sidecar) -> None:
     """Regression: the connection was closed while its client still read, and the next request reset it."""
     monkeypatch.setattr(request_reader, "CLIENT_IDLE_TIMEOUT_NS", 50 * NS_PER_MS)
 
--- a/tests/flooding_clients.py
+++ b/tests/flooding_clients.py
@@ -2,8 +2,8 @@
 
 Usage: python -m tests.flooding_clients HOST PORT CONNECTIONS SECONDS FLOOD
 
-A client whose connection ends connects again at once.  The last line of output is the number of connections that were
-opened.
+A client whose connection ends connects again immediately.  The last line of output is the number of connections that
+were opened.
 """
 
 from __future__ import annotations
