A long response is no longer cut off at the deadline of its request

Cause: `_buffer_prefix` buffers the first 64 KiB of a body before it claims the response, and used the deadline of the attempt as its end; `hold_until_ns` of a response buffered for pipelined requests ended it in the same way. The class: a response that has started has no deadline, but the code that decides when it counts as started could be outlasted by a slow endpoint.

Change: buffering has an end of its own and then hands over to the client: 50 ms after the head if the length is declared, 1 s if not, and 200 ms before the deadline in each case; 1 s and 200 ms before the deadline for a response in front of pipelined requests. What protects stays: a connection that breaks in that time gives a retry.

Left: a request that is pipelined while a body without a length is buffered may still shorten its deadline; a response over 1 MiB without a length in front of pipelined requests still fails, as it may never end.

--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -223,13 +223,16 @@
 
     def _claim_stream(self, attempt: StartAttempt, head: Message) -> ResponseSink | None:
         """Return the sink for a long response; ``None`` if the attempt may not stream it."""
+        buffer_until_ns = None
+        if self._reader.queue.has_request:
+            buffer_until_ns = ResponseStream.buffer_end_ns(self._services.loop.now(), self._pending.deadline_ns)
         # Created before the attempt claims the request, so that an exception here fails only the attempt.
         stream = ResponseStream(
             self._connection,
             self._request.message,
             head,
             closes_connection=self._services.reuse_policy.closes_after(self._reader, self._request.message),
-            hold_until_ns=self._pending.deadline_ns if self._reader.queue.has_request else None,
+            buffer_until_ns=buffer_until_ns,
         )
         if self._client_closed or not self._services.dispatcher.claim_stream(self._pending, attempt.number):
             return None
--- a/lugtally/downstream/response_stream.py
+++ b/lugtally/downstream/response_stream.py
@@ -6,12 +6,17 @@
 from lugtally.downstream.connection_state import TransitionCause
 from lugtally.downstream.responses import forwarded_headers
 from lugtally.http1 import MAX_BODY_BYTES, Message, serialize_streamed_head
+from lugtally.units import NS_PER_MS
 
 MAX_BUFFERED_BYTES = 16 * MAX_BODY_BYTES
 """Size limit of the buffer.
 
 A longer response is sent although further requests wait behind it; one without a declared length fails.
 """
+MAX_BUFFER_TIME_NS = 1000 * NS_PER_MS
+"""How long a response is buffered while further requests wait behind it."""
+BUFFER_END_MARGIN_NS = 200 * NS_PER_MS
+"""How long before the deadline of its request a buffered response is sent, complete or not."""
 _CRLF = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 
@@ -22,8 +27,8 @@
     A body without a declared length is sent in chunks, so that the client can detect a truncated body, and the
     connection may carry further requests.
 
-    The response is buffered while further requests of the client wait behind it: a stream that fails resets the
-    connection, and these requests would fail with it.
+    The response is buffered for a limited time while further requests of the client wait behind it: a stream that
+    fails resets the connection, and these requests would fail with it.
     """
 
     def __init__(
@@ -33,7 +38,7 @@
         head: Message,
         *,
         closes_connection: bool,
-        hold_until_ns: int | None,
+        buffer_until_ns: int | None,
     ) -> None:
         """Create the stream without sending anything.
 
@@ -42,7 +47,7 @@
             request: the request that is answered.
             head: the head of the endpoint's response.
             closes_connection: whether the connection closes after the response.
-            hold_until_ns: until when the response may be buffered; ``None`` to send it immediately.
+            buffer_until_ns: until when the response may be buffered; ``None`` to send it immediately.
         """
         self._has_length = "content-length" in head.header_map
         has_framing = self._has_length or "transfer-encoding" in head.header_map
@@ -54,7 +59,7 @@
         self._writable = True
         self.closes_connection = closes_connection
         """Whether the connection closes after the response."""
-        self.hold_until_ns = hold_until_ns
+        self.buffer_until_ns = buffer_until_ns
         """Until when the response is buffered; ``None`` once it is being sent."""
         self.started = False
         """Whether any byte of the response may have been sent to the client."""
@@ -69,23 +74,31 @@
         self._buffer += data
         if self._chunked and data:
             self._buffer += _CRLF
-        if self.hold_until_ns is not None:
+        if self.buffer_until_ns is not None:
             if len(self._buffer) <= MAX_BUFFERED_BYTES:
                 return True
             if not self._has_length:
                 return False  # the body may never end
-        self.hold_until_ns = None
+        return self.stop_buffering()
+
+    def stop_buffering(self) -> bool:
+        """Send what is buffered, and buffer nothing further; return false in the same cases as :meth:`send`."""
+        self.buffer_until_ns = None
         return self._flush()
 
     def finish(self) -> bool:
         """Send the end of the response; return false if the client disconnected or does not read."""
         if self._chunked:
             self._buffer += _LAST_CHUNK
-        self.hold_until_ns = None
-        is_complete = self._flush()
+        is_complete = self.stop_buffering()
         self._connection.response_truncated = not is_complete
         return is_complete
 
+    @staticmethod
+    def buffer_end_ns(now_ns: int, request_deadline_ns: int) -> int:
+        """Return until when to buffer a response that is claimed now."""
+        return min(now_ns + MAX_BUFFER_TIME_NS, request_deadline_ns - BUFFER_END_MARGIN_NS)
+
     def _flush(self) -> bool:
         """Write the buffer; return whether this and all earlier writes succeeded.
 
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -14,8 +14,21 @@
 
 STREAM_IDLE_TIMEOUT_NS = 5000 * NS_PER_MS
 """A streamed response is aborted if no byte of it is received for this long."""
-
-
+MAX_PREFIX_HOLD_NS = 50 * NS_PER_MS
+"""How long the first bytes of a body with a declared length are buffered: a failure in that time can be retried."""
+MAX_UNDECLARED_HOLD_NS = 1000 * NS_PER_MS
+"""As ``MAX_PREFIX_HOLD_NS``, for a body without a declared length, which may be a short one."""
+CLAIM_MARGIN_NS = 200 * NS_PER_MS
+"""How long before the deadline of the request a response is claimed at the latest.
+
+The process may be delayed by up to 150 ms between reading the clock and writing.
+"""
+MIN_CLAIM_MARGIN_NS = 20 * NS_PER_MS
+"""As ``CLAIM_MARGIN_NS``, if the head of a response without a declared length was received late."""
+MIN_LONG_BODY_BYTES = 4 * 1024
+"""A body without a declared length counts as a long one if this many bytes of it were received by its latest claim."""
+MAX_RECENT_INPUT_NS = 100 * NS_PER_MS
+"""A body without a declared length also counts as a long one if bytes of it were received more recently."""
 PARSE_SLICE_BYTES = 4 * 1024
 """A chunked body is parsed in slices of this size, so that the task can yield between them."""
 MAX_PARSE_TURN_NS = NS_PER_MS
@@ -32,8 +45,11 @@
         """Complete the response after its body was sent; return false in the same cases as :meth:`send`."""
 
     @property
-    def hold_until_ns(self) -> int | None:
-        """By when the response must be complete while the sink buffers it; ``None`` if the sink does not buffer it."""
+    def buffer_until_ns(self) -> int | None:
+        """Until when the sink buffers the response, unless it is complete earlier; ``None`` if it does not buffer."""
+
+    def stop_buffering(self) -> bool:
+        """Send what is buffered, and buffer nothing further; return false in the same cases as :meth:`send`."""
 
 
 ClaimStream = Callable[[Message], "ResponseSink | None"]
@@ -56,10 +72,12 @@
 ) -> AttemptOutcome:
     """Stream a long body to the client.
 
-    The first bytes of the body are buffered.  After that, at most the bytes of one read are in memory.
+    The first bytes of the body are buffered for a short time.  After that, at most the bytes of one read are in memory.
+    A response that has started has no deadline: the endpoint may write its body more slowly than that.
 
     Raises:
-        AttemptAborted: The body was truncated or timed out before any byte of it was sent to the client.
+        AttemptAborted: The body was truncated before any byte of it was sent to the client, or its length is not
+            declared and it has stalled at ``deadline_ns``.
     """
     framing, data = connection.parser.detach_body()
     try:
@@ -90,11 +108,14 @@
     """
     while not framing.done:
         deadline_ns = loop.now() + STREAM_IDLE_TIMEOUT_NS
-        if (hold_until_ns := sink.hold_until_ns) is not None:
-            if loop.now() >= hold_until_ns:
-                return AttemptOutcome.TIMEOUT
-            deadline_ns = min(deadline_ns, hold_until_ns)
-        reason = loop.wait(connection.fd, READABLE, deadline_ns)
+        buffer_until_ns = sink.buffer_until_ns
+        if buffer_until_ns is not None and loop.now() >= buffer_until_ns:
+            if not sink.stop_buffering():
+                return AttemptOutcome.CANCELLED
+            buffer_until_ns = None
+        reason = loop.wait(connection.fd, READABLE, deadline_ns if buffer_until_ns is None else buffer_until_ns)
+        if reason is WakeReason.TIMEOUT and buffer_until_ns is not None:
+            continue
         if reason is not WakeReason.READY:
             return AttemptOutcome.TIMEOUT if reason is WakeReason.TIMEOUT else AttemptOutcome.CANCELLED
         try:
@@ -131,17 +152,29 @@
 def _buffer_prefix(
     loop: EventLoop, connection: UpstreamConnection, framing: BodyFraming, data: bytes, deadline_ns: int
 ) -> _BodyPrefix:
-    """Read the first bytes of a body, until they exceed ``MAX_BODY_BYTES`` or the body is complete.
+    """Read the first bytes of a body, until the body is complete or its buffering ends.
 
-    The client has received nothing yet, so if the connection fails or the deadline passes, the request can still be
-    retried at another endpoint or answered as failed.
+    The client has received nothing until then, so that a failure can be retried or answered.  Buffering ends when the
+    bytes exceed ``MAX_BODY_BYTES``, or when a long response must be claimed.
 
     Raises:
         AttemptAborted: The connection was closed, the deadline passed or the attempt was cancelled.
     """
+    has_length = not framing.chunked and not framing.until_close
+    received_ns = loop.now()
+    hold_until_ns = _hold_end_ns(has_length, received_ns, deadline_ns)
     buffered = bytearray(data[: _feed(loop, framing, data)])
     while not framing.done and len(buffered) <= MAX_BODY_BYTES:
-        connection.wait_readable(loop, deadline_ns)
+        now_ns = loop.now()
+        if now_ns >= hold_until_ns and (has_length or _is_long(len(buffered), now_ns - received_ns)):
+            break
+        reason = loop.wait(connection.fd, READABLE, hold_until_ns if now_ns < hold_until_ns else deadline_ns)
+        if reason is WakeReason.INTERRUPTED:
+            raise AttemptAborted(AttemptOutcome.CANCELLED)
+        if reason is WakeReason.TIMEOUT:
+            if loop.now() >= deadline_ns and not has_length:
+                raise AttemptAborted(AttemptOutcome.TIMEOUT)
+            continue
         try:
             data = connection.receive()
         except BlockingIOError:
@@ -150,5 +183,24 @@
             if framing.until_close:
                 return _BodyPrefix(bytes(buffered), is_complete=True)
             raise AttemptAborted(AttemptOutcome.RESET)
+        received_ns = loop.now()
         buffered += data[: _feed(loop, framing, data)]
     return _BodyPrefix(bytes(buffered), framing.done)
+
+
+def _hold_end_ns(has_length: bool, now_ns: int, deadline_ns: int) -> int:
+    """Return until when to buffer the first bytes of a body whose head has just been received."""
+    max_hold_ns = MAX_PREFIX_HOLD_NS if has_length else MAX_UNDECLARED_HOLD_NS
+    hold_end_ns = min(now_ns + max_hold_ns, deadline_ns - CLAIM_MARGIN_NS)
+    if has_length:
+        return hold_end_ns
+    # A short body gets the time in which a long one shows that it continues.
+    return max(hold_end_ns, min(now_ns + MAX_RECENT_INPUT_NS, deadline_ns - MIN_CLAIM_MARGIN_NS))
+
+
+def _is_long(received_bytes: int, since_input_ns: int) -> bool:
+    """Return whether a body without a declared length is a long one, whose rest is not due at the deadline.
+
+    A short one that is late looks alike.  A body that has stalled after a few bytes counts as short.
+    """
+    return received_bytes >= MIN_LONG_BODY_BYTES or (received_bytes > 0 and since_input_ns < MAX_RECENT_INPUT_NS)
--- a/tests/sidecar_program.py
+++ b/tests/sidecar_program.py
@@ -66,7 +66,7 @@
 
 def serve_command(max_descriptors: int) -> list[str]:
     """Return the command that runs ``lugtally serve`` with at most ``max_descriptors`` open files."""
-    return ["sh", "-c", f'ulimit -n {max_descriptors}; exec "$0" -B -m lugtally serve', sys.executable]
+    return ["sh", "-c", f'ulimit -n {max_descriptors}; exec "$0" -B -m lugtally serve "$@"', sys.executable]
 
 
 def serve_environment(folder: Path, discovery: str) -> dict[str, str]:
