--- a/lugtally/__main__.py
+++ b/lugtally/__main__.py
@@ -15,15 +15,26 @@
     """Run one command; return the exit status."""
     command_line = sys.argv[1:] if arguments is None else arguments
     if command_line[:1] == ["serve"]:
-        # The memory of a sidecar may be limited to 32 MB, so ``serve`` does not import the other commands.
-        from lugtally.cli.daemon import serve
-
-        return run_command(serve, command_line[1:], "lugtally serve")
+        return _serve(command_line[1:])
     from lugtally.cli.root import root
 
     return run_command(root, command_line, "lugtally")
 
 
+def _serve(options: list[str]) -> int:
+    """Run ``serve``, without the other commands and, if it has no options, without the parser of the command line."""
+    from lugtally.cli.light_imports import import_loguru
+
+    import_loguru()
+    if not options:
+        from lugtally.cli.serve import serve as run_serve
+
+        return run_serve()
+    from lugtally.cli.daemon import serve
+
+    return run_command(serve, options, "lugtally serve")
+
+
 def run_command(command: object, arguments: list[str], program_name: str) -> int:
     """Run a click command; return its exit status, 2 for an invalid command line, or 130 after an interrupt."""
     import click
--- a/lugtally/cli/daemon.py
+++ b/lugtally/cli/daemon.py
@@ -4,18 +4,16 @@
 
 import os
 import sys
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import click
 
 from lugtally.cli.errors import print_error
+from lugtally.cli.serve import load_operator_file
+from lugtally.cli.serve import serve as run_serve
 
 if TYPE_CHECKING:
-    from lugtally.balancing import Settings
-    from lugtally.config.operator_file import OperatorFile
     from lugtally.logs import LogFormat
-    from lugtally.overload.admission import OverloadLimits
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 LOG_FORMATS = ("text", "json")
@@ -24,16 +22,6 @@
 STATUS_READ_BYTES = 64 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class _OperatorOptions:
-    """The options of ``serve`` that the operator's file can set.  The defaults apply if there is no file."""
-
-    log_level: str = "INFO"
-    log_format: LogFormat = "text"
-    overload: OverloadLimits | None = None
-    status_socket_path: str = ""
-
-
 @click.command()
 @click.option(
     "--log-level", type=click.Choice(LOG_LEVELS), help="takes precedence over the operator's file  [default: INFO]"
@@ -44,42 +32,7 @@
 @click.option("--operator", metavar="FILE", help="the operator's file, in TOML")
 def serve(log_level: str | None, log_format: LogFormat | None, operator: str | None) -> int:
     """Run the sidecar in the foreground, configured by the PROXY_* variables."""
-    from lugtally.config import sidecar
-    from lugtally.daemon.sidecar import serve as run_sidecar
-
-    options = _OperatorOptions()
-    try:
-        config = sidecar.load_config(os.environ)
-        if operator is not None:
-            options = _load_operator_options(operator, config.settings)
-    except ValueError as error:
-        return print_error(error)
-    return run_sidecar(
-        config,
-        log_level or options.log_level,
-        log_format or options.log_format,
-        overload=options.overload,
-        status_socket_path=options.status_socket_path,
-    )
-
-
-def _load_operator_options(path: str, settings: Settings) -> _OperatorOptions:
-    from lugtally.daemon.overload_protection import overload_limits
-
-    operator_file = _load_operator_file(path)
-    return _OperatorOptions(
-        log_level=operator_file.log.level,
-        log_format=operator_file.log.format,
-        overload=overload_limits(operator_file.overload, settings),
-        status_socket_path=operator_file.control.socket,
-    )
-
-
-def _load_operator_file(path: str) -> OperatorFile:
-    """Load the operator's file.  Its decoder is imported only if the file is given."""
-    from lugtally.config import operator_file
-
-    return operator_file.load(path)
+    return run_serve(log_level, log_format, operator)
 
 
 @click.command("check-config")
@@ -95,7 +48,7 @@
 
     try:
         if operator is not None:
-            operator_file = _load_operator_file(operator)
+            operator_file = load_operator_file(operator)
             print(
                 f"{operator}: log format {operator_file.log.format}, level {operator_file.log.level}, "
                 f"overload protection {'enabled' if operator_file.overload.enabled else 'disabled'}"
--- a/lugtally/config/endpoint_list.py
+++ b/lugtally/config/endpoint_list.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 import socket
+from _blake2 import blake2b  # hashlib would also load OpenSSL, which takes more than 3 MB
 from dataclasses import dataclass, field
 from enum import Enum
-from hashlib import blake2b
 from typing import Any
 
 from lugtally.address import Address
--- a/tests/config/test_operator_file.py
+++ b/tests/config/test_operator_file.py
@@ -34,6 +34,10 @@
     "lugtally.cli.rehearse",
     "msgspec",
     "argparse",
+    "asyncio",
+    "click",
+    "hashlib",
+    "ssl",
 )
 
 
