One memory budget for the process, which back-pressure, streaming and 503s keep

Cause: nothing owned the memory of the process. Each connection had bounds of its own, counted in bytes on the wire, and their sum was many times `limits.memory_mb`, which buffers did not look at.

Change: `lugtally/memory` counts what connections, requests, read-ahead, buffered streams and responses take in memory. Its capacity is the limit less the resident memory of the idle process less a margin; the resident memory, read every 0.1 s, corrects it. A head may have 100 fields. Request bodies are no longer copied for each attempt, nor kept while the response is written; parse errors no longer keep the input alive through their traceback. The log says every 10 s, and at thresholds, what takes the memory.

Noticed: after a crowd of parsed requests at 32 MB the correction leaves a capacity of 2 MB for good, as the allocator does not return its arenas.

--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -17,6 +17,7 @@
 from lugtally.config.sidecar import SidecarConfig
 from lugtally.daemon.errors import InvalidConfigurationError, ListenError, StartupError
 from lugtally.daemon.maintenance import run_maintenance
+from lugtally.daemon.memory_monitor import monitor_memory
 from lugtally.daemon.operator_drains import OperatorDrains, poll_drain_file
 from lugtally.daemon.overload_protection import monitor_resources
 from lugtally.daemon.reload import reload_configuration
@@ -26,6 +27,8 @@
 from lugtally.dispatch import BalancingPolicyFactory, Dispatcher
 from lugtally.downstream.server import DownstreamServer
 from lugtally.eventloop import EventLoop
+from lugtally.memory import MemoryBudget, read_resident_bytes
+from lugtally.memory.budget import BYTES_PER_MB
 from lugtally.overload.admission import AdmissionController, OverloadLimits
 from lugtally.overload.resource_monitor import ResourceLimits, ResourceMonitor
 from lugtally.units import NS_PER_S
@@ -37,9 +40,6 @@
     split_descriptors,
 )
 
-BYTES_PER_MB = 1024 * 1024
-"""Bytes in one unit of the configured memory limit."""
-
 
 def serve(
     config: SidecarConfig,
@@ -84,6 +84,7 @@
         endpoint_watcher: EndpointWatcher,
         downstream: DownstreamServer,
         admission: AdmissionController | None,
+        memory: MemoryBudget,
     ) -> None:
         self.config = config
         self.loop = loop
@@ -92,6 +93,7 @@
         self.endpoint_watcher = endpoint_watcher
         self.downstream = downstream
         self.admission = admission
+        self.memory = memory
         self._started_ns = 0
         self._status_socket: StatusSocket | None = None
         self._admin_server: AdminServer | None = None
@@ -119,6 +121,8 @@
         # The objects built so far live as long as the process.  Excluding them keeps garbage collections short.
         gc.collect()
         gc.freeze()
+        self.memory.record_idle(read_resident_bytes())
+        self.loop.spawn(monitor_memory, self.loop, self.memory)
         config = self.config
         logger.info(
             "{sidecar} serves at {host}:{port}",
@@ -148,6 +152,11 @@
             "front_sockets": self.downstream.open_connections,
             "connections": self.upstream.open_connections,
             "destinations": self.endpoint_watcher.ready_count,
+            "memory": {
+                "used": self.memory.used_bytes,
+                "capacity": self.memory.capacity_bytes,
+                **self.memory.used_by_name(),
+            },
             "requests": self.dispatcher.request_counts(),
             "overload": self.admission and self.admission.snapshot(),
         }
@@ -214,15 +223,18 @@
     settings = config.settings
     dispatcher = Dispatcher(_limit_poll_interval(settings), config.seed, loop, policy_factory)
     max_downstream, max_upstream = split_descriptors(config.descriptor_limit)
-    upstream = UpstreamPool(loop, _connection_limits(config, max_upstream), _load_report_fields(config))
+    memory = MemoryBudget(config.memory_limit_mb * BYTES_PER_MB)
+    upstream = UpstreamPool(loop, _connection_limits(config, max_upstream), _load_report_fields(config), memory)
     endpoint_watcher = EndpointWatcher(loop, dispatcher, upstream, config.discovery, config.zones)
     dispatcher.set_handlers(upstream.close_idle_connections, endpoint_watcher.watch)
-    downstream = DownstreamServer(loop, dispatcher, upstream, settings.classes, max_downstream, settings.tenants)
+    downstream = DownstreamServer(
+        loop, dispatcher, upstream, settings.classes, max_downstream, settings.tenants, memory
+    )
     admission = None
     if overload is not None:
         admission = _build_admission_controller(config, overload, loop.now())
         dispatcher.set_admission_controller(admission)
-    return Sidecar(config, loop, dispatcher, upstream, endpoint_watcher, downstream, admission)
+    return Sidecar(config, loop, dispatcher, upstream, endpoint_watcher, downstream, admission, memory)
 
 
 def _limit_poll_interval(settings: balancing.Settings) -> balancing.Settings:
--- a/lugtally/dispatch/dispatcher.py
+++ b/lugtally/dispatch/dispatcher.py
@@ -96,6 +96,14 @@
         self.metrics.record_shed(class_index)
         return Rejected(admission.retry_after_ns())
 
+    def reject_for_memory(self, class_index: int | None) -> Rejected:
+        """Return the rejection of a request for which the memory budget has no room, and count it.
+
+        ``class_index`` is ``None`` if the class is not known, because the head of the request was not stored.
+        """
+        self.metrics.record_shed(class_index)
+        return Rejected(0)
+
     def next_decision(self, request: PendingRequest) -> Decision:
         """Return the next decision on a request, waiting until there is one.
 
--- a/lugtally/dispatch/metrics.py
+++ b/lugtally/dispatch/metrics.py
@@ -41,10 +41,14 @@
         if 0 <= class_index < len(self.overload):
             self.overload[class_index] += 1
 
-    def record_shed(self, class_index: int) -> None:
-        """Count a request that this sidecar rejected because it was itself overloaded."""
-        self.shed += 1
-        self.record_rejection(class_index)
+    def record_shed(self, class_index: int | None) -> None:
+        """Count a request that this sidecar rejected because it was itself overloaded or short of memory.
+
+        A request of an unknown class is not counted as rejected.
+        """
+        if class_index is not None:
+            self.shed += 1
+            self.record_rejection(class_index)
 
     def record_failure(self, class_index: int) -> None:
         """Count a failed request.  An unknown class is ignored."""
--- a/lugtally/downstream/acceptor.py
+++ b/lugtally/downstream/acceptor.py
@@ -7,15 +7,18 @@
 
 from loguru import logger
 
-from lugtally.downstream.connection import DownstreamConnection
+from lugtally.downstream.connection import CONNECTION_BYTES, DownstreamConnection
 from lugtally.downstream.connection_policy import select_for_eviction
 from lugtally.downstream.listener import LISTEN_BACKLOG
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.eventloop import READABLE, Event, EventLoop, Task, WakeReason
+from lugtally.memory import MemoryBudget, MemoryUse
 from lugtally.units import NS_PER_MS
 
 MAX_ACCEPTS_PER_TURN = 16
 """Connections accepted in one turn of the event loop; more would delay requests in progress."""
+MIN_CONNECTIONS = 8
+"""So many connections are accepted even if the memory budget has no room."""
 EVICTION_INTERVAL_NS = 20 * NS_PER_MS
 """How often to select a connection for eviction while the limit is reached and clients wait in the backlog."""
 ACCEPT_ERROR_BACKOFF_NS = 20 * NS_PER_MS
@@ -35,6 +38,7 @@
         max_connections: int,
         shutdown_state: ShutdownState,
         handle_connection: Callable[[DownstreamConnection], None],
+        memory: MemoryBudget,
     ) -> None:
         """Create an acceptor without a listener.
 
@@ -48,6 +52,7 @@
         self._max_connections = max_connections
         self._shutdown_state = shutdown_state
         self._handle_connection = handle_connection
+        self._memory = memory
         self._backlog_last_empty_ns = loop.now()
         """The last time at which the backlog is known to have been empty."""
         self._backlog_was_emptied = True
@@ -81,12 +86,19 @@
             reason = self._wait_for_clients(listener)
             if reason is not WakeReason.READY:
                 continue
-            if len(self._connections) < self._max_connections:
+            if self._has_room(self._max_connections):
                 self._accept_batch(listener, self._max_connections, MAX_ACCEPTS_PER_TURN)
             else:
                 self._backlog_was_emptied = False
                 reason = self._evict_and_wait(self._loop.now() + EVICTION_INTERVAL_NS)
 
+    def _has_room(self, max_connections: int) -> bool:
+        """Return whether a further connection may be accepted."""
+        count = len(self._connections)
+        if count >= max_connections:
+            return False
+        return count < MIN_CONNECTIONS or self._memory.has_room(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
+
     def _wait_for_clients(self, listener: socket.socket) -> WakeReason:
         watched_since_ns = self._loop.now()
         reason = self._loop.wait(listener.fileno(), READABLE)
@@ -98,7 +110,7 @@
     def _accept_batch(self, listener: socket.socket, max_connections: int, max_accepts: int) -> None:
         """Accept clients until the backlog is empty or one of the limits is reached."""
         self._backlog_was_emptied = False
-        while listener.fileno() >= 0 and len(self._connections) < max_connections and max_accepts > 0:
+        while listener.fileno() >= 0 and self._has_room(max_connections) and max_accepts > 0:
             max_accepts -= 1
             accept_called_ns = self._loop.now()
             try:
@@ -121,7 +133,9 @@
 
     def _open_connection(self, sock: socket.socket) -> None:
         sock.setblocking(False)
-        connection = DownstreamConnection(sock, self._loop, self._shutdown_state, self._backlog_last_empty_ns)
+        connection = DownstreamConnection(
+            sock, self._loop, self._shutdown_state, self._backlog_last_empty_ns, self._memory
+        )
         self._connections.add(connection)
         self._loop.spawn(self._handle_connection, connection)
 
@@ -129,7 +143,7 @@
         """Accept all clients in the backlog, each when the limit allows it, until the deadline."""
         max_connections = self._max_connections + self._max_connections // DRAIN_EXTRA_CONNECTIONS_DIVISOR
         while self._loop.is_ready(listener.fileno(), READABLE) and self._loop.now() < deadline_ns:
-            if len(self._connections) >= max_connections:
+            if not self._has_room(max_connections):
                 self._evict_and_wait(min(deadline_ns, self._loop.now() + EVICTION_INTERVAL_NS))
             else:
                 self._accept_batch(listener, max_connections, LISTEN_BACKLOG)
--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -12,10 +12,13 @@
 from lugtally.downstream.send_progress import PROGRESS_CHECK_INTERVAL_NS, SendProgress
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.eventloop import WRITABLE, Event, EventLoop, WakeReason
+from lugtally.memory import MemoryBudget, MemoryUse, Reservation, unlimited_budget
 from lugtally.units import NS_PER_MS
 
 RECEIVE_BYTES = 16 * 1024
 """Largest number of bytes that one read returns; small, because each connection may buffer that much unparsed input."""
+CONNECTION_BYTES = 8 * 1024
+"""Approximate memory of a connection that buffers nothing: its task, its state and its parser."""
 WRITE_STALL_TIMEOUT_NS = 5_000 * NS_PER_MS
 """How long a write waits for a client that reads nothing."""
 SHUTDOWN_STALL_TIMEOUT_NS = 2_500 * NS_PER_MS
@@ -45,14 +48,20 @@
         "close_requested_in",
         "connected_after_ns",
         "evicted",
+        "exchange_memory",
         "fd",
         "loop",
+        "memory",
+        "queue_memory",
+        "request_memory",
         "response_truncated",
         "shutdown_state",
         "sock",
         "state",
+        "unsent_memory",
         "waiting_since_ns",
         "wake_up",
+        "_own_memory",
         "write_stalled",
     )
 
@@ -62,8 +71,23 @@
         loop: EventLoop,
         shutdown_state: ShutdownState | None = None,
         connected_after_ns: int | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        """``connected_after_ns`` is a lower bound of the time at which the client connected; the default is now."""
+        """``connected_after_ns`` is a lower bound of the time at which the client connected; the default is now.
+
+        ``memory`` is the budget of the process; the default is an unlimited one.
+        """
+        self.memory = memory or unlimited_budget()
+        self._own_memory = Reservation(self.memory, MemoryUse.CONNECTIONS)
+        self._own_memory.force(CONNECTION_BYTES)
+        self.request_memory = Reservation(self.memory, MemoryUse.REQUESTS)
+        """The memory of the request that is received or in progress."""
+        self.exchange_memory = Reservation(self.memory, MemoryUse.EXCHANGES)
+        """The memory of the task and the state of the request in progress."""
+        self.queue_memory = Reservation(self.memory, MemoryUse.READ_AHEAD)
+        """The memory of the requests behind it."""
+        self.unsent_memory = Reservation(self.memory, MemoryUse.RESPONSES)
+        """The memory of the response that is being written, while the client does not read it."""
         self.loop = loop
         self.shutdown_state = shutdown_state or ShutdownState()
         self.connected_after_ns = loop.now() if connected_after_ns is None else connected_after_ns
@@ -141,10 +165,13 @@
                     view = view[self.sock.send(view) :]
                 except BlockingIOError:
                     self.write_stalled = True
+                    self.unsent_memory.force(len(data))
                     if not self._wait_until_writable():
                         return False
         except OSError:
             return False  # the client disconnected while its response was written: other connections are not affected
+        finally:
+            self.unsent_memory.release()
         return True
 
     def _wait_until_writable(self) -> bool:
@@ -185,6 +212,14 @@
 
     def close(self) -> None:
         """Close the socket immediately."""
+        for reservation in (
+            self._own_memory,
+            self.request_memory,
+            self.exchange_memory,
+            self.queue_memory,
+            self.unsent_memory,
+        ):
+            reservation.release()
         self.transition(TransitionCause.SOCKET_CLOSED)
         self.loop.unregister(self.fd)
         if self.response_truncated:
--- a/lugtally/downstream/connection_policy.py
+++ b/lugtally/downstream/connection_policy.py
@@ -12,6 +12,7 @@
 from lugtally.downstream.request_reader import RequestReader
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.http1 import Message
+from lugtally.memory import MemoryBudget, MemoryUse
 from lugtally.units import NS_PER_MS
 
 MIN_LINGER_BEFORE_EVICTION_NS = 20 * NS_PER_MS
@@ -67,9 +68,14 @@
     """Decides whether a connection may carry further requests after the one in progress."""
 
     def __init__(
-        self, shutdown_state: ShutdownState, connections: Collection[DownstreamConnection], max_connections: int
+        self,
+        shutdown_state: ShutdownState,
+        connections: Collection[DownstreamConnection],
+        max_connections: int,
+        memory: MemoryBudget,
     ) -> None:
         """``connections`` are the server's open connections; the server adds and removes them."""
+        self._memory = memory
         self._shutdown_state = shutdown_state
         self._connections = connections
         self._max_connections = max_connections
@@ -96,7 +102,9 @@
     def _may_keep_alive(self) -> bool:
         """Return whether a connection without further input may stay open.
 
-        While more than half of the allowed connections are open, each response closes its connection: idle connections
-        would keep new clients in the backlog.
+        While more than half of the allowed connections are open, or memory is scarce, each response closes its
+        connection: idle connections would keep new clients in the backlog.
         """
-        return not self._shutdown_state.draining and len(self._connections) <= self._max_connections // 2
+        if self._shutdown_state.draining or len(self._connections) > self._max_connections // 2:
+            return False
+        return self._memory.has_room(MemoryUse.REQUESTS)
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -166,6 +166,8 @@
         to the garbage collector, and the collector's pauses would grow with the request rate.
         """
         self._tasks.clear()
+        if self._stream is not None:
+            self._stream.release_memory()
         self._pending.cancel_attempt = _cancel_nothing
 
     # ------------------------------------------------------------ attempts
--- a/lugtally/downstream/request_reader.py
+++ b/lugtally/downstream/request_reader.py
@@ -6,9 +6,10 @@
 from lugtally.downstream.connection import RECEIVE_BYTES, DownstreamConnection
 from lugtally.downstream.connection_state import ConnectionState, TransitionCause
 from lugtally.downstream.input_throttle import InputThrottle
-from lugtally.downstream.request_queue import ReceivedRequest, RequestQueue
+from lugtally.downstream.request_queue import MAX_REQUESTS_PER_READ, ReceivedRequest, RequestQueue
 from lugtally.eventloop import READABLE, WakeReason
 from lugtally.http1 import ProtocolError
+from lugtally.memory import MemoryUse
 from lugtally.units import NS_PER_MS
 
 CLIENT_IDLE_TIMEOUT_NS = 2_050 * NS_PER_MS
@@ -32,6 +33,13 @@
 Its rest may have arrived before that, while the process was busy or stopped.
 """
 
+MIN_RECEIVE_BYTES = 4 * 1024
+"""Largest number of bytes that one read returns while memory is scarce."""
+MAX_READ_AHEAD_BYTES = 512 * 1024
+"""Approximate memory of the requests that one read may contain."""
+MAX_UNRESERVED_BYTES = 2 * 1024
+"""So much of a request is received even if the memory budget has no room."""
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -42,10 +50,25 @@
         super().__init__(408, "the request did not become whole in time")
 
 
+class OutOfMemoryBudgetError(ProtocolError):
+    """The head of a request is large and incomplete, and the memory budget has no room for it."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "out of memory")
+
+
 class RequestReader:
     """Reads requests from one connection and moves it through the states up to ``PROCESSING``."""
 
-    __slots__ = ("_overdue_since_ns", "_throttle", "arrival", "connection", "queue")
+    __slots__ = (
+        "_overdue_since_ns",
+        "_throttle",
+        "arrival",
+        "connection",
+        "queue",
+        "_in_progress_bytes",
+        "_read_bytes",
+    )
 
     def __init__(self, connection: DownstreamConnection, throttle: InputThrottle) -> None:
         """``throttle`` is shared by all connections of the server."""
@@ -56,6 +79,10 @@
         self.arrival = ArrivalBound(connection.loop, connection.connected_after_ns)
         self.queue = RequestQueue()
         """The requests received after the one in progress; the last one may be incomplete."""
+        self._in_progress_bytes = 0
+        """The memory of the request in progress."""
+        self._read_bytes = RECEIVE_BYTES
+        """The largest number of bytes that the last read could have returned."""
 
     def read_request(self) -> ReceivedRequest | None:
         """Block until a request is complete and return it; ``None`` if the connection is to be closed.
@@ -75,6 +102,8 @@
         if request is None:
             request = self._receive_request(wait_first)
         if request is not None:
+            self._in_progress_bytes = request.message.memory_bytes
+            self._count_memory()
             connection.close_requested_in = None
             connection.evicted = False
         return request
@@ -83,7 +112,10 @@
         """Read available input while a request is in progress; return whether all of it was read.
 
         Reading ahead shows the deadlines of the further requests.  Every request that is read must be answered.
+        Nothing is read ahead while memory is scarce.
         """
+        if not self.connection.memory.has_room(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES):
+            return False
         try:
             data = self._receive(self.connection.loop.now())
         except OSError:
@@ -91,7 +123,48 @@
         if not data:
             return data is None
         self.queue.feed(data, self.arrival.arrived_after_ns)
-        return len(data) < RECEIVE_BYTES
+        self._count_memory()
+        return len(data) < self._read_bytes
+
+    def finish_request(self) -> None:
+        """Give back the memory of the request in progress, whose response is known."""
+        self._in_progress_bytes = 0
+        self.connection.exchange_memory.release()
+        self._count_memory()
+
+    def discard_input(self) -> None:
+        """Drop what has been received, because the connection is to be closed."""
+        self.queue.clear()
+        self.finish_request()
+
+    # ------------------------------------------------------------ memory
+
+    def _count_memory(self) -> None:
+        """Count the memory of what has been received, which is in use already."""
+        self.connection.request_memory.force(self._in_progress_bytes + self.queue.parser.memory_bytes)
+        self.connection.queue_memory.force(self.queue.queued_bytes)
+
+    def _reserve_memory(self) -> None:
+        """Reserve memory for the received part of a request.
+
+        If the budget has no room, the body is discarded as it is received and the request is rejected when it is
+        complete; a large incomplete head is rejected immediately.
+
+        Raises:
+            OutOfMemoryBudgetError: The head is rejected.
+        """
+        parser = self.queue.parser
+        received_bytes = parser.memory_bytes
+        self.connection.queue_memory.force(self.queue.queued_bytes)
+        memory = self.connection.request_memory
+        if received_bytes <= MAX_UNRESERVED_BYTES or memory.resize(self._in_progress_bytes + received_bytes):
+            return
+        if (head := parser.pending_head) is not None:
+            parser.discard_body()
+            head.drop_headers()
+        elif not self.queue.has_request:
+            raise OutOfMemoryBudgetError
+        self._count_memory()
 
     def _next_buffered_request(self) -> ReceivedRequest | None:
         """Return the next request, if it was received while the previous one was in progress.
@@ -136,7 +209,7 @@
             if (request := self._parse(data, called_ns)) is not None:
                 connection.transition(TransitionCause.REQUEST_COMPLETE)
                 return request
-            wait_first = len(data) < RECEIVE_BYTES and not connection.close_requested
+            wait_first = len(data) < self._read_bytes and not connection.close_requested
             if not wait_first:  # otherwise, the wait yields
                 self._yield(called_ns)
 
@@ -151,9 +224,15 @@
             if start and self.connection.loop.now() - called_ns >= MAX_PARSE_TURN_NS:
                 self._yield(called_ns)
                 called_ns = self.connection.loop.now()
-            self.queue.feed(data[start : start + PARSE_SLICE_BYTES], arrived_after_ns)
+            self.queue.feed(data[start : start + PARSE_SLICE_BYTES], arrived_after_ns, self._max_parsed_requests())
+            self._reserve_memory()
         return self.queue.pop()
 
+    def _max_parsed_requests(self) -> int:
+        """Return how many requests of one read are parsed: one while memory is scarce."""
+        has_room = self.connection.memory.has_room(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES)
+        return MAX_REQUESTS_PER_READ if has_room else 1
+
     def _yield(self, called_ns: int) -> None:
         """Let other tasks run, after input that was read at ``called_ns`` and completes no request.
 
@@ -199,12 +278,14 @@
 
         ``called_ns`` is the current time.
         """
+        has_room = self.connection.memory.has_room(MemoryUse.READ_AHEAD, RECEIVE_BYTES)
+        self._read_bytes = RECEIVE_BYTES if has_room else MIN_RECEIVE_BYTES
         try:
-            data = self.connection.sock.recv(RECEIVE_BYTES)
+            data = self.connection.sock.recv(self._read_bytes)
         except BlockingIOError:
             self.arrival.note_empty(called_ns)
             return None
-        self.arrival.note_received(called_ns, is_emptied=len(data) < RECEIVE_BYTES)
+        self.arrival.note_received(called_ns, is_emptied=len(data) < self._read_bytes)
         return data
 
     def _wait_for_bytes(self) -> None:
--- a/lugtally/downstream/response_stream.py
+++ b/lugtally/downstream/response_stream.py
@@ -6,6 +6,7 @@
 from lugtally.downstream.connection_state import TransitionCause
 from lugtally.downstream.responses import forwarded_headers
 from lugtally.http1 import MAX_BODY_BYTES, Message, serialize_streamed_head
+from lugtally.memory import MemoryUse, Reservation
 from lugtally.units import NS_PER_MS
 
 MAX_BUFFERED_BYTES = 16 * MAX_BODY_BYTES
@@ -17,6 +18,8 @@
 """How long a response is buffered while further requests wait behind it."""
 BUFFER_END_MARGIN_NS = 200 * NS_PER_MS
 """How long before the deadline of its request a buffered response is sent, complete or not."""
+MIN_UNCOPIED_BYTES = 4 * 1024
+"""Shorter data is copied, so that it is written together with its framing."""
 _CRLF = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 
@@ -56,6 +59,7 @@
         self._buffer = bytearray(
             serialize_streamed_head(head, forwarded_headers(head), self._chunked, closes_connection)
         )
+        self._buffer_memory = Reservation(connection.memory, MemoryUse.BUFFERED_STREAMS)
         self._writable = True
         self.closes_connection = closes_connection
         """Whether the connection closes after the response."""
@@ -71,21 +75,38 @@
         """
         if self._chunked and data:
             self._buffer += b"%x\r\n" % len(data)
+        if self.buffer_until_ns is None:
+            return self._send_directly(data)
         self._buffer += data
         if self._chunked and data:
             self._buffer += _CRLF
-        if self.buffer_until_ns is not None:
-            if len(self._buffer) <= MAX_BUFFERED_BYTES:
-                return True
-            if not self._has_length:
-                return False  # the body may never end
+        if len(self._buffer) <= MAX_BUFFERED_BYTES:
+            return self._buffer_memory.resize(len(self._buffer)) or self.stop_buffering()
+        if not self._has_length:
+            return False  # the body may never end
         return self.stop_buffering()
 
+    def _send_directly(self, data: bytes | memoryview) -> bool:
+        """Send bytes that need not be buffered, without copying them if there are many."""
+        is_copied = len(data) < MIN_UNCOPIED_BYTES
+        if is_copied:
+            self._buffer += data
+        else:
+            self._writable = self._flush() and self._connection.write(data)
+        if self._chunked and data:
+            self._buffer += _CRLF
+        return self._flush()
+
     def stop_buffering(self) -> bool:
         """Send what is buffered, and buffer nothing further; return false in the same cases as :meth:`send`."""
         self.buffer_until_ns = None
+        self.release_memory()
         return self._flush()
 
+    def release_memory(self) -> None:
+        """Give back the memory that was reserved for the buffer, which is sent now or never."""
+        self._buffer_memory.release()
+
     def finish(self) -> bool:
         """Send the end of the response; return false if the client disconnected or does not read."""
         if self._chunked:
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -21,7 +21,12 @@
 from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.listener import adopt_listener, bind_listener
 from lugtally.downstream.request_queue import ReceivedRequest
-from lugtally.downstream.request_reader import REQUEST_TIMEOUT_NS, RequestReader, RequestTimeoutError
+from lugtally.downstream.request_reader import (
+    REQUEST_TIMEOUT_NS,
+    OutOfMemoryBudgetError,
+    RequestReader,
+    RequestTimeoutError,
+)
 from lugtally.downstream.responses import (
     FinalResponse,
     StreamedResponse,
@@ -34,8 +39,12 @@
 from lugtally.downstream.validation import RequestValidator
 from lugtally.eventloop import Event, EventLoop
 from lugtally.http1 import ProtocolError, serialize_response
+from lugtally.memory import MemoryBudget, unlimited_budget
 from lugtally.upstream import UpstreamPool
 
+EXCHANGE_BYTES = 12 * 1024
+"""Approximate memory of a request in progress beside its message: the task and the state of an attempt."""
+
 __all__ = ["DownstreamConnection", "DownstreamServer"]
 
 
@@ -50,7 +59,9 @@
         classes: tuple[balancing.RequestClass, ...],
         max_connections: int,
         tenants: tuple[balancing.Tenant, ...] = (),
+        memory: MemoryBudget | None = None,
     ) -> None:
+        memory = memory or unlimited_budget()
         self._loop = loop
         self._dispatcher = dispatcher
         self._connections: set[DownstreamConnection] = set()
@@ -61,11 +72,17 @@
         self._input_throttle = InputThrottle(loop)
         self._connection_closed = Event(loop)
         shutdown_state = ShutdownState()
-        self._reuse_policy = ReusePolicy(shutdown_state, self._connections, max_connections)
+        self._reuse_policy = ReusePolicy(shutdown_state, self._connections, max_connections, memory)
         deadlines = RequestDeadlines(self._validator, shutdown_state)
         self._services = ExchangeServices(loop, dispatcher, upstream, deadlines, self._reuse_policy)
         self._acceptor = ConnectionAcceptor(
-            loop, self._connections, self._connection_closed, max_connections, shutdown_state, self._handle_connection
+            loop,
+            self._connections,
+            self._connection_closed,
+            max_connections,
+            shutdown_state,
+            self._handle_connection,
+            memory,
         )
         longest_deadline_ns = max((request_class.deadline_ns for request_class in classes), default=0)
         self._shutdown = GracefulShutdown(
@@ -113,15 +130,17 @@
 
     def _handle_connection(self, connection: DownstreamConnection) -> None:
         """Answer the requests of a connection in order, until it is to be closed, and close it."""
+        reader = RequestReader(connection, self._input_throttle)
         try:
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            reader = RequestReader(connection, self._input_throttle)
             while (request := reader.read_request()) is not None:
                 if not self._handle_request(reader, request):
                     return
             close_idle(connection)
         except ProtocolError as error:
-            self._reject_malformed(connection, error)
+            reader.discard_input()
+            # The traceback would keep the frames of the reader, and the input in them, until the connection closes.
+            self._reject_malformed(connection, error.with_traceback(None))
         except OSError as error:
             logger.debug(
                 "a client connection failed: {reason}", event="downstream.connection_failed", reason=str(error)
@@ -140,6 +159,8 @@
             # A bug in the sidecar must not leave a received request without a response.
             logger.exception("answering a request failed", event="downstream.request_failed")
             response = internal_error_response()
+        request.message.body = b""  # not needed any more, and a slow client may read the response for long
+        reader.finish_request()
         if response is None:
             return False
         if isinstance(response, StreamedResponse):
@@ -161,7 +182,7 @@
         """Send the error response to a malformed or incomplete request, as the last response of the connection."""
         connection.start_discarding()
         timed_out = isinstance(error, RequestTimeoutError)
-        if not timed_out:
+        if not timed_out and not isinstance(error, OutOfMemoryBudgetError):
             self._delay_rejection(connection)
         if connection.write(serialize_response(*protocol_error_response(error), close=True)):
             discard_input(connection, self._input_throttle, timed_out)
@@ -179,6 +200,8 @@
         if received.message.target.partition("?")[0] == HEALTH_PATH:
             self._health_checks.acquire()
             return health_response(self.ready and not self.draining)
+        if received.message.body_discarded:
+            return rejected_response(self._dispatcher.reject_for_memory(None))
         try:
             request = self._validator.validate(received)
         except ProtocolError as error:
@@ -188,6 +211,8 @@
         if reader.connection.client_status is ClientStatus.HALF_CLOSED:
             return rejected_response(Rejected(0))
         rejected = self._dispatcher.reject_if_overloaded(request.class_index, time_left_ns)
+        if rejected is None and not reader.connection.exchange_memory.resize(EXCHANGE_BYTES):
+            rejected = self._dispatcher.reject_for_memory(request.class_index)
         if rejected is not None:
             return rejected_response(rejected)
         self._ids_in_progress.add(request.correlation_id)
--- a/lugtally/http1/head_parser.py
+++ b/lugtally/http1/head_parser.py
@@ -9,6 +9,7 @@
 import re
 
 from lugtally.http1.errors import ProtocolError
+from lugtally.http1.limits import MAX_HEADER_FIELDS
 from lugtally.http1.message import Headers, Message, split_connection_options
 
 CHUNKED = -2
@@ -29,14 +30,17 @@
     """Parse the head that ends at ``end``, and remove it and the empty line after it from the buffer.
 
     Raises:
-        ProtocolError: The head is malformed.
+        ProtocolError: The head is malformed or has too many fields.
     """
+    if buffer.count(b"\r\n", 0, end) > MAX_HEADER_FIELDS:
+        raise ProtocolError(431, "the head has too many fields")
     headers_valid = _HEADER_LINES.fullmatch(buffer, buffer.find(b"\r\n"), end) is not None
     lines = buffer[:end].decode("latin-1").split("\r\n")
     del buffer[: end + 4]
     message = _parse_status_line(lines[0]) if responses else _parse_request_line(lines[0])
     if not headers_valid:
         raise ProtocolError(400, "a header is malformed")
+    message.head_bytes = end
     header_map = message.header_map
     _add_headers(message.headers, header_map, lines)
     if (connection := header_map.get("connection")) is not None:
--- a/lugtally/http1/limits.py
+++ b/lugtally/http1/limits.py
@@ -4,6 +4,8 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 """Largest head of a message, including the empty lines before a request."""
+MAX_HEADER_FIELDS = 100
+"""Largest number of header lines in a head.  A parsed field takes many times the memory of its bytes on the wire."""
 MAX_TRAILER_BYTES = MAX_HEAD_BYTES
 """Largest total size of the trailers of a chunked body."""
 MAX_BODY_BYTES = 64 * 1024
--- a/lugtally/http1/parser.py
+++ b/lugtally/http1/parser.py
@@ -32,6 +32,8 @@
         "_body",
         "_buffer",
         "_chunks",
+        "_discarded_bytes",
+        "_discards_body",
         "_empty_line_bytes",
         "_head",
         "_interim_responses",
@@ -59,6 +61,8 @@
         self._remaining = 0  # bytes of the body that have not been received, or CHUNKED or UNTIL_CLOSE
         self._chunks: ChunkedBody | None = None  # None if the body is not chunked
         self._body = bytearray()
+        self._discards_body = False
+        self._discarded_bytes = 0  # of the current body
         self._interim_responses = 0
 
     @property
@@ -71,6 +75,37 @@
         """The message whose head is complete, but whose body is not; ``None`` if there is none."""
         return self._head
 
+    @property
+    def memory_bytes(self) -> int:
+        """The approximate memory that the incomplete message takes."""
+        received_bytes = len(self._buffer) + len(self._body)
+        return received_bytes if self._head is None else received_bytes + self._head.memory_bytes
+
+    def discard_body(self) -> None:
+        """Discard the body of the pending message as it is received; does nothing if no message is pending."""
+        if self._head is not None:
+            self._discards_body = True
+            self._drop_body()
+
+    def stream_pending(self) -> Message | None:
+        """Return the pending response, to be streamed although its body is short; ``None`` if that is not possible.
+
+        :meth:`detach_body` then returns its body.
+        """
+        message = self._head
+        if message is None or not self._streams or message.status != 200 or self._remaining < 0:
+            return None
+        message.streamed = True
+        self._head = None
+        self._remaining += len(self._body)
+        self._buffer[:0] = self._body
+        self._body = bytearray()
+        return message
+
+    def append(self, data: bytes) -> None:
+        """Add received bytes without parsing them; the next call of :meth:`feed` does."""
+        self._buffer += data
+
     def feed(self, data: bytes) -> Message | None:
         """Add received bytes, and return the next message if it is complete.
 
@@ -89,11 +124,12 @@
                 self._head = message
             chunks = self._chunks
             is_complete = self._read_plain_body() if chunks is None else self._read_chunked_body(chunks)
+            if self._discards_body:
+                self._drop_body()
             if not is_complete:
                 return None
             self._head = None
-            message.body = bytes(self._body)
-            self._body.clear()
+            self._take_body(message)
             if message.status >= 200 or not self._responses:
                 self._interim_responses = 0
                 return message
@@ -112,7 +148,7 @@
         if self._head is None or self._remaining != UNTIL_CLOSE:
             return None
         message, self._head = self._head, None
-        message.body = bytes(self._body)
+        self._take_body(message)
         return message
 
     def _skip_interim_response(self, message: Message) -> None:
@@ -202,9 +238,21 @@
 
     # ------------------------------------------------------------ body
 
+    def _drop_body(self) -> None:
+        self._discarded_bytes += len(self._body)
+        self._body = bytearray()
+
+    def _take_body(self, message: Message) -> None:
+        """Move the body to its message, which is complete."""
+        message.body = bytes(self._body)
+        message.body_discarded = self._discards_body
+        self._body = bytearray()
+        self._discards_body = False
+        self._discarded_bytes = 0
+
     def _append_to_body(self, count: int) -> None:
         """Move ``count`` bytes from the buffer to the body."""
-        if len(self._body) + count > self._max_body_bytes:
+        if self._discarded_bytes + len(self._body) + count > self._max_body_bytes:
             raise ProtocolError(413, "the body is too large")
         if count == len(self._buffer):  # the common case: saves one copy of a long body
             self._body += self._buffer
@@ -232,7 +280,7 @@
                 chunks.consume_data(count)
                 if chunks.data_remaining:
                     return False
-            max_bytes = self._max_body_bytes - len(self._body)
+            max_bytes = self._max_body_bytes - self._discarded_bytes - len(self._body)
             del self._buffer[: chunks.consume_complete_chunks(self._buffer, 0, max_bytes, self._body)]
             line = self._read_line()
             if line is None:
--- a/lugtally/http1/serializer.py
+++ b/lugtally/http1/serializer.py
@@ -41,10 +41,11 @@
     """A client's request in the form that is sent to endpoints.  Its attempts differ only in ``X-Time-Left``.
 
     Attributes:
+        body: The body, which follows the head of each attempt.
         time_left_offset: Number of bytes before the value of ``X-Time-Left``; they are the same in all attempts.
     """
 
-    __slots__ = ("_body", "_head", "time_left_offset")
+    __slots__ = ("_head", "body", "time_left_offset")
 
     def __init__(self, message: Message) -> None:
         not_forwarded = _HEADERS_NOT_FORWARDED
@@ -55,12 +56,12 @@
         if message.body or message.method != "GET":
             lines.append(f"Content-Length: {len(message.body)}")
         self._head = "\r\n".join(lines).encode("latin-1") + _TIME_LEFT_FIELD
-        self._body = message.body
+        self.body = message.body
         self.time_left_offset = len(self._head)
 
-    def serialize(self, time_left_ns: int) -> bytes:
-        """Return the bytes of an attempt that starts with ``time_left_ns`` until the deadline of the request."""
-        return b"%s%.3f\r\n\r\n%s" % (self._head, max(0, time_left_ns) / NS_PER_S, self._body)
+    def serialize_head(self, time_left_ns: int) -> bytes:
+        """Return the head of an attempt that starts with ``time_left_ns`` until the deadline of the request."""
+        return b"%s%.3f\r\n\r\n" % (self._head, max(0, time_left_ns) / NS_PER_S)
 
 
 def serialize_get(host: str, target: str) -> bytes:
--- a/lugtally/upstream/attempt.py
+++ b/lugtally/upstream/attempt.py
@@ -8,7 +8,8 @@
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import EventLoop
 from lugtally.eventloop.tcp_socket import is_open_without_input
-from lugtally.http1 import ForwardedRequest, Message, ProtocolError
+from lugtally.http1 import ForwardedRequest, Message, MessageParser, ProtocolError
+from lugtally.memory import Reservation
 from lugtally.upstream.connection import UpstreamConnection
 from lugtally.upstream.errors import AttemptAborted
 
@@ -44,22 +45,22 @@
         AttemptAborted: The request was not sent completely, so it cannot have been processed; or the endpoint sent
             bytes before the request was complete.
     """
-    data = b""
+    head, body = b"", request.body
     sent = 0
     while True:
         time_left_ns = deadline_ns - loop.now()
         if time_left_ns <= 0:
             raise AttemptAborted(AttemptOutcome.TIMEOUT_BEFORE_SENT)
         if sent <= request.time_left_offset:
-            data = request.serialize(time_left_ns)  # the bytes that were sent already do not change
+            head = request.serialize_head(time_left_ns)  # the bytes that were sent already do not change
         try:
-            sent += connection.sock.send(memoryview(data)[sent:])
+            sent += _send_rest(connection, head, body, sent)
         except BlockingIOError:
             pass
         except OSError as error:
             _check_no_response(connection)
             raise AttemptAborted(AttemptOutcome.RESET_BEFORE_SENT) from error
-        if sent == len(data):
+        if sent == len(head) + len(body):
             return
         connection.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT, or_readable=True)
         # During the wait, the endpoint may have started draining, or the client may have disconnected.
@@ -68,6 +69,19 @@
         _check_no_response(connection)
 
 
+def _send_rest(connection: UpstreamConnection, head: bytes, body: bytes, sent: int) -> int:
+    """Write what follows the first ``sent`` bytes of a request, without copying its body; return the bytes written.
+
+    Raises:
+        BlockingIOError: Nothing can be written now.
+        OSError: The connection failed.
+    """
+    if sent >= len(head):
+        return connection.sock.send(memoryview(body)[sent - len(head) :])
+    unsent_head = memoryview(head)[sent:]
+    return connection.sock.sendmsg([unsent_head, body]) if body else connection.sock.send(unsent_head)
+
+
 def _check_no_response(connection: UpstreamConnection) -> None:
     """Check that the endpoint has sent nothing while the request is still being written.
 
@@ -83,9 +97,11 @@
         raise AttemptAborted(AttemptOutcome.RESET_BEFORE_SENT)
 
 
-def read_response(loop: EventLoop, connection: UpstreamConnection, deadline_ns: int) -> Message:
+def read_response(loop: EventLoop, connection: UpstreamConnection, deadline_ns: int, memory: Reservation) -> Message:
     """Read a complete response, or only the head if the response is to be streamed.
 
+    A short response, too, is streamed if ``memory`` has no room for it.  The caller releases ``memory``.
+
     Raises:
         AttemptAborted: The response was not complete by the deadline, or is malformed.
     """
@@ -105,6 +121,18 @@
             return response
         if not data:
             raise AttemptAborted(AttemptOutcome.RESET)
+        received_bytes = connection.parser.memory_bytes
+        if not memory.resize(received_bytes):
+            if (response := connection.parser.stream_pending()) is not None:
+                return response
+            _discard_error_body(connection.parser)
+            memory.force(connection.parser.memory_bytes)
+
+
+def _discard_error_body(parser: MessageParser) -> None:
+    """Discard the body of a response with another status than 200, which is not forwarded."""
+    if parser.pending_head is not None and parser.pending_head.status != 200:
+        parser.discard_body()
 
 
 def classify_response(response: Message) -> AttemptOutcome:
--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -16,10 +16,15 @@
 from lugtally.eventloop import READABLE, WRITABLE, EventLoop, WakeReason
 from lugtally.eventloop.tcp_socket import create_tcp_socket, has_unread_input
 from lugtally.http1 import Message, MessageParser
+from lugtally.memory import MemoryBudget, MemoryUse
 from lugtally.upstream.errors import AttemptAborted
 
 READ_CHUNK_BYTES = 64 * 1024
 """The largest number of bytes that one read returns."""
+MIN_READ_CHUNK_BYTES = 4 * 1024
+"""As ``READ_CHUNK_BYTES``, while memory is scarce."""
+CONNECTION_BYTES = 3 * 1024
+"""Approximate memory of an idle connection."""
 _SIOCOUTQNSD = 0x894B
 """The Linux ioctl request that returns how many bytes in the send queue of a TCP socket have not been sent yet."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -60,9 +65,21 @@
             one.  If so, the connection must not be reused.
     """
 
-    __slots__ = ("sock", "fd", "address", "parser", "idle_since_ns", "carries_request", "is_retired", "_watching_loop")
-
-    def __init__(self, sock: socket.socket, address: Address, max_body_bytes: int) -> None:
+    __slots__ = (
+        "sock",
+        "fd",
+        "address",
+        "parser",
+        "idle_since_ns",
+        "carries_request",
+        "is_retired",
+        "_memory",
+        "_watching_loop",
+    )
+
+    def __init__(self, sock: socket.socket, address: Address, max_body_bytes: int, memory: MemoryBudget) -> None:
+        memory.add(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
+        self._memory = memory
         self.sock = sock
         self.address = address
         self.fd = sock.fileno()
@@ -133,6 +150,7 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.fd = -1
         self.sock.close()
+        self._memory.add(MemoryUse.CONNECTIONS, -CONNECTION_BYTES)
         return True
 
     def _has_unsent_bytes(self) -> bool:
@@ -171,11 +189,14 @@
     def receive(self) -> bytes:
         """Read and return up to ``READ_CHUNK_BYTES`` bytes; empty if the endpoint closed the connection.
 
+        While memory is scarce, fewer bytes are read at a time; the kernel buffers the rest.
+
         Raises:
             BlockingIOError: There is nothing to read.
             OSError: The connection failed.
         """
-        return self.sock.recv(READ_CHUNK_BYTES)
+        has_room = self._memory.has_room(MemoryUse.BUFFERED_STREAMS, READ_CHUNK_BYTES)
+        return self.sock.recv(READ_CHUNK_BYTES if has_room else MIN_READ_CHUNK_BYTES)
 
     def has_bytes(self) -> bool:
         """Return whether there are bytes to read, even if the endpoint has closed the connection after them."""
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -10,6 +10,7 @@
 from lugtally.eventloop import READABLE, EventLoop, WakeReason
 from lugtally.eventloop.tcp_socket import is_open_without_input
 from lugtally.http1 import ForwardedRequest, Message
+from lugtally.memory import MemoryBudget, MemoryUse, Reservation, unlimited_budget
 from lugtally.units import NS_PER_MS
 from lugtally.upstream import attempt
 from lugtally.upstream.attempt import FinishedAttempt, MayProceed
@@ -39,7 +40,15 @@
         open_connections: The number of open connections, including idle ones.
     """
 
-    def __init__(self, loop: EventLoop, limits: ConnectionLimits, load_report_fields: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        limits: ConnectionLimits,
+        load_report_fields: tuple[str, ...],
+        memory: MemoryBudget | None = None,
+    ) -> None:
+        """Create a pool without connections; ``memory`` is the budget of the process, by default an unlimited one."""
+        self._memory = memory or unlimited_budget()
         self._loop = loop
         self._limits = limits
         self._load_report_fields = load_report_fields
@@ -114,9 +123,14 @@
         """
         connection.carries_request = True
         attempt.write_request(self._loop, connection, request, deadline_ns, may_proceed)
-        response = attempt.read_response(self._loop, connection, deadline_ns)
+        response_memory = Reservation(self._memory, MemoryUse.RESPONSES)
+        try:
+            response = attempt.read_response(self._loop, connection, deadline_ns, response_memory)
+        finally:
+            response_memory.release()
         if response.streamed:
-            outcome = stream_response(self._loop, connection, response, claim_stream, deadline_ns)
+            prefix_memory = Reservation(self._memory, MemoryUse.BUFFERED_STREAMS)
+            outcome = stream_response(self._loop, connection, response, claim_stream, deadline_ns, prefix_memory)
         else:
             outcome = attempt.classify_response(response)
         if connection.is_reusable_after(response):
@@ -245,7 +259,7 @@
             raise AttemptAborted(AttemptOutcome.CONNECTION_REFUSED)
         sock = open_socket(address)
         self.open_connections += 1
-        connection = UpstreamConnection(sock, address, self._limits.max_response_body_bytes)
+        connection = UpstreamConnection(sock, address, self._limits.max_response_body_bytes, self._memory)
         try:
             connection.connect(self._loop, self._limits.connect_timeout_ns, deadline_ns)
         except BaseException:
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -8,9 +8,11 @@
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import READABLE, EventLoop, WakeReason
 from lugtally.http1 import MAX_BODY_BYTES, BodyFraming, Message, ProtocolError
+from lugtally.memory import Reservation
 from lugtally.units import NS_PER_MS
 from lugtally.upstream.connection import UpstreamConnection
 from lugtally.upstream.errors import AttemptAborted
+from lugtally.upstream.load_report import LOAD_REPORT_HEADER
 
 STREAM_IDLE_TIMEOUT_NS = 5000 * NS_PER_MS
 """A streamed response is aborted if no byte of it is received for this long."""
@@ -69,8 +71,9 @@
     response: Message,
     claim_stream: ClaimStream | None,
     deadline_ns: int,
+    memory: Reservation,
 ) -> AttemptOutcome:
-    """Stream a long body to the client.
+    """Stream a long body to the client.  Until then ``memory`` counts the buffered bytes.
 
     The first bytes of the body are buffered for a short time.  After that, at most the bytes of one read are in memory.
     A response that has started has no deadline: the endpoint may write its body more slowly than that.
@@ -81,20 +84,26 @@
     """
     framing, data = connection.parser.detach_body()
     try:
-        prefix = _buffer_prefix(loop, connection, framing, data, deadline_ns)
+        prefix = _buffer_prefix(loop, connection, framing, data, deadline_ns, memory)
         if prefix.is_complete and framing.until_close:
             response.body = prefix.data
             response.streamed = False
             return AttemptOutcome.SERVED
         sink = claim_stream(response) if claim_stream is not None else None
-        if sink is None or not sink.send(prefix.data):
-            return AttemptOutcome.CANCELLED
+        response.drop_headers(LOAD_REPORT_HEADER)
+        prefix_data = prefix.data
         del prefix, data  # free the memory before the rest is streamed
+        memory.release()  # a sink that keeps the bytes counts them
+        if sink is None or not sink.send(prefix_data):
+            return AttemptOutcome.CANCELLED
+        del prefix_data
         return _stream_rest(loop, connection, framing, sink)
     except OSError:
         return AttemptOutcome.RESET
     except ProtocolError:
         return AttemptOutcome.MALFORMED_RESPONSE
+    finally:
+        memory.release()
 
 
 def _stream_rest(
@@ -150,12 +159,17 @@
 
 
 def _buffer_prefix(
-    loop: EventLoop, connection: UpstreamConnection, framing: BodyFraming, data: bytes, deadline_ns: int
+    loop: EventLoop,
+    connection: UpstreamConnection,
+    framing: BodyFraming,
+    data: bytes,
+    deadline_ns: int,
+    memory: Reservation,
 ) -> _BodyPrefix:
     """Read the first bytes of a body, until the body is complete or its buffering ends.
 
     The client has received nothing until then, so that a failure can be retried or answered.  Buffering ends when the
-    bytes exceed ``MAX_BODY_BYTES``, or when a long response must be claimed.
+    bytes exceed ``MAX_BODY_BYTES``, when a long response must be claimed, or if ``memory`` has no room.
 
     Raises:
         AttemptAborted: The connection was closed, the deadline passed or the attempt was cancelled.
@@ -166,6 +180,8 @@
     buffered = bytearray(data[: _feed(loop, framing, data)])
     while not framing.done and len(buffered) <= MAX_BODY_BYTES:
         now_ns = loop.now()
+        if not memory.resize(len(buffered)):
+            break
         if now_ns >= hold_until_ns and (has_length or _is_long(len(buffered), now_ns - received_ns)):
             break
         reason = loop.wait(connection.fd, READABLE, hold_until_ns if now_ns < hold_until_ns else deadline_ns)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -26,6 +26,7 @@
     "eventloop": 1,
     "http1": 1,
     "logs": 1,
+    "memory": 1,
     "units": 1,
     "address": 1,
 }
