An id whose client has left does not run again, also at the other process of an upgrade

Cause: `_ids_in_progress` forgets an id with its exchange, although an attempt of it may have run; and each process had a set of its own. The class: a promise about an effect was tied to the life of a connection.

Change: the ids of requests that are not idempotent are remembered for 60 s, from before the first attempt, in a table of fixed size (256 KiB, 16,384 ids; the oldest entry of a full set is replaced). The table is a file in `$TMPDIR` that the processes of one name map into memory, with times of the monotonic clock, so that a step of the wall clock does not matter. Its blocks are allocated first; if that fails, the table is private and an error is logged. A repeated id gets 409. An id is removed if its request was certainly not processed.

--- a/lugtally/admin/drain_store.py
+++ b/lugtally/admin/drain_store.py
@@ -14,11 +14,11 @@
 import ujson
 from loguru import logger
 
+from lugtally.file_names import file_safe_name
+
 FORMAT_VERSION = 1
 MAX_DRAINED_ENDPOINTS = 4096
 """Upper limit of the names in a file.  No endpoint list is longer, so a longer file was written by another program."""
-MAX_NAME_LENGTH = 64
-"""Number of characters of the sidecar's name that the file name contains."""
 
 
 class _FileVersion(NamedTuple):
@@ -33,8 +33,7 @@
     """The drain file of one sidecar name.  All processes with this name read and write the same file."""
 
     def __init__(self, folder: str, sidecar_name: str) -> None:
-        file_safe_name = "".join(char if char.isalnum() or char in "-_." else "_" for char in sidecar_name)
-        self.path = Path(folder) / f"lugtally-{file_safe_name[:MAX_NAME_LENGTH] or 'sidecar'}-drains.json"
+        self.path = Path(folder) / f"lugtally-{file_safe_name(sidecar_name)}-drains.json"
         self._last_version: _FileVersion | None = None
         """The version that was last read or written."""
 
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -21,10 +21,12 @@
 from lugtally.daemon.operator_drains import OperatorDrains, poll_drain_file
 from lugtally.daemon.overload_protection import monitor_resources
 from lugtally.daemon.reload import reload_configuration
+from lugtally.daemon.shared_table import map_shared_table
 from lugtally.daemon.signals import handle_signals
 from lugtally.daemon.status_socket import StatusSocket
 from lugtally.discovery import MAX_BACKOFF_NS, EndpointWatcher
 from lugtally.dispatch import BalancingPolicyFactory, Dispatcher
+from lugtally.downstream.recent_ids import TABLE_BYTES, RecentRequestIds
 from lugtally.downstream.server import DownstreamServer
 from lugtally.eventloop import EventLoop
 from lugtally.memory import MemoryBudget, read_resident_bytes
@@ -227,8 +229,10 @@
     upstream = UpstreamPool(loop, _connection_limits(config, max_upstream), _load_report_fields(config), memory)
     endpoint_watcher = EndpointWatcher(loop, dispatcher, upstream, config.discovery, config.zones)
     dispatcher.set_handlers(upstream.close_idle_connections, endpoint_watcher.watch)
+    table = map_shared_table(tempfile.gettempdir(), config.name, TABLE_BYTES)
+    recent_ids = RecentRequestIds(loop.now, table)
     downstream = DownstreamServer(
-        loop, dispatcher, upstream, settings.classes, max_downstream, settings.tenants, memory
+        loop, dispatcher, upstream, settings.classes, max_downstream, settings.tenants, memory, recent_ids
     )
     admission = None
     if overload is not None:
--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -96,6 +96,11 @@
         self._release()
         return self._final_response(decision)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have processed the request, or may still."""
+        return self._pending.may_have_run
+
     # ------------------------------------------------------------ the client
 
     def _watch_client(self) -> None:
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -20,6 +20,7 @@
 from lugtally.downstream.health import HEALTH_PATH, HealthCheckRateLimiter
 from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.listener import adopt_listener, bind_listener
+from lugtally.downstream.recent_ids import RecentRequestIds
 from lugtally.downstream.request_queue import ReceivedRequest
 from lugtally.downstream.request_reader import (
     REQUEST_TIMEOUT_NS,
@@ -42,6 +43,7 @@
 from lugtally.memory import MemoryBudget, unlimited_budget
 from lugtally.upstream import UpstreamPool
 
+REPEATED_ID_ERROR = ProtocolError(409, "X-Correlation-Id is that of a request that may have been processed")
 EXCHANGE_BYTES = 12 * 1024
 """Approximate memory of a request in progress beside its message: the task and the state of an attempt."""
 
@@ -60,7 +62,10 @@
         max_connections: int,
         tenants: tuple[balancing.Tenant, ...] = (),
         memory: MemoryBudget | None = None,
+        recent_ids: RecentRequestIds | None = None,
     ) -> None:
+        self._recent_ids = recent_ids or RecentRequestIds(loop.now)
+        """The correlation IDs of requests that must not run twice, also after their end."""
         memory = memory or unlimited_budget()
         self._loop = loop
         self._dispatcher = dispatcher
@@ -215,8 +220,13 @@
             rejected = self._dispatcher.reject_for_memory(request.class_index)
         if rejected is not None:
             return rejected_response(rejected)
+        if request.must_not_run_twice and not self._recent_ids.add(request.correlation_id):
+            return protocol_error_response(REPEATED_ID_ERROR)
         self._ids_in_progress.add(request.correlation_id)
+        exchange = Exchange(self._services, reader, request)
         try:
-            return Exchange(self._services, reader, request).run()
+            return exchange.run()
         finally:
             self._ids_in_progress.discard(request.correlation_id)
+            if request.must_not_run_twice and not exchange.may_have_run:
+                self._recent_ids.remove(request.correlation_id)
--- a/lugtally/downstream/validation.py
+++ b/lugtally/downstream/validation.py
@@ -25,6 +25,8 @@
     class_index: int
     tenant_index: int
     correlation_id: str
+    must_not_run_twice: bool
+    """Whether an endpoint must not process another request with the same correlation ID."""
 
 
 class _IndexedClass(NamedTuple):
@@ -64,6 +66,7 @@
             request_class.class_index,
             self._tenant_indexes.get(message.header_map.get("x-account", ""), UNKNOWN_TENANT),
             correlation_id,
+            settings.idempotency is not Idempotency.IDEMPOTENT,
         )
 
     def time_left_ns(self, message: Message) -> int | None:
--- a/tests/running_sidecar.py
+++ b/tests/running_sidecar.py
@@ -56,7 +56,7 @@
         with listener() as free_port:
             self.listen_address = ("127.0.0.1", free_port.getsockname()[1])
         self._clients: list[socket.socket] = []
-        self._log_path = folder / "log"
+        self._log_path = folder / f"log-{self.listen_address[1]}"
         records = [endpoint_record(f"s-{number}", endpoint) for number, endpoint in enumerate(endpoints)]
         configuration = {
             "name": "n1",
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -27,6 +27,7 @@
     "http1": 1,
     "logs": 1,
     "memory": 1,
+    "file_names": 1,
     "units": 1,
     "address": 1,
 }
