--- a/lugtally/discovery/watcher.py
+++ b/lugtally/discovery/watcher.py
@@ -77,7 +77,7 @@
             endpoint = self._to_listed_endpoint(record)
             if record.state is not ListedState.REMOVED:
                 self._endpoints[record.endpoint_id] = endpoint
-                self._upstream.set_address(record.endpoint_id, record.address)
+                self._upstream.set_address(record.endpoint_id, record.address, endpoint.started_ns)
             listed.append(endpoint)
         self._dispatcher.update_endpoints(kind, listed)
 
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -13,6 +13,7 @@
 from lugtally.memory import MemoryBudget, MemoryUse, Reservation, unlimited_budget
 from lugtally.units import NS_PER_MS
 from lugtally.upstream import attempt
+from lugtally.upstream.addresses import EndpointAddresses
 from lugtally.upstream.attempt import FinishedAttempt, MayProceed
 from lugtally.upstream.connection import UpstreamConnection, open_socket
 from lugtally.upstream.errors import AttemptAborted
@@ -52,22 +53,24 @@
         self._loop = loop
         self._limits = limits
         self._load_report_fields = load_report_fields
-        self._addresses: dict[int, Address] = {}
+        self._addresses = EndpointAddresses()
         self._idle = IdleConnections(loop, self._close)
         # By endpoint: the connection that an attempt reuses once it has been idle for ``MIN_IDLE_BEFORE_REUSE_NS``.
         self._awaiting_reuse: dict[int, UpstreamConnection] = {}
         self.open_connections = 0
 
-    def set_address(self, endpoint_id: int, address: Address) -> None:
-        """Set the address of an endpoint; if it changes, close the idle connections to the old address."""
-        if self._addresses.get(endpoint_id) != address:
-            self.close_idle_connections(endpoint_id)
-            self._addresses[endpoint_id] = address
+    def set_address(self, endpoint_id: int, address: Address, started_ns: int = 0) -> None:
+        """Set the address of an endpoint, and when it started; close the idle connections that this makes invalid.
+
+        An endpoint that started earlier and is listed at the same address gets no further connections.
+        """
+        for invalid_id in self._addresses.set(endpoint_id, address, started_ns):
+            self.close_idle_connections(invalid_id)
 
     def remove(self, endpoint_id: int) -> None:
         """Drop the address of a removed endpoint and close the idle connections to it."""
         self.close_idle_connections(endpoint_id)
-        self._addresses.pop(endpoint_id, None)
+        self._addresses.remove(endpoint_id)
 
     def close_idle_connections(self, endpoint_id: int) -> None:
         """Close the idle connections to an endpoint, including one that an attempt waits to reuse."""
@@ -255,7 +258,7 @@
             if self.open_connections >= self._limits.max_connections:
                 raise AttemptAborted(AttemptOutcome.NO_DESCRIPTOR)
         address = self._addresses.get(endpoint_id)
-        if address is None:  # the endpoint was removed after the attempt had started
+        if address is None:  # the endpoint was removed, or another one has replaced it at its address
             raise AttemptAborted(AttemptOutcome.CONNECTION_REFUSED)
         sock = open_socket(address)
         self.open_connections += 1
--- a/tests/discovery/test_watcher.py
+++ b/tests/discovery/test_watcher.py
@@ -10,12 +10,14 @@
 from lugtally.config.endpoint_list import endpoint_id_of, parse_endpoint_list
 from lugtally.discovery.watcher import EndpointWatcher
 from lugtally.eventloop import EventLoop
-from lugtally.units import NS_PER_MS
+from lugtally.units import NS_PER_MS, NS_PER_S
 from lugtally.upstream import ConnectionLimits, UpstreamPool
 from tests.dispatch.scripted_balancer import TwoAttemptBalancer, run_task
 
 DISCOVERY = Address("127.0.0.1", 9)
 
+EMPTY_LIST = {"version": 1, "full": True, "servers": []}
+
 
 @pytest.fixture
 def loop() -> EventLoop:
@@ -105,3 +107,26 @@
     assert dispatcher.endpoint_count == 1
     assert endpoint_watcher.ready_count == 0
     assert endpoint_id in upstream._addresses
+
+
+@pytest.mark.parametrize("step_s", [3600, -3600])
+def test_endpoint_listed_after_wall_clock_step_is_not_warm(
+    step_s: int,
+    loop: EventLoop,
+    dispatcher: dispatch.Dispatcher,
+    endpoint_watcher: EndpointWatcher,
+    balancer: TwoAttemptBalancer,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an endpoint that started before a step, is listed after it and counts as warm or as future."""
+    started_ms = loop.wall_clock() // NS_PER_MS - 700
+    run_task(loop, dispatcher, lambda: endpoint_watcher.start(parse_endpoint_list(EMPTY_LIST, "known")))
+    wall_clock = loop.wall_clock
+    monkeypatch.setattr(EventLoop, "wall_clock", staticmethod(lambda: wall_clock() + step_s * NS_PER_S))
+    record = {"id": "s-1", "addr": "127.0.0.1:1", "zone": "a", "state": "ready", "started_ms": started_ms}
+    raw_list = {"version": 2, "full": True, "servers": [record]}
+    endpoint_watcher._apply_update(parse_endpoint_list(raw_list, "update"), balancing.EndpointUpdateKind.FULL)
+    started_ns = [event.endpoints for event in balancer.events if isinstance(event, balancing.EndpointUpdate)][-1][
+        0
+    ].started_ns
+    assert 0 <= loop.now() - started_ns < 1000 * NS_PER_MS
