System calls that fail for a moment end no connection, attempt, drain or process

What callers could see: a connection reset with its request unread, an attempt counted as possibly run that was never sent, operators' drains lost.

Cause, one class: an error of a call was taken for an error of what the call was about. `setsockopt(TCP_NODELAY)` and a read or write that failed with ENOBUFS or ENOMEM closed the client's connection; an option or `getsockname` that failed while connecting was an exception, which counts as RESET (may have run); EINTR of connect was a refusal; each error of accept evicted a connection; a short write of a call to discovery was never continued; a read error renamed a valid drain file; a drain whose write failed was confirmed and forgotten; an exception in the handler of a descriptor, or a failed poll, ended the process.

Left: binding the listener at the start is not repeated; a table of request ids that cannot be created stays private.

--- a/lugtally/admin/drain_store.py
+++ b/lugtally/admin/drain_store.py
@@ -49,18 +49,20 @@
             self._last_version = None
             return None
         except OSError as error:
-            logger.error(
-                "the drain file cannot be read: {reason}", event="drain.file_unreadable", reason=error.strerror
-            )
+            self._log_unreadable(error)
             return None
         if version == self._last_version:
             return None
-        self._last_version = version
         try:
-            return decode(self.path.read_bytes())
-        except (OSError, ValueError) as error:
+            drained = decode(self.path.read_bytes())
+        except OSError as error:
+            self._log_unreadable(error)  # the file may be valid, and is read again
+            return None
+        except ValueError as error:
             self._rename_invalid_file(error)
             return None
+        self._last_version = version
+        return drained
 
     def write(self, drained: set[str]) -> bool:
         """Replace the file atomically; return whether that succeeded.  An error is logged."""
@@ -80,6 +82,10 @@
             return False
         return True
 
+    @staticmethod
+    def _log_unreadable(error: OSError) -> None:
+        logger.error("the drain file cannot be read: {reason}", event="drain.file_unreadable", reason=error.strerror)
+
     def _current_version(self) -> _FileVersion:
         status = self.path.stat()
         return _FileVersion(status.st_ino, status.st_mtime_ns, status.st_size)
--- a/lugtally/daemon/memory_monitor.py
+++ b/lugtally/daemon/memory_monitor.py
@@ -24,7 +24,8 @@
     while True:
         loop.sleep(CHECK_INTERVAL_NS)
         resident_bytes = read_resident_bytes()
-        budget.correct(resident_bytes)
+        if resident_bytes:
+            budget.correct(resident_bytes)
         level = sum(budget.usage > usage for usage in LOGGED_USAGES)
         if level > logged_level:
             logger.warning(_TEXT, event="memory.scarce", **_usage_fields(budget, resident_bytes))
--- a/lugtally/daemon/operator_drains.py
+++ b/lugtally/daemon/operator_drains.py
@@ -26,6 +26,8 @@
         self._downstream = downstream
         self._store = store
         self._drained: set[str] = set()  # endpoint names
+        self._unsaved: dict[str, bool] = {}
+        """The changes that could not be written yet: whether each endpoint is drained, by its name."""
 
     def is_ready(self) -> bool:
         """Return whether this process accepts requests and is not shutting down."""
@@ -47,7 +49,7 @@
             self._drained.add(endpoint_name)
             self._dispatcher.start_drain(endpoint_id)
             logger.warning("operator's drain of {server} started", event="drain.started", server=endpoint_name)
-        self._store.write(self._drained)
+        self._save(endpoint_name, True)
         return True
 
     def end_drain(self, endpoint_name: str) -> bool:
@@ -58,14 +60,34 @@
         self._drained.discard(endpoint_name)
         self._dispatcher.end_drain(endpoint_id)
         logger.warning("operator's drain of {server} ended", event="drain.ended", server=endpoint_name)
-        self._store.write(self._drained)
+        self._save(endpoint_name, False)
         return True
 
+    def _save(self, endpoint_name: str, is_drained: bool) -> None:
+        """Write a change.  If that fails, :meth:`reload` tries again, because the call has succeeded nevertheless."""
+        self._unsaved[endpoint_name] = is_drained
+        self._write_unsaved()
+
+    def _write_unsaved(self) -> None:
+        if self._unsaved and self._store.write(self._drained):
+            self._unsaved.clear()
+
     def reload(self) -> None:
-        """Apply the drains in the drain file if another process of this name has changed it since the last call."""
+        """Apply the drains in the drain file if another process of this name has changed it since the last call.
+
+        Changes of this process that could not be written are kept, and written now.
+        """
         stored = self._store.read()
-        if stored is None:
-            return
+        if stored is not None:
+            self._apply_stored(self._with_unsaved(stored))
+        self._write_unsaved()
+
+    def _with_unsaved(self, stored: set[str]) -> set[str]:
+        """Return the stored drains with the changes that could not be written."""
+        unchanged = stored - self._unsaved.keys()
+        return unchanged | {endpoint_name for endpoint_name, is_drained in self._unsaved.items() if is_drained}
+
+    def _apply_stored(self, stored: set[str]) -> None:
         for endpoint_name in stored - self._drained:
             self._dispatcher.start_drain(endpoint_id_of(endpoint_name))
         for endpoint_name in self._drained - stored:
--- a/lugtally/discovery/client.py
+++ b/lugtally/discovery/client.py
@@ -10,7 +10,7 @@
 from lugtally.address import Address
 from lugtally.config.endpoint_list import EndpointList, parse_endpoint_list
 from lugtally.discovery import timing
-from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, WakeReason
+from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, WakeReason, send_all
 from lugtally.eventloop.tcp_socket import create_tcp_socket, is_open_without_input
 from lugtally.http1 import Message, MessageParser, serialize_get
 from lugtally.units import NS_PER_MS
@@ -117,7 +117,9 @@
         """
         sock = self._sock or self._connect()
         deadline_ns = self._loop.now() + timing.WATCH_HOLD_MS * NS_PER_MS + timing.RESPONSE_TIMEOUT_NS
-        sock.send(serialize_get(f"{self._address.host}:{self._address.port}", target))
+        call = serialize_get(f"{self._address.host}:{self._address.port}", target)
+        if not send_all(self._loop, sock, call, deadline_ns):
+            raise TimeoutError("the call could not be written in time")
         while True:
             self._wait(sock, READABLE, deadline_ns, TimeoutError("no response in time"))
             try:
--- a/lugtally/downstream/acceptor.py
+++ b/lugtally/downstream/acceptor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections.abc import Callable
 
@@ -23,6 +24,8 @@
 """How often to select a connection for eviction while the limit is reached and clients wait in the backlog."""
 ACCEPT_ERROR_BACKOFF_NS = 20 * NS_PER_MS
 """How long to wait after a failed ``accept`` before the next one, unless a connection closes earlier."""
+_EXHAUSTED_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Errors of ``accept`` for which closing another connection may help."""
 DRAIN_EXTRA_CONNECTIONS_DIVISOR = 8
 """While a shutdown accepts the backlog, the connection limit is raised by the limit divided by this."""
 
@@ -122,15 +125,22 @@
             except ConnectionAbortedError:
                 continue  # the client disconnected while it waited in the backlog
             except OSError as error:
-                # Usually no descriptor is free.  The listener stays readable, so that retrying immediately would use
-                # all of the CPU.  An uncaught exception would end the accepting task.
-                logger.warning(
-                    "cannot accept a connection: {reason}", event="downstream.accept_failed", reason=error.strerror
-                )
-                self._evict_and_wait(self._loop.now() + ACCEPT_ERROR_BACKOFF_NS)
+                self._back_off(error)
                 return
             self._open_connection(sock)
 
+    def _back_off(self, error: OSError) -> None:
+        """Wait after a failed ``accept``; evict a connection if that frees a resource that it needs.
+
+        The listener stays readable, so that retrying immediately would use all of the CPU.
+        """
+        logger.warning("cannot accept a connection: {reason}", event="downstream.accept_failed", reason=error.strerror)
+        retry_ns = self._loop.now() + ACCEPT_ERROR_BACKOFF_NS
+        if error.errno in _EXHAUSTED_ERRNOS:
+            self._evict_and_wait(retry_ns)
+        else:
+            self._connection_closed.wait(retry_ns)
+
     def _open_connection(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         connection = DownstreamConnection(
--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -4,7 +4,6 @@
 
 import enum
 import socket
-import struct
 
 from loguru import logger
 
@@ -12,6 +11,7 @@
 from lugtally.downstream.send_progress import PROGRESS_CHECK_INTERVAL_NS, SendProgress
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.eventloop import WRITABLE, Event, EventLoop, WakeReason
+from lugtally.eventloop.tcp_socket import TRANSIENT_ERRNOS, reset_on_close
 from lugtally.memory import MemoryBudget, MemoryUse, Reservation, unlimited_budget
 from lugtally.units import NS_PER_MS
 
@@ -21,13 +21,12 @@
 """Approximate memory of a connection that buffers nothing: its task, its state and its parser."""
 WRITE_STALL_TIMEOUT_NS = 5_000 * NS_PER_MS
 """How long a write waits for a client that reads nothing."""
+TRANSIENT_ERROR_PAUSE_NS = 2 * NS_PER_MS
 SHUTDOWN_STALL_TIMEOUT_NS = 2_500 * NS_PER_MS
 """As ``WRITE_STALL_TIMEOUT_NS``, once the last response of a graceful shutdown is due."""
 SHUTDOWN_CLIENT_TIMEOUT_NS = 50 * NS_PER_MS
 """How long a graceful shutdown waits, after its last response is due, for a client to close."""
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER (on, 0 s): the close resets the connection
-
 
 class ClientStatus(enum.Enum):
     """What the client of a connection has done; if several of these apply, the last of them counts."""
@@ -168,12 +167,17 @@
                     self.unsent_memory.force(len(data))
                     if not self._wait_until_writable():
                         return False
-        except OSError:
-            return False  # the client disconnected while its response was written: other connections are not affected
+                except OSError as error:
+                    if error.errno not in TRANSIENT_ERRNOS or not self._pause_write():
+                        return False  # the client disconnected: other connections are not affected
         finally:
             self.unsent_memory.release()
         return True
 
+    def _pause_write(self) -> bool:
+        """Block before repeating a write that the kernel had no memory for; return false if the task is interrupted."""
+        return self.loop.sleep(TRANSIENT_ERROR_PAUSE_NS) is not WakeReason.INTERRUPTED
+
     def _wait_until_writable(self) -> bool:
         """Block until the socket is writable; return false if the client reads nothing, or the task is interrupted."""
         started_ns = self.loop.now()
@@ -224,5 +228,5 @@
         self.loop.unregister(self.fd)
         if self.response_truncated:
             # The regular end of a connection can mark the end of a body: only a reset shows that this one is truncated.
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(self.sock)
         self.sock.close()
--- a/lugtally/downstream/request_reader.py
+++ b/lugtally/downstream/request_reader.py
@@ -8,6 +8,7 @@
 from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.request_queue import MAX_REQUESTS_PER_READ, ReceivedRequest, RequestQueue
 from lugtally.eventloop import READABLE, WakeReason
+from lugtally.eventloop.tcp_socket import TRANSIENT_ERRNOS
 from lugtally.http1 import ProtocolError
 from lugtally.memory import MemoryUse
 from lugtally.units import NS_PER_MS
@@ -285,6 +286,10 @@
         except BlockingIOError:
             self.arrival.note_empty(called_ns)
             return None
+        except OSError as error:
+            if error.errno in TRANSIENT_ERRNOS:
+                return None
+            raise
         self.arrival.note_received(called_ns, is_emptied=len(data) < self._read_bytes)
         return data
 
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -39,6 +39,7 @@
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.downstream.validation import RequestValidator
 from lugtally.eventloop import Event, EventLoop
+from lugtally.eventloop.tcp_socket import disable_nagle
 from lugtally.http1 import ProtocolError, serialize_response
 from lugtally.memory import MemoryBudget, unlimited_budget
 from lugtally.upstream import UpstreamPool
@@ -137,7 +138,7 @@
         """Answer the requests of a connection in order, until it is to be closed, and close it."""
         reader = RequestReader(connection, self._input_throttle)
         try:
-            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            disable_nagle(connection.sock)
             while (request := reader.read_request()) is not None:
                 if not self._handle_request(reader, request):
                     return
--- a/lugtally/eventloop/loop.py
+++ b/lugtally/eventloop/loop.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import select
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -26,6 +27,8 @@
 """A poll that returns later than this after its timeout was delayed, and the time of its events is unknown."""
 MIN_BLOCKED_POLL_NS = 100_000
 """A poll that took this long or longer found no descriptor ready at first, and blocked."""
+POLL_ERROR_PAUSE_S = 0.001
+"""Pause after a poll that failed, which does not wait itself."""
 MAX_SHORT_TURN_NS = 10 * NS_PER_MS
 """After a longer turn, a poll that seems to have blocked may have been preempted instead."""
 READABLE = select.POLLIN
@@ -204,11 +207,24 @@
         """Poll the descriptors until ``due_ns`` at the latest; call the handlers of the descriptors that are ready."""
         before_ns = self.now()
         timeout_ns = MAX_POLL_NS if due_ns is None else min(MAX_POLL_NS, max(0, due_ns - before_ns))
-        ready = self._poll.poll(timeout_ns / NS_PER_MS)
+        try:
+            ready = self._poll.poll(timeout_ns / NS_PER_MS)
+        except OSError as error:  # the kernel is short of memory
+            logger.warning("polling failed: {reason}", event="eventloop.poll_failed", reason=error.strerror)
+            time.sleep(POLL_ERROR_PAUSE_S)
+            return
         self._record_poll(before_ns, timeout_ns, self.now())
         for fd, poll_events in ready:
             if (handler := self._handlers.get(fd)) is not None:
-                handler(poll_events)
+                self._call_handler(handler, poll_events)
+
+    @staticmethod
+    def _call_handler(handler: Callable[[int], None], poll_events: int) -> None:
+        try:
+            handler(poll_events)
+        except Exception:
+            # A bug in the handling of one descriptor must not stop the process.
+            logger.exception("a handler of a descriptor failed", event="eventloop.handler_failed")
 
     def _record_poll(self, before_ns: int, timeout_ns: int, returned_ns: int) -> None:
         """Record when the poll checked the descriptors, and whether it blocked."""
--- a/lugtally/eventloop/tcp_socket.py
+++ b/lugtally/eventloop/tcp_socket.py
@@ -2,14 +2,34 @@
 
 from __future__ import annotations
 
+import contextlib
+import errno
 import fcntl
 import socket
 import struct
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""The value of ``SO_LINGER`` (on, 0 s) that makes a close reset the connection."""
 _SIOCOUTQ = 0x5411
 """The Linux ioctl request that returns how many bytes in the send queue of a TCP socket have not been acknowledged."""
 
 
+TRANSIENT_ERRNOS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EINTR})
+"""Errors of a call that says nothing about its connection: the call can be repeated."""
+
+
+def disable_nagle(sock: socket.socket) -> None:
+    """Send small writes immediately; does nothing if the option cannot be set, which costs only latency."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Make the close reset the connection and discard the send queue; does nothing if the option cannot be set."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def create_tcp_socket(host: str) -> socket.socket:
     """Create a non-blocking TCP socket of the address family of ``host``, a numeric address.
 
--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -6,7 +6,6 @@
 import fcntl
 import os
 import socket
-import struct
 from collections.abc import Callable
 
 from loguru import logger
@@ -14,7 +13,13 @@
 from lugtally.address import Address
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import READABLE, WRITABLE, EventLoop, WakeReason
-from lugtally.eventloop.tcp_socket import create_tcp_socket, has_unread_input
+from lugtally.eventloop.tcp_socket import (
+    TRANSIENT_ERRNOS,
+    create_tcp_socket,
+    disable_nagle,
+    has_unread_input,
+    reset_on_close,
+)
 from lugtally.http1 import Message, MessageParser
 from lugtally.memory import MemoryBudget, MemoryUse
 from lugtally.upstream.errors import AttemptAborted
@@ -27,8 +32,6 @@
 """Approximate memory of an idle connection."""
 _SIOCOUTQNSD = 0x894B
 """The Linux ioctl request that returns how many bytes in the send queue of a TCP socket have not been sent yet."""
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""The value of ``SO_LINGER`` that makes a close reset the connection and discard the send queue."""
 
 
 def open_socket(address: Address) -> socket.socket:
@@ -92,20 +95,16 @@
     def connect(self, loop: EventLoop, timeout_ns: int, deadline_ns: int) -> None:
         """Connect within the timeout and before the deadline of the attempt.
 
+        Whatever the error, the request has not been sent, so that it was not processed.
+
         Raises:
             AttemptAborted: Connecting failed or timed out, or the attempt was cancelled.
         """
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        error_number = self.sock.connect_ex(self.address)
-        if error_number == errno.EINPROGRESS:
-            connect_deadline_ns = loop.now() + timeout_ns
-            if connect_deadline_ns < deadline_ns:
-                self.wait_writable(loop, connect_deadline_ns, AttemptOutcome.CONNECT_TIMEOUT)
-            else:
-                self.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT)
-            error_number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if not error_number and self._is_connected_to_itself():
-            error_number = errno.ECONNREFUSED
+        disable_nagle(self.sock)
+        try:
+            error_number = self._connect(loop, timeout_ns, deadline_ns)
+        except OSError as error:
+            error_number = error.errno or errno.EIO
         if error_number:
             host, port = self.address
             logger.debug(
@@ -117,6 +116,25 @@
             )
             raise AttemptAborted(AttemptOutcome.CONNECTION_REFUSED)
 
+    def _connect(self, loop: EventLoop, timeout_ns: int, deadline_ns: int) -> int:
+        """Connect; return the error number, 0 if the connection is established.
+
+        Raises:
+            AttemptAborted: Connecting timed out, or the attempt was cancelled.
+            OSError: The state of the socket cannot be read.
+        """
+        error_number = self.sock.connect_ex(self.address)
+        if error_number in (errno.EINPROGRESS, errno.EINTR):  # after EINTR the kernel goes on connecting
+            connect_deadline_ns = loop.now() + timeout_ns
+            if connect_deadline_ns < deadline_ns:
+                self.wait_writable(loop, connect_deadline_ns, AttemptOutcome.CONNECT_TIMEOUT)
+            else:
+                self.wait_writable(loop, deadline_ns, AttemptOutcome.TIMEOUT_BEFORE_SENT)
+            error_number = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if not error_number and self._is_connected_to_itself():
+            return errno.ECONNREFUSED
+        return error_number
+
     def _is_connected_to_itself(self) -> bool:
         """Return whether the socket is connected to itself (TCP simultaneous open).
 
@@ -147,7 +165,7 @@
         self.unwatch()  # before the close, after which a new connection may get the same descriptor
         if self.carries_request and self._has_unsent_bytes():
             # Otherwise the kernel would send the remaining bytes before it closes the connection.
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(self.sock)
         self.fd = -1
         self.sock.close()
         self._memory.add(MemoryUse.CONNECTIONS, -CONNECTION_BYTES)
@@ -192,11 +210,16 @@
         While memory is scarce, fewer bytes are read at a time; the kernel buffers the rest.
 
         Raises:
-            BlockingIOError: There is nothing to read.
+            BlockingIOError: There is nothing to read, or the kernel had no memory for the call.
             OSError: The connection failed.
         """
         has_room = self._memory.has_room(MemoryUse.BUFFERED_STREAMS, READ_CHUNK_BYTES)
-        return self.sock.recv(READ_CHUNK_BYTES if has_room else MIN_READ_CHUNK_BYTES)
+        try:
+            return self.sock.recv(READ_CHUNK_BYTES if has_room else MIN_READ_CHUNK_BYTES)
+        except OSError as error:
+            if error.errno in TRANSIENT_ERRNOS:
+                raise BlockingIOError from error
+            raise
 
     def has_bytes(self) -> bool:
         """Return whether there are bytes to read, even if the endpoint has closed the connection after them."""
