Fault injection: crowds, low memory, failing calls, stepped clocks, signals in series, slow bodies

Cause: the seeded faults had none of the incident's: no limit of memory was held, no endpoint wrote past a deadline, no call failed.

Now it is sent incomplete only if its length is declared and a byte of it came within the last 0.5 s; any other fails at its deadline as before.

--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -240,6 +240,7 @@
             head,
             closes_connection=self._services.reuse_policy.closes_after(self._reader, self._request.message),
             buffer_until_ns=buffer_until_ns,
+            deadline_ns=self._pending.deadline_ns,
         )
         if self._client_closed or not self._services.dispatcher.claim_stream(self._pending, attempt.number):
             return None
--- a/lugtally/downstream/response_stream.py
+++ b/lugtally/downstream/response_stream.py
@@ -42,6 +42,7 @@
         *,
         closes_connection: bool,
         buffer_until_ns: int | None,
+        deadline_ns: int,
     ) -> None:
         """Create the stream without sending anything.
 
@@ -50,7 +51,8 @@
             request: the request that is answered.
             head: the head of the endpoint's response.
             closes_connection: whether the connection closes after the response.
-            buffer_until_ns: until when the response may be buffered; ``None`` to send it immediately.
+            buffer_until_ns: until when the response is buffered; ``None`` to send it immediately.
+            deadline_ns: the deadline of the request.
         """
         self._has_length = "content-length" in head.header_map
         has_framing = self._has_length or "transfer-encoding" in head.header_map
@@ -65,6 +67,8 @@
         """Whether the connection closes after the response."""
         self.buffer_until_ns = buffer_until_ns
         """Until when the response is buffered; ``None`` once it is being sent."""
+        self.deadline_ns = deadline_ns
+        """The deadline of the request, at which a response that is still buffered fails."""
         self.started = False
         """Whether any byte of the response may have been sent to the client."""
 
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -27,6 +27,8 @@
 """
 MIN_CLAIM_MARGIN_NS = 20 * NS_PER_MS
 """As ``CLAIM_MARGIN_NS``, if the head of a response without a declared length was received late."""
+MAX_BUFFERED_PAUSE_NS = 500 * NS_PER_MS
+"""A response that is buffered for pipelined requests has stalled if no byte of it was received for this long."""
 MIN_LONG_BODY_BYTES = 4 * 1024
 """A body without a declared length counts as a long one if this many bytes of it were received by its latest claim."""
 MAX_RECENT_INPUT_NS = 100 * NS_PER_MS
@@ -50,6 +52,10 @@
     def buffer_until_ns(self) -> int | None:
         """Until when the sink buffers the response, unless it is complete earlier; ``None`` if it does not buffer."""
 
+    @property
+    def deadline_ns(self) -> int:
+        """The deadline of the request, at which a response that is still buffered fails."""
+
     def stop_buffering(self) -> bool:
         """Send what is buffered, and buffer nothing further; return false in the same cases as :meth:`send`."""
 
@@ -115,15 +121,12 @@
         OSError: The connection to the endpoint failed.
         ProtocolError: The body is malformed.
     """
+    received_ns = loop.now()
     while not framing.done:
-        deadline_ns = loop.now() + STREAM_IDLE_TIMEOUT_NS
-        buffer_until_ns = sink.buffer_until_ns
-        if buffer_until_ns is not None and loop.now() >= buffer_until_ns:
-            if not sink.stop_buffering():
-                return AttemptOutcome.CANCELLED
-            buffer_until_ns = None
-        reason = loop.wait(connection.fd, READABLE, deadline_ns if buffer_until_ns is None else buffer_until_ns)
-        if reason is WakeReason.TIMEOUT and buffer_until_ns is not None:
+        if (outcome := _end_buffering(loop, framing, sink, received_ns)) is not None:
+            return outcome
+        reason = loop.wait(connection.fd, READABLE, _wait_end_ns(loop, sink, received_ns))
+        if reason is WakeReason.TIMEOUT and sink.buffer_until_ns is not None:
             continue
         if reason is not WakeReason.READY:
             return AttemptOutcome.TIMEOUT if reason is WakeReason.TIMEOUT else AttemptOutcome.CANCELLED
@@ -135,9 +138,37 @@
             return _finish(sink) if framing.until_close else AttemptOutcome.RESET
         if not sink.send(memoryview(data)[: _feed(loop, framing, data)]):
             return AttemptOutcome.CANCELLED
+        received_ns = loop.now()
     return _finish(sink)
 
 
+def _end_buffering(
+    loop: EventLoop, framing: BodyFraming, sink: ResponseSink, received_ns: int
+) -> AttemptOutcome | None:
+    """If the sink has buffered the response for long enough, send it incomplete; return the outcome if it has failed.
+
+    It is sent if its length is declared and it has not stalled.  Any other response may never end, and the requests
+    behind it would then get no response: it fails at its deadline.
+    """
+    now_ns = loop.now()
+    if sink.buffer_until_ns is None or now_ns < sink.buffer_until_ns:
+        return None
+    if _has_length(framing) and now_ns - received_ns < MAX_BUFFERED_PAUSE_NS:
+        return None if sink.stop_buffering() else AttemptOutcome.CANCELLED
+    return AttemptOutcome.TIMEOUT if now_ns >= sink.deadline_ns else None
+
+
+def _wait_end_ns(loop: EventLoop, sink: ResponseSink, received_ns: int) -> int:
+    """Return until when to wait for the next bytes of the body."""
+    if sink.buffer_until_ns is None:
+        return received_ns + STREAM_IDLE_TIMEOUT_NS
+    return sink.buffer_until_ns if loop.now() < sink.buffer_until_ns else sink.deadline_ns
+
+
+def _has_length(framing: BodyFraming) -> bool:
+    return not framing.chunked and not framing.until_close
+
+
 def _feed(loop: EventLoop, framing: BodyFraming, data: bytes) -> int:
     """Return how many of the bytes belong to the body; yield to other tasks if it has many small chunks."""
     if not framing.chunked:
@@ -174,7 +205,7 @@
     Raises:
         AttemptAborted: The connection was closed, the deadline passed or the attempt was cancelled.
     """
-    has_length = not framing.chunked and not framing.until_close
+    has_length = _has_length(framing)
     received_ns = loop.now()
     hold_until_ns = _hold_end_ns(has_length, received_ns, deadline_ns)
     buffered = bytearray(data[: _feed(loop, framing, data)])
--- a/tests/fault_injection/endpoint_connection.py
+++ b/tests/fault_injection/endpoint_connection.py
@@ -18,6 +18,8 @@
 from tests.sockets import reset_on_close
 
 SILENCE_S = 6.0
+SLOW_BODY_PARTS = 15
+SLOW_BODY_EXCESS_S = 0.4
 SECOND_COPY_DELAY_S = 0.002
 MAX_SECOND_COPY_DELAY_NS = 5 * NS_PER_MS
 """No second copy is sent later than this.  A sidecar waits 8 ms for one, and this process may itself run late."""
@@ -156,9 +158,32 @@
             case EndpointBehaviour.RESET | EndpointBehaviour.TRUNCATED | EndpointBehaviour.SILENCE:
                 await self._send_truncated(attempt, plan)
                 return False
+            case EndpointBehaviour.SLOW_BODY:
+                return await self._send_slowly(attempt, plan)
             case _:
                 return await self._send_complete(attempt, plan)
 
+    async def _send_slowly(self, attempt: Attempt, plan: ResponsePlan) -> bool:
+        """Send a complete response in parts, the last of them after the deadline; return as ``_send_response``."""
+        response = self._serialize(attempt, plan)
+        attempt.response_kind = ResponseKind.COMPLETE
+        attempt.writes_slowly = True
+        attempt.has_length = plan.framing is Framing.LENGTH
+        part_bytes = -(-len(response) // SLOW_BODY_PARTS)
+        pause_s = (max(0.0, attempt.time_left_ns / NS_PER_S) + SLOW_BODY_EXCESS_S) / SLOW_BODY_PARTS
+        try:
+            for start in range(0, len(response), part_bytes):
+                await self._send(response[start : start + part_bytes])
+                await self._wait_unless_closed(pause_s)
+        except OSError:
+            attempt.cut_off_ns = now_ns()
+            raise
+        if plan.framing is Framing.UNTIL_CLOSE:
+            self._sock.shutdown(socket.SHUT_WR)
+            await self._wait_unless_closed(SILENCE_S)
+            return False
+        return True
+
     async def _send_complete(self, attempt: Attempt, plan: ResponsePlan) -> bool:
         """Send a complete response, twice for ``DUPLICATED``; return whether the connection stays open."""
         response = self._serialize(attempt, plan)
--- a/tests/fault_injection/injector.py
+++ b/tests/fault_injection/injector.py
@@ -26,6 +26,20 @@
 STARVE_STOPPED_S = 0.06
 HALF_REQUEST = b"GET /campaign-read HTTP/1.1\r\nHost: x\r\n"
 REMOVED_PERIOD_S = 0.2
+SIGNAL_SERIES = (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+SIGNAL_GAP_S = 0.05
+CROWD_DESCRIPTORS = 1024
+CROWD_FACTOR = 4
+"""With this many descriptors or more, a crowd has this many times the connections."""
+_CROWD_HEAD = b"POST /receipt-issue HTTP/1.1\r\nHost: x\r\n"
+_MANY_FIELDS = b"".join(b"%x: b\r\n" % number for number in range(1800))
+CROWD_DATA = (
+    _CROWD_HEAD + b"X-Correlation-Id: crowd\r\nContent-Length: 60000\r\n\r\n" + b"b" * 55_000,
+    _CROWD_HEAD + _MANY_FIELDS + b"Content-Length: 60000\r\n\r\n" + b"b" * 30_000,
+    _CROWD_HEAD + _MANY_FIELDS[:800] + b"Content-Length: 60000\r\n\r\n" + b"b" * 30_000,
+    _CROWD_HEAD + b"X: " + b"x" * 15_000,
+)
+"""What each client of a crowd sends: incomplete requests, by kind."""
 
 
 @dataclass(slots=True)
@@ -59,6 +73,8 @@
             TimedFault.SLOW_CONNECT: self._slow_connect,
             TimedFault.STARVE: self._starve_sidecar,
             TimedFault.IDLE_FLOOD: self._flood_sidecar,
+            TimedFault.CROWD: self._crowd_sidecar,
+            TimedFault.SIGNAL_SERIES: self._signal_sidecar,
         }
 
     async def run_schedule(self, schedule: list[ScheduledFault]) -> None:
@@ -144,6 +160,23 @@
         await sidecar.start()
         self._record(f"sidecar {sidecar.number} is ready again", sidecar)
 
+    async def _signal_sidecar(self, fault: ScheduledFault) -> None:
+        """Send signals in quick succession, kill the sidecar at the earliest time, and start it again."""
+        with self._reserve_sidecar(fault) as sidecar:
+            if sidecar is None:
+                return
+            self._record(f"a series of signals to sidecar {sidecar.number}", sidecar)
+            terminated_ns = 0
+            for number in SIGNAL_SERIES:
+                if number is signal.SIGTERM:
+                    terminated_ns = terminated_ns or now_ns()
+                sidecar.send_signal(number)
+                await asyncio.sleep(SIGNAL_GAP_S)
+            remaining_s = TERMINATION_GRACE_S - (now_ns() - terminated_ns) / NS_PER_S
+            exited = await sidecar.wait_for_exit(remaining_s)
+            self._record(f"sidecar {sidecar.number} {'has exited' if exited else 'still runs: SIGKILL'}", sidecar)
+            await self._restart_sidecar(sidecar)
+
     async def _reload_sidecars(self, fault: ScheduledFault) -> None:
         """Reload the sidecars several times, each time with another discovery service."""
         targets = self._targets
@@ -155,6 +188,23 @@
                     sidecar.reload(targets.service_addresses[service])
             await asyncio.sleep(RELOAD_GAP_S)
 
+    async def _crowd_sidecar(self, fault: ScheduledFault) -> None:
+        """Open connections that make the sidecar buffer as much as possible, and close them after the duration."""
+        sidecar = self._targets.sidecars[fault.target % len(self._targets.sidecars)]
+        count = fault.connection_count * (CROWD_FACTOR if sidecar.max_descriptors >= CROWD_DESCRIPTORS else 1)
+        kind = fault.target // len(self._targets.sidecars) % len(CROWD_DATA)
+        self._record(f"a crowd of {count} connections, kind {kind}, to sidecar {sidecar.number}", sidecar)
+        sockets = []
+        for _ in range(count):
+            sock = await self._open_connection(sidecar, sends_half=False)
+            sockets.append(sock)
+            await asyncio.sleep(0)
+            with contextlib.suppress(OSError):
+                sock.send(CROWD_DATA[kind])
+        await asyncio.sleep(fault.duration_s)
+        for sock in sockets:
+            sock.close()
+
     async def _flood_sidecar(self, fault: ScheduledFault) -> None:
         """Open connections that send nothing, or half a request each, and close them after the duration."""
         sidecar = self._targets.sidecars[fault.target % len(self._targets.sidecars)]
--- a/tests/fault_injection/records.py
+++ b/tests/fault_injection/records.py
@@ -104,6 +104,12 @@
     latest_byte_ns: int = 0
     """When its latest byte arrived, also while it is incomplete."""
     response_kind: ResponseKind = ResponseKind.NONE
+    writes_slowly: bool = False
+    """Whether the endpoint writes its complete response past the deadline."""
+    has_length: bool = True
+    """Whether its response declares the length of its body."""
+    cut_off_ns: int | None = None
+    """When the endpoint found its connection closed while it wrote such a response."""
     plan: str = ""
     """The planned response of the endpoint as text, for timelines."""
     ended_ns: int | None = None
@@ -136,6 +142,14 @@
     at_ns: int
 
 
+@dataclass(slots=True)
+class ProcessFailure:
+    """A sidecar that ended without a signal, or took more memory than its limit and was killed for it."""
+
+    sidecar: int
+    detail: str
+
+
 @dataclass(slots=True)
 class InjectedFault:
     """An injected fault and its time, for timelines."""
@@ -156,6 +170,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     stops: list[SidecarStop] = field(default_factory=list)
     kills: list[SidecarKill] = field(default_factory=list)
+    process_failures: list[ProcessFailure] = field(default_factory=list)
     scheduling_lags: list[Interval] = field(default_factory=list)
     """The periods in which the checking process ran late."""
     faults: list[InjectedFault] = field(default_factory=list)
--- a/tests/fault_injection/response_plan.py
+++ b/tests/fault_injection/response_plan.py
@@ -13,6 +13,7 @@
 MIN_LATENCY_S, MEAN_LATENCY_S, MAX_LATENCY_S = 0.002, 0.025, 0.4
 SHORT_BODY_BYTES = (120, 3000)
 LONG_BODY_BYTES = (66_000, 400_000)
+SLOW_BODY_BYTES = (100_000, 200_000)
 
 
 class FaultPosition(Enum):
@@ -68,6 +69,9 @@
     fault_position = random.choice(list(FaultPosition))
     if behaviour is EndpointBehaviour.DUPLICATED:
         framing = Framing.LENGTH  # any other framing would add the second copy to the body
+    if behaviour is EndpointBehaviour.SLOW_BODY:
+        body_bytes = random.randint(*SLOW_BODY_BYTES)
+        framing = random.choice(list(Framing))
     if behaviour is EndpointBehaviour.LATE:
         latency_s = time_left_s + random.uniform(-0.1, 0.5)
     return ResponsePlan(behaviour, max(0.0, latency_s), body_bytes, framing, fault_position)
--- a/tests/fault_injection/test_fault_injection.py
+++ b/tests/fault_injection/test_fault_injection.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from tests.fault_injection.behaviour import ALL_FAULTS, ClientBehaviour, EndpointBehaviour, Fault, TimedFault
+from tests.fault_injection.behaviour import (
+    ALL_FAULTS,
+    ClientBehaviour,
+    EndpointBehaviour,
+    Fault,
+    ProcessCondition,
+    TimedFault,
+)
 from tests.fault_injection.checker import check
 from tests.fault_injection.faults import draw_schedule
 from tests.fault_injection.report import describe
@@ -28,7 +35,11 @@
         ClientBehaviour.SHORT_DEADLINE,
     ),
     "endpoints": (
-        *(behaviour for behaviour in EndpointBehaviour if behaviour is not EndpointBehaviour.NORMAL),
+        *(
+            behaviour
+            for behaviour in EndpointBehaviour
+            if behaviour not in (EndpointBehaviour.NORMAL, EndpointBehaviour.SLOW_BODY)
+        ),
         TimedFault.RELOAD,
         TimedFault.DRAIN,
         TimedFault.ENDPOINT_KILL,
@@ -39,6 +50,16 @@
         ClientBehaviour.SLOW_READER,
         ClientBehaviour.MALFORMED_REQUEST,
     ),
+    "limits": (
+        ProcessCondition.LOW_MEMORY,
+        ProcessCondition.FAILING_CALLS,
+        ProcessCondition.STEPPED_CLOCK,
+        TimedFault.CROWD,
+        TimedFault.SIGNAL_SERIES,
+        EndpointBehaviour.SLOW_BODY,
+        ClientBehaviour.PIECES,
+        ClientBehaviour.PIPELINE,
+    ),
 }
 
 
