A short read does not prove that a socket is empty; log reasons of closes and refusals

What callers could see: a pipelined request forwarded up to 0.3 s after its deadline, with up to 1.5 s too much `X-Time-Left`.

Cause: `ArrivalBound` took a read of fewer bytes than asked for as a proof that nothing was unread. System calls may return less; the next bytes then seemed to have arrived after that read.

Change: after a short read, FIONREAD says whether the socket is empty; if that fails, the earlier bound stays. The log has the id of the request with each attempt and, at DEBUG, the reason of each close and refusal; a truncated response is logged at INFO.

--- a/lugtally/downstream/exchange.py
+++ b/lugtally/downstream/exchange.py
@@ -6,7 +6,15 @@
 
 from loguru import logger
 
-from lugtally.dispatch import AttemptOutcome, Decision, Dispatcher, PendingRequest, Rejected, StartAttempt
+from lugtally.dispatch import (
+    AttemptOutcome,
+    Decision,
+    Dispatcher,
+    Finished,
+    PendingRequest,
+    Rejected,
+    StartAttempt,
+)
 from lugtally.downstream.connection import ClientStatus
 from lugtally.downstream.connection_policy import ReusePolicy
 from lugtally.downstream.deadlines import RequestDeadlines
@@ -151,6 +159,8 @@
 
     def _final_response(self, decision: Decision) -> FinalResponse | None:
         connection = self._connection
+        if not isinstance(decision, Finished) or self._client_closed:
+            self._log_unserved(decision)
         if self._stream is not None and self._stream.started:
             return None if connection.response_truncated else StreamedResponse(self._stream.closes_connection)
         if self._client_closed:
@@ -160,6 +170,15 @@
             return rejected_response(decision)
         return failed_response() if self._served is None else served_response(self._served)
 
+    def _log_unserved(self, decision: Decision) -> None:
+        logger.debug(
+            "request {request_id} was not served: {reason} after {attempts} attempts",
+            event="request.not_served",
+            request_id=self._request.correlation_id,
+            reason="client_closed" if self._client_closed else type(decision).__name__.lower(),
+            attempts=len(self._pending.attempts),
+        )
+
     def _response_to_half_closed(self) -> Response:
         """Return the response to a client that shut down its sending side, but may still read."""
         return failed_response() if self._forwarding_started else rejected_response(Rejected(0))
@@ -198,14 +217,17 @@
                 logger.exception("an attempt failed", event="attempt.failed")
                 outcome = AttemptOutcome.RESET
         is_answer = self._report_outcome(attempt, outcome, response)
+        if self._stream is not None and self._stream.started and self._connection.response_truncated:
+            self._log_truncated(attempt, outcome)
         if is_answer and self._stream is None:
             self._served = response  # in time: the report made the request's task runnable, but this task runs first
 
     def _report_outcome(self, attempt: StartAttempt, outcome: AttemptOutcome, response: Message | None) -> bool:
         """Report the outcome of an attempt; return whether its response is the answer."""
         logger.debug(
-            "attempt {number} at endpoint {endpoint_id}: {outcome}",
+            "attempt {number} of request {request_id} at endpoint {endpoint_id}: {outcome}",
             event="attempt.finished",
+            request_id=self._request.correlation_id,
             number=attempt.number,
             endpoint_id=attempt.endpoint_id,
             outcome=outcome.name,
@@ -213,6 +235,15 @@
         load_report = self._services.upstream.load_report(response)
         return self._services.dispatcher.attempt_finished(self._pending, attempt.number, outcome, load_report)
 
+    def _log_truncated(self, attempt: StartAttempt, outcome: AttemptOutcome) -> None:
+        logger.info(
+            "the response to request {request_id} was truncated: {outcome} at endpoint {endpoint_id}",
+            event="downstream.response_truncated",
+            request_id=self._request.correlation_id,
+            endpoint_id=attempt.endpoint_id,
+            outcome=outcome.name,
+        )
+
     def _may_proceed(self, attempt: StartAttempt) -> bool:
         """Return whether the attempt may now send bytes of the request to its endpoint.
 
--- a/lugtally/downstream/request_reader.py
+++ b/lugtally/downstream/request_reader.py
@@ -8,7 +8,7 @@
 from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.request_queue import MAX_REQUESTS_PER_READ, ReceivedRequest, RequestQueue
 from lugtally.eventloop import READABLE, WakeReason
-from lugtally.eventloop.tcp_socket import TRANSIENT_ERRNOS
+from lugtally.eventloop.tcp_socket import TRANSIENT_ERRNOS, is_empty
 from lugtally.http1 import ProtocolError
 from lugtally.memory import MemoryUse
 from lugtally.units import NS_PER_MS
@@ -290,7 +290,10 @@
             if error.errno in TRANSIENT_ERRNOS:
                 return None
             raise
-        self.arrival.note_received(called_ns, is_emptied=len(data) < self._read_bytes)
+        # A short read alone does not prove that the socket is empty.
+        self.arrival.note_received(
+            called_ns, is_emptied=len(data) < self._read_bytes and is_empty(self.connection.sock)
+        )
         return data
 
     def _wait_for_bytes(self) -> None:
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -152,6 +152,7 @@
                 "a client connection failed: {reason}", event="downstream.connection_failed", reason=str(error)
             )
         finally:
+            _log_closed(connection)
             connection.close()
             self._connections.discard(connection)
             self._connection_closed.set()
@@ -207,6 +208,7 @@
             self._health_checks.acquire()
             return health_response(self.ready and not self.draining)
         if received.message.body_discarded:
+            _log_rejected("", "memory")
             return rejected_response(self._dispatcher.reject_for_memory(None))
         try:
             request = self._validator.validate(received)
@@ -215,11 +217,15 @@
         deadline_ns = self._services.deadlines.deadline_ns(request, reader.queue)
         time_left_ns = max(0, deadline_ns - self._loop.now())
         if reader.connection.client_status is ClientStatus.HALF_CLOSED:
+            _log_rejected(request.correlation_id, "half_closed")
             return rejected_response(Rejected(0))
         rejected = self._dispatcher.reject_if_overloaded(request.class_index, time_left_ns)
+        reason = "overload"
         if rejected is None and not reader.connection.exchange_memory.resize(EXCHANGE_BYTES):
             rejected = self._dispatcher.reject_for_memory(request.class_index)
+            reason = "memory"
         if rejected is not None:
+            _log_rejected(request.correlation_id, reason)
             return rejected_response(rejected)
         if request.must_not_run_twice and not self._recent_ids.add(request.correlation_id):
             return protocol_error_response(REPEATED_ID_ERROR)
@@ -231,3 +237,20 @@
             self._ids_in_progress.discard(request.correlation_id)
             if request.must_not_run_twice and not exchange.may_have_run:
                 self._recent_ids.remove(request.correlation_id)
+
+
+def _log_rejected(request_id: str, reason: str) -> None:
+    logger.debug(
+        "request {request_id} was rejected: {reason}", event="request.rejected", request_id=request_id, reason=reason
+    )
+
+
+def _log_closed(connection: DownstreamConnection) -> None:
+    logger.debug(
+        "a client connection is closed in state {state}",
+        event="downstream.connection_closed",
+        state=connection.state.name,
+        client=connection.client_status.name,
+        evicted=connection.evicted,
+        truncated=connection.response_truncated,
+    )
--- a/lugtally/eventloop/tcp_socket.py
+++ b/lugtally/eventloop/tcp_socket.py
@@ -10,6 +10,8 @@
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """The value of ``SO_LINGER`` (on, 0 s) that makes a close reset the connection."""
+_FIONREAD = 0x541B
+"""The Linux ioctl request that returns how many received bytes of a socket are unread."""
 _SIOCOUTQ = 0x5411
 """The Linux ioctl request that returns how many bytes in the send queue of a TCP socket have not been acknowledged."""
 
@@ -80,6 +82,14 @@
     return False  # closed by the peer, or unread bytes
 
 
+def is_empty(sock: socket.socket) -> bool:
+    """Return whether no received byte is unread; false if that is not known."""
+    try:
+        return not any(fcntl.ioctl(sock.fileno(), _FIONREAD, bytes(4)))
+    except OSError:
+        return False
+
+
 def unacknowledged_bytes(sock: socket.socket) -> int | None:
     """Return how many written bytes the peer's kernel has not acknowledged; ``None`` if that is not supported."""
     try:
