Unread input keeps its arrival time and its connection while memory is scarce

What callers saw: pipelined requests with up to 1.5 s too much `X-Time-Left`, or dropped with their connection right behind a 503.

Cause: both follow from input that is left in the kernel, which the memory budget made common. A poll that reports input that had been left unread says nothing of when it arrived, but the arrival bound moved to that poll, if it seemed to have blocked; with 400 descriptors a poll takes longer than the 0.1 ms from which it counts as blocked. And a connection was closed after a response although requests had arrived behind it, because only input that had been read counted as input.

A connection that could close is kept if FIONREAD reports input, also in a shutdown: what has arrived is due its response.

--- a/lugtally/downstream/connection_policy.py
+++ b/lugtally/downstream/connection_policy.py
@@ -11,6 +11,7 @@
 from lugtally.downstream.connection_state import ConnectionState
 from lugtally.downstream.request_reader import RequestReader
 from lugtally.downstream.shutdown_state import ShutdownState
+from lugtally.eventloop.tcp_socket import is_empty
 from lugtally.http1 import Message
 from lugtally.memory import MemoryBudget, MemoryUse
 from lugtally.units import NS_PER_MS
@@ -92,7 +93,9 @@
             return False
         if reader.connection.client_status is not ClientStatus.ACTIVE:
             return True
-        return not (reader.queue.has_input or self._may_keep_alive())
+        if reader.queue.has_input or self._may_keep_alive():
+            return False
+        return is_empty(reader.connection.sock)  # what has arrived is due a response, also if it was not read ahead
 
     def may_read_ahead(self, connection: DownstreamConnection, request: Message) -> bool:
         """Return whether further requests may be read before this one is answered."""
--- a/tests/downstream/test_arrival.py
+++ b/tests/downstream/test_arrival.py
@@ -5,10 +5,13 @@
 import signal
 import time
 from pathlib import Path
+from typing import cast
 
 import pytest
 
 from lugtally import balancing
+from lugtally.downstream.arrival import ArrivalBound
+from lugtally.eventloop import EventLoop
 from lugtally.eventloop import loop as event_loop
 from lugtally.units import NS_PER_MS
 from tests.downstream.sidecar_process import SidecarProcess
@@ -206,3 +209,28 @@
 
     sidecar.run(script)
     assert_no_expired_request_was_submitted(sidecar)
+
+
+class PollTimes:
+    """The part of the event loop that an arrival bound uses; each poll seems to have blocked."""
+
+    def __init__(self) -> None:
+        self.last_poll_ns = 0
+
+    def not_ready_before_ns(self, watched_since_ns: int) -> int:
+        return self.last_poll_ns
+
+
+@pytest.mark.parametrize("is_read_in_part", [False, True])
+def test_poll_of_unread_input_sets_no_arrival_time(is_read_in_part: bool) -> None:
+    """Guards against a deadline that counts from a poll after the arrival, if input is left unread."""
+    polls = PollTimes()
+    arrival = ArrivalBound(cast(EventLoop, polls), 100)
+    polls.last_poll_ns = 200
+    arrival.note_readable(150)
+    if is_read_in_part:
+        arrival.note_received(210, is_emptied=False)
+    polls.last_poll_ns = 900
+    arrival.note_readable(850)
+    arrival.note_received(910, is_emptied=True)
+    assert arrival.arrived_after_ns == 200
