Count memory less often: small requests and idle reservations cost nothing

Change: a request of up to 3 KiB alone on its connection is covered by what an exchange counts; a request's memory is computed once; a response that comes in one part needs no reservation; the addresses of endpoints are looked up in one dictionary.

--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -19,6 +19,8 @@
 """Largest number of bytes that one read returns; small, because each connection may buffer that much unparsed input."""
 CONNECTION_BYTES = 8 * 1024
 """Approximate memory of a connection that buffers nothing: its task, its state and its parser."""
+EXCHANGE_BYTES = 12 * 1024
+"""Approximate memory of a request in progress beside its message: the task and the state of an attempt."""
 WRITE_STALL_TIMEOUT_NS = 5_000 * NS_PER_MS
 """How long a write waits for a client that reads nothing."""
 TRANSIENT_ERROR_PAUSE_NS = 2 * NS_PER_MS
@@ -47,7 +49,6 @@
         "close_requested_in",
         "connected_after_ns",
         "evicted",
-        "exchange_memory",
         "fd",
         "loop",
         "memory",
@@ -60,6 +61,7 @@
         "unsent_memory",
         "waiting_since_ns",
         "wake_up",
+        "_has_exchange",
         "_own_memory",
         "write_stalled",
     )
@@ -81,8 +83,7 @@
         self._own_memory.force(CONNECTION_BYTES)
         self.request_memory = Reservation(self.memory, MemoryUse.REQUESTS)
         """The memory of the request that is received or in progress."""
-        self.exchange_memory = Reservation(self.memory, MemoryUse.EXCHANGES)
-        """The memory of the task and the state of the request in progress."""
+        self._has_exchange = False
         self.queue_memory = Reservation(self.memory, MemoryUse.READ_AHEAD)
         """The memory of the requests behind it."""
         self.unsent_memory = Reservation(self.memory, MemoryUse.RESPONSES)
@@ -110,6 +111,17 @@
         self.response_truncated = False
         """Whether a streamed response was started and not completed; if so, the close resets the connection."""
 
+    def start_exchange(self) -> bool:
+        """Count the memory of a request in progress; return false if the budget has no room for it."""
+        self._has_exchange = self.memory.reserve(MemoryUse.EXCHANGES, EXCHANGE_BYTES)
+        return self._has_exchange
+
+    def end_exchange(self) -> None:
+        """Give back the memory of a request in progress, if there is one."""
+        if self._has_exchange:
+            self._has_exchange = False
+            self.memory.add(MemoryUse.EXCHANGES, -EXCHANGE_BYTES)
+
     def transition(self, cause: TransitionCause) -> None:
         """Move to the next state.
 
@@ -219,11 +231,11 @@
         for reservation in (
             self._own_memory,
             self.request_memory,
-            self.exchange_memory,
             self.queue_memory,
             self.unsent_memory,
         ):
             reservation.release()
+        self.end_exchange()
         self.transition(TransitionCause.SOCKET_CLOSED)
         self.loop.unregister(self.fd)
         if self.response_truncated:
--- a/lugtally/downstream/connection_policy.py
+++ b/lugtally/downstream/connection_policy.py
@@ -95,7 +95,7 @@
             return True
         if reader.queue.has_input or self._may_keep_alive():
             return False
-        return is_empty(reader.connection.sock)  # what has arrived is due a response, also if it was not read ahead
+        return is_empty(reader.connection.fd)  # what has arrived is due a response, also if it was not read ahead
 
     def may_read_ahead(self, connection: DownstreamConnection, request: Message) -> bool:
         """Return whether further requests may be read before this one is answered."""
--- a/lugtally/downstream/request_queue.py
+++ b/lugtally/downstream/request_queue.py
@@ -21,6 +21,8 @@
     message: Message
     arrived_after_ns: int
     """Lower bound of the time at which its last byte arrived; its time left counts from here."""
+    memory_bytes: int = 0
+    """The approximate memory that it takes."""
 
 
 class RequestQueue:
@@ -48,6 +50,11 @@
             self._parse(b"", 1)
         return bool(self._requests) or self._parse_error is not None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing has been received that was not removed."""
+        return not self._requests_bytes and self.parser.is_idle
+
     @property
     def queued_bytes(self) -> int:
         """The approximate memory of the queued requests."""
@@ -85,8 +92,9 @@
         try:
             message = self.parser.feed(data)
             while message is not None:
-                self._requests.append(ReceivedRequest(message, self._arrived_after_ns))
-                self._requests_bytes += message.memory_bytes
+                memory_bytes = message.memory_bytes
+                self._requests.append(ReceivedRequest(message, self._arrived_after_ns, memory_bytes))
+                self._requests_bytes += memory_bytes
                 if self.parser.is_idle:
                     return
                 if len(self._requests) >= max_requests:
@@ -112,7 +120,7 @@
         """
         if self.has_request and self._requests:
             request = self._requests.pop(0)
-            self._requests_bytes -= request.message.memory_bytes
+            self._requests_bytes -= request.memory_bytes
             return request
         if self._parse_error is not None:
             raise self._parse_error
--- a/lugtally/downstream/request_reader.py
+++ b/lugtally/downstream/request_reader.py
@@ -38,6 +38,8 @@
 """Largest number of bytes that one read returns while memory is scarce."""
 MAX_READ_AHEAD_BYTES = 512 * 1024
 """Approximate memory of the requests that one read may contain."""
+MAX_UNCOUNTED_BYTES = 3 * 1024
+"""A request in progress of this size alone on its connection is covered by what an exchange counts."""
 MAX_UNRESERVED_BYTES = 2 * 1024
 """So much of a request is received even if the memory budget has no room."""
 
@@ -103,8 +105,9 @@
         if request is None:
             request = self._receive_request(wait_first)
         if request is not None:
-            self._in_progress_bytes = request.message.memory_bytes
-            self._count_memory()
+            if request.memory_bytes > MAX_UNCOUNTED_BYTES or not self.queue.is_idle:
+                self._in_progress_bytes = request.memory_bytes
+                self._count_memory()
             connection.close_requested_in = None
             connection.evicted = False
         return request
@@ -129,9 +132,10 @@
 
     def finish_request(self) -> None:
         """Give back the memory of the request in progress, whose response is known."""
-        self._in_progress_bytes = 0
-        self.connection.exchange_memory.release()
-        self._count_memory()
+        self.connection.end_exchange()
+        if self._in_progress_bytes or not self.queue.is_idle:
+            self._in_progress_bytes = 0
+            self._count_memory()
 
     def discard_input(self) -> None:
         """Drop what has been received, because the connection is to be closed."""
@@ -155,6 +159,8 @@
             OutOfMemoryBudgetError: The head is rejected.
         """
         parser = self.queue.parser
+        if parser.is_idle and self.queue.queued_bytes <= MAX_UNCOUNTED_BYTES:
+            return
         received_bytes = parser.memory_bytes
         self.connection.queue_memory.force(self.queue.queued_bytes)
         memory = self.connection.request_memory
@@ -231,6 +237,8 @@
 
     def _max_parsed_requests(self) -> int:
         """Return how many requests of one read are parsed: one while memory is scarce."""
+        if self._read_bytes != RECEIVE_BYTES:
+            return 1
         has_room = self.connection.memory.has_room(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES)
         return MAX_REQUESTS_PER_READ if has_room else 1
 
@@ -279,7 +287,7 @@
 
         ``called_ns`` is the current time.
         """
-        has_room = self.connection.memory.has_room(MemoryUse.READ_AHEAD, RECEIVE_BYTES)
+        has_room = self.connection.memory.has_room(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES)
         self._read_bytes = RECEIVE_BYTES if has_room else MIN_RECEIVE_BYTES
         try:
             data = self.connection.sock.recv(self._read_bytes)
@@ -291,9 +299,7 @@
                 return None
             raise
         # A short read alone does not prove that the socket is empty.
-        self.arrival.note_received(
-            called_ns, is_emptied=len(data) < self._read_bytes and is_empty(self.connection.sock)
-        )
+        self.arrival.note_received(called_ns, is_emptied=len(data) < self._read_bytes and is_empty(self.connection.fd))
         return data
 
     def _wait_for_bytes(self) -> None:
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -45,8 +45,6 @@
 from lugtally.upstream import UpstreamPool
 
 REPEATED_ID_ERROR = ProtocolError(409, "X-Correlation-Id is that of a request that may have been processed")
-EXCHANGE_BYTES = 12 * 1024
-"""Approximate memory of a request in progress beside its message: the task and the state of an attempt."""
 
 __all__ = ["DownstreamConnection", "DownstreamServer"]
 
@@ -221,7 +219,7 @@
             return rejected_response(Rejected(0))
         rejected = self._dispatcher.reject_if_overloaded(request.class_index, time_left_ns)
         reason = "overload"
-        if rejected is None and not reader.connection.exchange_memory.resize(EXCHANGE_BYTES):
+        if rejected is None and not reader.connection.start_exchange():
             rejected = self._dispatcher.reject_for_memory(request.class_index)
             reason = "memory"
         if rejected is not None:
--- a/lugtally/eventloop/loop.py
+++ b/lugtally/eventloop/loop.py
@@ -215,16 +215,13 @@
             return
         self._record_poll(before_ns, timeout_ns, self.now())
         for fd, poll_events in ready:
-            if (handler := self._handlers.get(fd)) is not None:
-                self._call_handler(handler, poll_events)
-
-    @staticmethod
-    def _call_handler(handler: Callable[[int], None], poll_events: int) -> None:
-        try:
-            handler(poll_events)
-        except Exception:
-            # A bug in the handling of one descriptor must not stop the process.
-            logger.exception("a handler of a descriptor failed", event="eventloop.handler_failed")
+            if (handler := self._handlers.get(fd)) is None:
+                continue
+            try:
+                handler(poll_events)
+            except Exception:
+                # A bug in the handling of one descriptor must not stop the process.
+                logger.exception("a handler of a descriptor failed", event="eventloop.handler_failed")
 
     def _record_poll(self, before_ns: int, timeout_ns: int, returned_ns: int) -> None:
         """Record when the poll checked the descriptors, and whether it blocked."""
--- a/lugtally/eventloop/tcp_socket.py
+++ b/lugtally/eventloop/tcp_socket.py
@@ -12,6 +12,8 @@
 """The value of ``SO_LINGER`` (on, 0 s) that makes a close reset the connection."""
 _FIONREAD = 0x541B
 """The Linux ioctl request that returns how many received bytes of a socket are unread."""
+_ZERO = bytes(4)
+"""The integer 0 in the form of the argument of an ioctl request."""
 _SIOCOUTQ = 0x5411
 """The Linux ioctl request that returns how many bytes in the send queue of a TCP socket have not been acknowledged."""
 
@@ -82,10 +84,10 @@
     return False  # closed by the peer, or unread bytes
 
 
-def is_empty(sock: socket.socket) -> bool:
-    """Return whether no received byte is unread; false if that is not known."""
+def is_empty(fd: int) -> bool:
+    """Return whether no received byte of a socket is unread; false if that is not known."""
     try:
-        return not any(fcntl.ioctl(sock.fileno(), _FIONREAD, bytes(4)))
+        return fcntl.ioctl(fd, _FIONREAD, _ZERO) == _ZERO
     except OSError:
         return False
 
--- a/lugtally/http1/parser.py
+++ b/lugtally/http1/parser.py
@@ -129,7 +129,10 @@
             if not is_complete:
                 return None
             self._head = None
-            self._take_body(message)
+            message.body = bytes(self._body)
+            self._body.clear()
+            if self._discards_body:
+                self._finish_discarding(message)
             if message.status >= 200 or not self._responses:
                 self._interim_responses = 0
                 return message
@@ -148,7 +151,9 @@
         if self._head is None or self._remaining != UNTIL_CLOSE:
             return None
         message, self._head = self._head, None
-        self._take_body(message)
+        message.body = bytes(self._body)
+        if self._discards_body:
+            self._finish_discarding(message)
         return message
 
     def _skip_interim_response(self, message: Message) -> None:
@@ -242,11 +247,9 @@
         self._discarded_bytes += len(self._body)
         self._body = bytearray()
 
-    def _take_body(self, message: Message) -> None:
-        """Move the body to its message, which is complete."""
-        message.body = bytes(self._body)
-        message.body_discarded = self._discards_body
-        self._body = bytearray()
+    def _finish_discarding(self, message: Message) -> None:
+        """Mark a message as complete whose body was discarded."""
+        message.body_discarded = True
         self._discards_body = False
         self._discarded_bytes = 0
 
--- a/lugtally/memory/budget.py
+++ b/lugtally/memory/budget.py
@@ -102,7 +102,8 @@
         """Count memory that is in use already; a negative number was freed."""
         self._used_by[use] += byte_count
         self.used_bytes += byte_count
-        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+        if self.used_bytes > self.peak_bytes:
+            self.peak_bytes = self.used_bytes
 
     def used_by(self, use: MemoryUse) -> int:
         """Return the memory in bytes that this use takes."""
@@ -158,6 +159,8 @@
 
     def force(self, byte_count: int) -> None:
         """Change the reservation to ``byte_count``, for memory that is in use already."""
+        if byte_count == self.byte_count:
+            return
         self._budget.add(self._use, byte_count - self.byte_count)
         self.byte_count = byte_count
 
--- a/lugtally/upstream/addresses.py
+++ b/lugtally/upstream/addresses.py
@@ -27,7 +27,11 @@
 
     def __init__(self) -> None:
         self._listed: dict[int, _ListedAddress] = {}
-        self._latest_start_ns: dict[Address, int] = {}
+        self._start_times: dict[Address, dict[int, int]] = {}  # by address: when each endpoint started, by endpoint
+        self._usable: dict[int, Address] = {}
+        # The dictionary's own method instead of a wrapper, because it is called for each attempt.
+        self.get = self._usable.get
+        """Return the address of an endpoint; ``None`` if it has none or a later endpoint is listed at its address."""
 
     def __len__(self) -> int:
         return len(self._listed)
@@ -35,13 +39,6 @@
     def __contains__(self, endpoint_id: int) -> bool:
         return endpoint_id in self._listed
 
-    def get(self, endpoint_id: int) -> Address | None:
-        """Return the address of an endpoint; ``None`` if it has none or a later endpoint is listed at its address."""
-        listed = self._listed.get(endpoint_id)
-        if listed is None or listed.started_ns < self._latest_start_ns[listed.address]:
-            return None
-        return listed.address
-
     def set(self, endpoint_id: int, address: Address, started_ns: int) -> list[int]:
         """Set the address of an endpoint; return the endpoints whose connections are no longer valid.
 
@@ -51,26 +48,28 @@
         if self._listed.get(endpoint_id) == listed:
             return []
         self.remove(endpoint_id)
-        invalid = [endpoint_id]
-        latest_start_ns = self._latest_start_ns.get(address, started_ns)
-        if latest_start_ns < started_ns:
-            invalid += self._listed_at(address)
         self._listed[endpoint_id] = listed
-        self._latest_start_ns[address] = max(latest_start_ns, started_ns)
-        return invalid
+        self._start_times.setdefault(address, {})[endpoint_id] = started_ns
+        unusable = self._update_usable(address)
+        return [endpoint_id, *(other for other in unusable if other != endpoint_id)]
 
     def remove(self, endpoint_id: int) -> None:
         """Remove an endpoint; does nothing if it is not listed."""
         listed = self._listed.pop(endpoint_id, None)
-        if listed is None:
-            return
-        if listed.started_ns < self._latest_start_ns[listed.address]:
-            return
-        others = [self._listed[other].started_ns for other in self._listed_at(listed.address)]
-        if others:
-            self._latest_start_ns[listed.address] = max(others)
-        else:
-            del self._latest_start_ns[listed.address]
-
-    def _listed_at(self, address: Address) -> list[int]:
-        return [endpoint_id for endpoint_id, listed in self._listed.items() if listed.address == address]
+        if listed is not None:
+            self._usable.pop(endpoint_id, None)
+            del self._start_times[listed.address][endpoint_id]
+            self._update_usable(listed.address)
+
+    def _update_usable(self, address: Address) -> list[int]:
+        """Find the endpoints at an address that may be used; return the others, which started earlier."""
+        start_times = self._start_times[address]
+        if not start_times:
+            del self._start_times[address]
+            return []
+        latest_start_ns = max(start_times.values())
+        unusable = [endpoint_id for endpoint_id, started_ns in start_times.items() if started_ns < latest_start_ns]
+        self._usable.update(dict.fromkeys(start_times, address))
+        for endpoint_id in unusable:
+            del self._usable[endpoint_id]
+        return unusable
--- a/lugtally/upstream/attempt.py
+++ b/lugtally/upstream/attempt.py
@@ -9,7 +9,7 @@
 from lugtally.eventloop import EventLoop
 from lugtally.eventloop.tcp_socket import is_open_without_input
 from lugtally.http1 import ForwardedRequest, Message, MessageParser, ProtocolError
-from lugtally.memory import Reservation
+from lugtally.memory import MemoryBudget, MemoryUse, Reservation
 from lugtally.upstream.connection import UpstreamConnection
 from lugtally.upstream.errors import AttemptAborted
 
@@ -54,7 +54,7 @@
         if sent <= request.time_left_offset:
             head = request.serialize_head(time_left_ns)  # the bytes that were sent already do not change
         try:
-            sent += _send_rest(connection, head, body, sent)
+            sent += _send_rest(connection, head, body, sent) if sent or body else connection.sock.send(head)
         except BlockingIOError:
             pass
         except OSError as error:
@@ -97,36 +97,50 @@
         raise AttemptAborted(AttemptOutcome.RESET_BEFORE_SENT)
 
 
-def read_response(loop: EventLoop, connection: UpstreamConnection, deadline_ns: int, memory: Reservation) -> Message:
+def read_response(loop: EventLoop, connection: UpstreamConnection, deadline_ns: int, memory: MemoryBudget) -> Message:
     """Read a complete response, or only the head if the response is to be streamed.
 
-    A short response, too, is streamed if ``memory`` has no room for it.  The caller releases ``memory``.
+    A short response, too, is streamed if ``memory`` has no room for it.
 
     Raises:
         AttemptAborted: The response was not complete by the deadline, or is malformed.
     """
-    while True:
-        connection.wait_readable(loop, deadline_ns)
-        try:
-            data = connection.receive()
-            response = connection.parser.feed(data) if data else connection.parser.end_of_input()
-        except BlockingIOError:
-            continue
-        except OSError as error:
-            raise AttemptAborted(AttemptOutcome.RESET) from error
-        except ProtocolError as error:
-            raise AttemptAborted(AttemptOutcome.MALFORMED_RESPONSE) from error
-        if response is not None:
-            response.keep_alive = response.keep_alive and bool(data)
-            return response
-        if not data:
-            raise AttemptAborted(AttemptOutcome.RESET)
-        received_bytes = connection.parser.memory_bytes
-        if not memory.resize(received_bytes):
-            if (response := connection.parser.stream_pending()) is not None:
+    reservation = None
+    try:
+        while True:
+            connection.wait_readable(loop, deadline_ns)
+            try:
+                data = connection.receive()
+                response = connection.parser.feed(data) if data else connection.parser.end_of_input()
+            except BlockingIOError:
+                continue
+            if response is not None:
+                response.keep_alive = response.keep_alive and bool(data)
+                return response
+            if not data:
+                raise AttemptAborted(AttemptOutcome.RESET)
+            reservation = reservation or Reservation(memory, MemoryUse.RESPONSES)
+            if (response := _reserve_memory(connection, reservation)) is not None:
                 return response
-            _discard_error_body(connection.parser)
-            memory.force(connection.parser.memory_bytes)
+    except OSError as error:
+        raise AttemptAborted(AttemptOutcome.RESET) from error
+    except ProtocolError as error:
+        raise AttemptAborted(AttemptOutcome.MALFORMED_RESPONSE) from error
+    finally:
+        if reservation is not None:
+            reservation.release()
+
+
+def _reserve_memory(connection: UpstreamConnection, reservation: Reservation) -> Message | None:
+    """Reserve memory for the received part of a response; if there is none, return it, to be streamed."""
+    parser = connection.parser
+    if reservation.resize(parser.memory_bytes):
+        return None
+    if (response := parser.stream_pending()) is not None:
+        return response
+    _discard_error_body(parser)
+    reservation.force(parser.memory_bytes)
+    return None
 
 
 def _discard_error_body(parser: MessageParser) -> None:
--- a/lugtally/upstream/pool.py
+++ b/lugtally/upstream/pool.py
@@ -126,11 +126,7 @@
         """
         connection.carries_request = True
         attempt.write_request(self._loop, connection, request, deadline_ns, may_proceed)
-        response_memory = Reservation(self._memory, MemoryUse.RESPONSES)
-        try:
-            response = attempt.read_response(self._loop, connection, deadline_ns, response_memory)
-        finally:
-            response_memory.release()
+        response = attempt.read_response(self._loop, connection, deadline_ns, self._memory)
         if response.streamed:
             prefix_memory = Reservation(self._memory, MemoryUse.BUFFERED_STREAMS)
             outcome = stream_response(self._loop, connection, response, claim_stream, deadline_ns, prefix_memory)
