Test of the resource monitor: allocate pages that no earlier test has freed

The trace: resident memory grew by 1.9 MB (334.3 to 336.3) where the test had allocated 20 MB. The process of the tests had 334 MB by then, as the new integration tests run before it, and a bytearray of 20 MB is taken from memory that they have freed, which is resident already.

Change: the test maps 20 MB of anonymous pages and writes to them; everything that it demands stays.

--- a/tests/overload/test_admission.py
+++ b/tests/overload/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import mmap
 import os
 from typing import NamedTuple
 
@@ -183,7 +184,8 @@
 def test_resource_monitor_reads_this_process() -> None:
     monitor = ResourceMonitor(ResourceLimits(1.0, 1 << 30, 100), lambda: 25)
     first = monitor.resident_bytes()
-    block = bytearray(os.urandom(1 << 20) * 20)
+    block = mmap.mmap(-1, 20 << 20)  # new pages: a bytearray may get memory that earlier tests have freed
+    block.write(os.urandom(1 << 20) * 20)
     assert monitor.resident_bytes() - first > 15 << 20
     assert len(block) == 20 << 20
     until = os.times().user + 0.05
