--- a/lugtally/testbed/experiments/sidecars.py
+++ b/lugtally/testbed/experiments/sidecars.py
@@ -157,6 +157,7 @@
     def _start_process(self, sidecar: Sidecar) -> None:
         environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
         environment["PROXY_CONFIG"] = str(self._configuration_path(sidecar))
+        environment["TMPDIR"] = str(self._folder)  # as in service, no other run shares the files of a sidecar
         sidecar.process = self._children.spawn(
             self._command,
             f"sidecar-{sidecar.number}.log",
