--- a/lugtally/daemon/operator_drains.py
+++ b/lugtally/daemon/operator_drains.py
@@ -75,7 +75,7 @@
     def reload(self) -> None:
         """Apply the drains in the drain file if another process of this name has changed it since the last call.
 
-        Changes of this process that could not be written are kept, and written now.
+        Changes of this process that could not be written stay in force, and are written now.
         """
         stored = self._store.read()
         if stored is not None:
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -27,9 +27,9 @@
 from lugtally.discovery import MAX_BACKOFF_NS, EndpointWatcher
 from lugtally.dispatch import BalancingPolicyFactory, Dispatcher
 from lugtally.downstream.recent_ids import TABLE_BYTES, RecentRequestIds
-from lugtally.downstream.server import DownstreamServer
+from lugtally.downstream.server import DownstreamServer, SharedResources
 from lugtally.eventloop import EventLoop
-from lugtally.memory import MemoryBudget, read_resident_bytes
+from lugtally.memory import MemoryBudget, ResidentMemory
 from lugtally.memory.budget import BYTES_PER_MB
 from lugtally.overload.admission import AdmissionController, OverloadLimits
 from lugtally.overload.resource_monitor import ResourceLimits, ResourceMonitor
@@ -86,7 +86,6 @@
         endpoint_watcher: EndpointWatcher,
         downstream: DownstreamServer,
         admission: AdmissionController | None,
-        memory: MemoryBudget,
     ) -> None:
         self.config = config
         self.loop = loop
@@ -95,7 +94,6 @@
         self.endpoint_watcher = endpoint_watcher
         self.downstream = downstream
         self.admission = admission
-        self.memory = memory
         self._started_ns = 0
         self._status_socket: StatusSocket | None = None
         self._admin_server: AdminServer | None = None
@@ -123,8 +121,9 @@
         # The objects built so far live as long as the process.  Excluding them keeps garbage collections short.
         gc.collect()
         gc.freeze()
-        self.memory.record_idle(read_resident_bytes())
-        self.loop.spawn(monitor_memory, self.loop, self.memory)
+        resident_memory = ResidentMemory()
+        self.downstream.memory.record_idle(resident_memory.read())
+        self.loop.spawn(monitor_memory, self.loop, self.downstream.memory, resident_memory)
         config = self.config
         logger.info(
             "{sidecar} serves at {host}:{port}",
@@ -154,15 +153,15 @@
             "front_sockets": self.downstream.open_connections,
             "connections": self.upstream.open_connections,
             "destinations": self.endpoint_watcher.ready_count,
-            "memory": {
-                "used": self.memory.used_bytes,
-                "capacity": self.memory.capacity_bytes,
-                **self.memory.used_by_name(),
-            },
+            "memory": self._memory_snapshot(),
             "requests": self.dispatcher.request_counts(),
             "overload": self.admission and self.admission.snapshot(),
         }
 
+    def _memory_snapshot(self) -> dict[str, int]:
+        memory = self.downstream.memory
+        return {"used": memory.used_bytes, "capacity": memory.capacity_bytes, **memory.used_by_name()}
+
     def _resource_monitor(self) -> ResourceMonitor:
         config = self.config
         return ResourceMonitor(
@@ -231,14 +230,15 @@
     dispatcher.set_handlers(upstream.close_idle_connections, endpoint_watcher.watch)
     table = map_shared_table(tempfile.gettempdir(), config.name, TABLE_BYTES)
     recent_ids = RecentRequestIds(loop.now, table)
+    resources = SharedResources(memory, recent_ids)
     downstream = DownstreamServer(
-        loop, dispatcher, upstream, settings.classes, max_downstream, settings.tenants, memory, recent_ids
+        loop, dispatcher, upstream, settings.classes, max_downstream, settings.tenants, resources
     )
     admission = None
     if overload is not None:
         admission = _build_admission_controller(config, overload, loop.now())
         dispatcher.set_admission_controller(admission)
-    return Sidecar(config, loop, dispatcher, upstream, endpoint_watcher, downstream, admission, memory)
+    return Sidecar(config, loop, dispatcher, upstream, endpoint_watcher, downstream, admission)
 
 
 def _limit_poll_interval(settings: balancing.Settings) -> balancing.Settings:
--- a/lugtally/discovery/client.py
+++ b/lugtally/discovery/client.py
@@ -11,7 +11,7 @@
 from lugtally.config.endpoint_list import EndpointList, parse_endpoint_list
 from lugtally.discovery import timing
 from lugtally.eventloop import READABLE, WRITABLE, Event, EventLoop, WakeReason, send_all
-from lugtally.eventloop.tcp_socket import create_tcp_socket, is_open_without_input
+from lugtally.eventloop.tcp_socket import create_tcp_socket, disable_nagle, is_open_without_input
 from lugtally.http1 import Message, MessageParser, serialize_get
 from lugtally.units import NS_PER_MS
 
@@ -136,7 +136,7 @@
 
     def _connect(self) -> socket.socket:
         self._sock = sock = create_tcp_socket(self._address.host)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        disable_nagle(sock)
         sock.connect_ex(self._address)
         self._wait(sock, WRITABLE, self._loop.now() + timing.CONNECT_TIMEOUT_NS, ConnectTimeoutError())
         if error_number := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
--- a/lugtally/discovery/start_times.py
+++ b/lugtally/discovery/start_times.py
@@ -18,7 +18,7 @@
 
 MAX_CLOCK_DRIFT_NS = 100 * NS_PER_MS
 """A larger change of the offset between the two clocks is a step of the wall clock."""
-STEP_MEMORY_NS = 60_000 * NS_PER_MS
+OLD_OFFSET_VALID_NS = 60_000 * NS_PER_MS
 """How long after a step start times may still be those of the clock before it; longer than any warm-up."""
 
 
@@ -33,8 +33,8 @@
         self._loop = loop
         self._converted: dict[int, _StartTime] = {}
         self._offset_ns = self._clock_offset_ns()
-        self._offset_before_step_ns = self._offset_ns
-        self._stepped_ns = 0
+        self._previous_offset_ns = self._offset_ns
+        self._changed_ns = 0
 
     def convert(self, record: EndpointRecord) -> int:
         """Return when the endpoint started, on the event loop's clock; 0 if that is long ago."""
@@ -58,17 +58,17 @@
         After a step, it is not known which clock the time was read from.  The later result is used, because an endpoint
         that has just started must not get the load of one that is warm.
         """
-        self._detect_step()
+        self._detect_clock_change()
         offset_ns = self._offset_ns
-        if self._stepped_ns and self._loop.now() - self._stepped_ns < STEP_MEMORY_NS:
-            offset_ns = min(offset_ns, self._offset_before_step_ns)
+        if self._changed_ns and self._loop.now() - self._changed_ns < OLD_OFFSET_VALID_NS:
+            offset_ns = min(offset_ns, self._previous_offset_ns)
         return min(max(1, unix_ns - offset_ns), self._loop.now())
 
-    def _detect_step(self) -> None:
+    def _detect_clock_change(self) -> None:
         offset_ns = self._clock_offset_ns()
         if abs(offset_ns - self._offset_ns) > MAX_CLOCK_DRIFT_NS:
-            self._offset_before_step_ns = self._offset_ns
-            self._stepped_ns = self._loop.now()
+            self._previous_offset_ns = self._offset_ns
+            self._changed_ns = self._loop.now()
         self._offset_ns = offset_ns
 
     def _clock_offset_ns(self) -> int:
--- a/lugtally/dispatch/dispatcher.py
+++ b/lugtally/dispatch/dispatcher.py
@@ -97,9 +97,9 @@
         return Rejected(admission.retry_after_ns())
 
     def reject_for_memory(self, class_index: int | None) -> Rejected:
-        """Return the rejection of a request for which the memory budget has no room, and count it.
+        """Return the rejection of a request for which the memory budget cannot grant it, and count it.
 
-        ``class_index`` is ``None`` if the class is not known, because the head of the request was not stored.
+        ``class_index`` is ``None`` if the class is unknown.
         """
         self.metrics.record_shed(class_index)
         return Rejected(0)
--- a/lugtally/downstream/acceptor.py
+++ b/lugtally/downstream/acceptor.py
@@ -8,7 +8,8 @@
 
 from loguru import logger
 
-from lugtally.downstream.connection import CONNECTION_BYTES, DownstreamConnection
+from lugtally.downstream.connection import DownstreamConnection
+from lugtally.downstream.connection_memory import CONNECTION_BYTES
 from lugtally.downstream.connection_policy import select_for_eviction
 from lugtally.downstream.listener import LISTEN_BACKLOG
 from lugtally.downstream.shutdown_state import ShutdownState
@@ -19,7 +20,7 @@
 MAX_ACCEPTS_PER_TURN = 16
 """Connections accepted in one turn of the event loop; more would delay requests in progress."""
 MIN_CONNECTIONS = 8
-"""So many connections are accepted even if the memory budget has no room."""
+"""So many connections are accepted even if the memory budget cannot grant it."""
 EVICTION_INTERVAL_NS = 20 * NS_PER_MS
 """How often to select a connection for eviction while the limit is reached and clients wait in the backlog."""
 ACCEPT_ERROR_BACKOFF_NS = 20 * NS_PER_MS
@@ -89,18 +90,18 @@
             reason = self._wait_for_clients(listener)
             if reason is not WakeReason.READY:
                 continue
-            if self._has_room(self._max_connections):
+            if self._may_accept(self._max_connections):
                 self._accept_batch(listener, self._max_connections, MAX_ACCEPTS_PER_TURN)
             else:
                 self._backlog_was_emptied = False
                 reason = self._evict_and_wait(self._loop.now() + EVICTION_INTERVAL_NS)
 
-    def _has_room(self, max_connections: int) -> bool:
+    def _may_accept(self, max_connections: int) -> bool:
         """Return whether a further connection may be accepted."""
         count = len(self._connections)
         if count >= max_connections:
             return False
-        return count < MIN_CONNECTIONS or self._memory.has_room(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
+        return count < MIN_CONNECTIONS or self._memory.can_reserve(MemoryUse.CONNECTIONS, CONNECTION_BYTES)
 
     def _wait_for_clients(self, listener: socket.socket) -> WakeReason:
         watched_since_ns = self._loop.now()
@@ -113,7 +114,7 @@
     def _accept_batch(self, listener: socket.socket, max_connections: int, max_accepts: int) -> None:
         """Accept clients until the backlog is empty or one of the limits is reached."""
         self._backlog_was_emptied = False
-        while listener.fileno() >= 0 and self._has_room(max_connections) and max_accepts > 0:
+        while listener.fileno() >= 0 and self._may_accept(max_connections) and max_accepts > 0:
             max_accepts -= 1
             accept_called_ns = self._loop.now()
             try:
@@ -153,7 +154,7 @@
         """Accept all clients in the backlog, each when the limit allows it, until the deadline."""
         max_connections = self._max_connections + self._max_connections // DRAIN_EXTRA_CONNECTIONS_DIVISOR
         while self._loop.is_ready(listener.fileno(), READABLE) and self._loop.now() < deadline_ns:
-            if not self._has_room(max_connections):
+            if not self._may_accept(max_connections):
                 self._evict_and_wait(min(deadline_ns, self._loop.now() + EVICTION_INTERVAL_NS))
             else:
                 self._accept_batch(listener, max_connections, LISTEN_BACKLOG)
--- a/lugtally/downstream/arrival.py
+++ b/lugtally/downstream/arrival.py
@@ -21,7 +21,7 @@
         self._last_empty_ns = empty_ns
         """The last time at which the socket is known to have had no unread bytes."""
         self._may_have_unread = False
-        """Whether bytes may have arrived that were not read yet, so that later polls say nothing of their arrival."""
+        """Whether bytes may have arrived that were not read yet, so that later polls do not show when they arrived."""
         self.arrived_after_ns = empty_ns
         """Lower bound of the time at which the bytes of the last read arrived."""
 
--- a/lugtally/downstream/connection.py
+++ b/lugtally/downstream/connection.py
@@ -7,20 +7,17 @@
 
 from loguru import logger
 
+from lugtally.downstream.connection_memory import ConnectionMemory
 from lugtally.downstream.connection_state import ConnectionState, TransitionCause, next_state
 from lugtally.downstream.send_progress import PROGRESS_CHECK_INTERVAL_NS, SendProgress
 from lugtally.downstream.shutdown_state import ShutdownState
 from lugtally.eventloop import WRITABLE, Event, EventLoop, WakeReason
 from lugtally.eventloop.tcp_socket import TRANSIENT_ERRNOS, reset_on_close
-from lugtally.memory import MemoryBudget, MemoryUse, Reservation, unlimited_budget
+from lugtally.memory import MemoryBudget, unlimited_budget
 from lugtally.units import NS_PER_MS
 
 RECEIVE_BYTES = 16 * 1024
 """Largest number of bytes that one read returns; small, because each connection may buffer that much unparsed input."""
-CONNECTION_BYTES = 8 * 1024
-"""Approximate memory of a connection that buffers nothing: its task, its state and its parser."""
-EXCHANGE_BYTES = 12 * 1024
-"""Approximate memory of a request in progress beside its message: the task and the state of an attempt."""
 WRITE_STALL_TIMEOUT_NS = 5_000 * NS_PER_MS
 """How long a write waits for a client that reads nothing."""
 TRANSIENT_ERROR_PAUSE_NS = 2 * NS_PER_MS
@@ -52,17 +49,12 @@
         "fd",
         "loop",
         "memory",
-        "queue_memory",
-        "request_memory",
         "response_truncated",
         "shutdown_state",
         "sock",
         "state",
-        "unsent_memory",
         "waiting_since_ns",
         "wake_up",
-        "_has_exchange",
-        "_own_memory",
         "write_stalled",
     )
 
@@ -78,16 +70,7 @@
 
         ``memory`` is the budget of the process; the default is an unlimited one.
         """
-        self.memory = memory or unlimited_budget()
-        self._own_memory = Reservation(self.memory, MemoryUse.CONNECTIONS)
-        self._own_memory.force(CONNECTION_BYTES)
-        self.request_memory = Reservation(self.memory, MemoryUse.REQUESTS)
-        """The memory of the request that is received or in progress."""
-        self._has_exchange = False
-        self.queue_memory = Reservation(self.memory, MemoryUse.READ_AHEAD)
-        """The memory of the requests behind it."""
-        self.unsent_memory = Reservation(self.memory, MemoryUse.RESPONSES)
-        """The memory of the response that is being written, while the client does not read it."""
+        self.memory = ConnectionMemory(memory or unlimited_budget())
         self.loop = loop
         self.shutdown_state = shutdown_state or ShutdownState()
         self.connected_after_ns = loop.now() if connected_after_ns is None else connected_after_ns
@@ -111,17 +94,6 @@
         self.response_truncated = False
         """Whether a streamed response was started and not completed; if so, the close resets the connection."""
 
-    def start_exchange(self) -> bool:
-        """Count the memory of a request in progress; return false if the budget has no room for it."""
-        self._has_exchange = self.memory.reserve(MemoryUse.EXCHANGES, EXCHANGE_BYTES)
-        return self._has_exchange
-
-    def end_exchange(self) -> None:
-        """Give back the memory of a request in progress, if there is one."""
-        if self._has_exchange:
-            self._has_exchange = False
-            self.memory.add(MemoryUse.EXCHANGES, -EXCHANGE_BYTES)
-
     def transition(self, cause: TransitionCause) -> None:
         """Move to the next state.
 
@@ -176,14 +148,14 @@
                     view = view[self.sock.send(view) :]
                 except BlockingIOError:
                     self.write_stalled = True
-                    self.unsent_memory.force(len(data))
+                    self.memory.unsent.force(len(data))
                     if not self._wait_until_writable():
                         return False
                 except OSError as error:
                     if error.errno not in TRANSIENT_ERRNOS or not self._pause_write():
                         return False  # the client disconnected: other connections are not affected
         finally:
-            self.unsent_memory.release()
+            self.memory.unsent.release()
         return True
 
     def _pause_write(self) -> bool:
@@ -228,14 +200,7 @@
 
     def close(self) -> None:
         """Close the socket immediately."""
-        for reservation in (
-            self._own_memory,
-            self.request_memory,
-            self.queue_memory,
-            self.unsent_memory,
-        ):
-            reservation.release()
-        self.end_exchange()
+        self.memory.release()
         self.transition(TransitionCause.SOCKET_CLOSED)
         self.loop.unregister(self.fd)
         if self.response_truncated:
--- a/lugtally/downstream/connection_policy.py
+++ b/lugtally/downstream/connection_policy.py
@@ -110,4 +110,4 @@
         """
         if self._shutdown_state.draining or len(self._connections) > self._max_connections // 2:
             return False
-        return self._memory.has_room(MemoryUse.REQUESTS)
+        return self._memory.can_reserve(MemoryUse.REQUESTS)
--- a/lugtally/downstream/recent_ids.py
+++ b/lugtally/downstream/recent_ids.py
@@ -48,7 +48,7 @@
         return True
 
     def remove(self, correlation_id: str) -> None:
-        """Remove an id, because its request was certainly not processed."""
+        """Remove an id, because no endpoint processed its request."""
         id_hash = _hash(correlation_id)
         for position in _positions(id_hash):
             entry_hash, _ = _ENTRY.unpack_from(self._table, position)
--- a/lugtally/downstream/request_reader.py
+++ b/lugtally/downstream/request_reader.py
@@ -41,7 +41,7 @@
 MAX_UNCOUNTED_BYTES = 3 * 1024
 """A request in progress of this size alone on its connection is covered by what an exchange counts."""
 MAX_UNRESERVED_BYTES = 2 * 1024
-"""So much of a request is received even if the memory budget has no room."""
+"""So much of a request is received even if the memory budget cannot grant it."""
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -54,7 +54,7 @@
 
 
 class OutOfMemoryBudgetError(ProtocolError):
-    """The head of a request is large and incomplete, and the memory budget has no room for it."""
+    """The head of a request is large and incomplete, and the memory budget cannot grant it."""
 
     def __init__(self) -> None:
         super().__init__(503, "out of memory")
@@ -118,7 +118,7 @@
         Reading ahead shows the deadlines of the further requests.  Every request that is read must be answered.
         Nothing is read ahead while memory is scarce.
         """
-        if not self.connection.memory.has_room(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES):
+        if not self.connection.memory.budget.can_reserve(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES):
             return False
         try:
             data = self._receive(self.connection.loop.now())
@@ -132,8 +132,8 @@
 
     def finish_request(self) -> None:
         """Give back the memory of the request in progress, whose response is known."""
-        self.connection.end_exchange()
-        if self._in_progress_bytes or not self.queue.is_idle:
+        self.connection.memory.end_exchange()
+        if self.connection.memory.request.byte_count or not self.queue.is_idle:
             self._in_progress_bytes = 0
             self._count_memory()
 
@@ -146,13 +146,13 @@
 
     def _count_memory(self) -> None:
         """Count the memory of what has been received, which is in use already."""
-        self.connection.request_memory.force(self._in_progress_bytes + self.queue.parser.memory_bytes)
-        self.connection.queue_memory.force(self.queue.queued_bytes)
+        self.connection.memory.request.force(self._in_progress_bytes + self.queue.parser.memory_bytes)
+        self.connection.memory.queue.force(self.queue.queued_bytes)
 
     def _reserve_memory(self) -> None:
         """Reserve memory for the received part of a request.
 
-        If the budget has no room, the body is discarded as it is received and the request is rejected when it is
+        If the budget cannot grant it, the body is discarded as it is received and the request is rejected when it is
         complete; a large incomplete head is rejected immediately.
 
         Raises:
@@ -162,13 +162,13 @@
         if parser.is_idle and self.queue.queued_bytes <= MAX_UNCOUNTED_BYTES:
             return
         received_bytes = parser.memory_bytes
-        self.connection.queue_memory.force(self.queue.queued_bytes)
-        memory = self.connection.request_memory
+        self.connection.memory.queue.force(self.queue.queued_bytes)
+        memory = self.connection.memory.request
         if received_bytes <= MAX_UNRESERVED_BYTES or memory.resize(self._in_progress_bytes + received_bytes):
             return
         if (head := parser.pending_head) is not None:
             parser.discard_body()
-            head.drop_headers()
+            head.drop_headers("x-service-class", "x-correlation-id")
         elif not self.queue.has_request:
             raise OutOfMemoryBudgetError
         self._count_memory()
@@ -239,8 +239,8 @@
         """Return how many requests of one read are parsed: one while memory is scarce."""
         if self._read_bytes != RECEIVE_BYTES:
             return 1
-        has_room = self.connection.memory.has_room(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES)
-        return MAX_REQUESTS_PER_READ if has_room else 1
+        can_reserve = self.connection.memory.budget.can_reserve(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES)
+        return MAX_REQUESTS_PER_READ if can_reserve else 1
 
     def _yield(self, called_ns: int) -> None:
         """Let other tasks run, after input that was read at ``called_ns`` and completes no request.
@@ -287,8 +287,8 @@
 
         ``called_ns`` is the current time.
         """
-        has_room = self.connection.memory.has_room(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES)
-        self._read_bytes = RECEIVE_BYTES if has_room else MIN_RECEIVE_BYTES
+        can_reserve = self.connection.memory.budget.can_reserve(MemoryUse.READ_AHEAD, MAX_READ_AHEAD_BYTES)
+        self._read_bytes = RECEIVE_BYTES if can_reserve else MIN_RECEIVE_BYTES
         try:
             data = self.connection.sock.recv(self._read_bytes)
         except BlockingIOError:
--- a/lugtally/downstream/response_stream.py
+++ b/lugtally/downstream/response_stream.py
@@ -61,7 +61,7 @@
         self._buffer = bytearray(
             serialize_streamed_head(head, forwarded_headers(head), self._chunked, closes_connection)
         )
-        self._buffer_memory = Reservation(connection.memory, MemoryUse.BUFFERED_STREAMS)
+        self._buffer_memory = Reservation(connection.memory.budget, MemoryUse.BUFFERED_STREAMS)
         self._writable = True
         self.closes_connection = closes_connection
         """Whether the connection closes after the response."""
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -46,7 +47,20 @@
 
 REPEATED_ID_ERROR = ProtocolError(409, "X-Correlation-Id is that of a request that may have been processed")
 
-__all__ = ["DownstreamConnection", "DownstreamServer"]
+__all__ = ["DownstreamConnection", "DownstreamServer", "SharedResources"]
+
+
+@dataclass(slots=True, frozen=True)
+class SharedResources:
+    """What a server shares with the rest of its process, or with another process of its name.
+
+    Attributes:
+        memory: The memory budget of the process.
+        recent_ids: The correlation IDs of requests that must not run twice, also after their end.
+    """
+
+    memory: MemoryBudget
+    recent_ids: RecentRequestIds
 
 
 class DownstreamServer:
@@ -60,12 +74,10 @@
         classes: tuple[balancing.RequestClass, ...],
         max_connections: int,
         tenants: tuple[balancing.Tenant, ...] = (),
-        memory: MemoryBudget | None = None,
-        recent_ids: RecentRequestIds | None = None,
+        resources: SharedResources | None = None,
     ) -> None:
-        self._recent_ids = recent_ids or RecentRequestIds(loop.now)
-        """The correlation IDs of requests that must not run twice, also after their end."""
-        memory = memory or unlimited_budget()
+        resources = resources or SharedResources(unlimited_budget(), RecentRequestIds(loop.now))
+        self._recent_ids, self.memory = resources.recent_ids, resources.memory
         self._loop = loop
         self._dispatcher = dispatcher
         self._connections: set[DownstreamConnection] = set()
@@ -76,7 +88,7 @@
         self._input_throttle = InputThrottle(loop)
         self._connection_closed = Event(loop)
         shutdown_state = ShutdownState()
-        self._reuse_policy = ReusePolicy(shutdown_state, self._connections, max_connections, memory)
+        self._reuse_policy = ReusePolicy(shutdown_state, self._connections, max_connections, self.memory)
         deadlines = RequestDeadlines(self._validator, shutdown_state)
         self._services = ExchangeServices(loop, dispatcher, upstream, deadlines, self._reuse_policy)
         self._acceptor = ConnectionAcceptor(
@@ -86,7 +98,7 @@
             max_connections,
             shutdown_state,
             self._handle_connection,
-            memory,
+            self.memory,
         )
         longest_deadline_ns = max((request_class.deadline_ns for request_class in classes), default=0)
         self._shutdown = GracefulShutdown(
@@ -206,8 +218,9 @@
             self._health_checks.acquire()
             return health_response(self.ready and not self.draining)
         if received.message.body_discarded:
-            _log_rejected("", "memory")
-            return rejected_response(self._dispatcher.reject_for_memory(None))
+            _log_rejected(received.message.header_map.get("x-correlation-id", ""), "memory")
+            class_index = self._validator.class_index(received.message)
+            return rejected_response(self._dispatcher.reject_for_memory(class_index))
         try:
             request = self._validator.validate(received)
         except ProtocolError as error:
@@ -219,7 +232,7 @@
             return rejected_response(Rejected(0))
         rejected = self._dispatcher.reject_if_overloaded(request.class_index, time_left_ns)
         reason = "overload"
-        if rejected is None and not reader.connection.start_exchange():
+        if rejected is None and not reader.connection.memory.start_exchange():
             rejected = self._dispatcher.reject_for_memory(request.class_index)
             reason = "memory"
         if rejected is not None:
--- a/lugtally/downstream/validation.py
+++ b/lugtally/downstream/validation.py
@@ -76,6 +76,13 @@
         except ProtocolError:
             return None
 
+    def class_index(self, message: Message) -> int | None:
+        """Return the index of a request's class; ``None`` if the class is unknown."""
+        try:
+            return self._find_class(message).class_index
+        except ProtocolError:
+            return None
+
     def _correlation_id(self, message: Message) -> str:
         correlation_id = message.header_map.get("x-correlation-id")
         if not correlation_id:
--- a/lugtally/http1/message.py
+++ b/lugtally/http1/message.py
@@ -47,11 +47,11 @@
         """The approximate memory that the message takes."""
         return MESSAGE_BYTES + FIELD_BYTES * len(self.headers) + HEAD_COPIES * self.head_bytes + len(self.body)
 
-    def drop_headers(self, except_name: str = "") -> None:
-        """Drop all header fields but the one named ``except_name``, because the head is no longer needed."""
+    def drop_headers(self, *except_names: str) -> None:
+        """Drop all header fields but the named ones, which stay in ``header_map``: the head is no longer needed."""
         self.headers = []
         self.head_bytes = 0
-        self.header_map = {except_name: self.header_map[except_name]} if except_name in self.header_map else {}
+        self.header_map = {name: self.header_map[name] for name in except_names if name in self.header_map}
 
     def copy_response_head(self) -> Message:
         """Return a response with this head and no body.  The two share the headers, which must not be changed."""
--- a/lugtally/memory/__init__.py
+++ b/lugtally/memory/__init__.py
@@ -4,6 +4,6 @@
 """
 
 from lugtally.memory.budget import MemoryBudget, MemoryUse, Reservation, unlimited_budget
-from lugtally.memory.resident import read_resident_bytes
+from lugtally.memory.resident import ResidentMemory
 
-__all__ = ["MemoryBudget", "MemoryUse", "Reservation", "read_resident_bytes", "unlimited_budget"]
+__all__ = ["MemoryBudget", "MemoryUse", "Reservation", "ResidentMemory", "unlimited_budget"]
--- a/lugtally/memory/budget.py
+++ b/lugtally/memory/budget.py
@@ -86,7 +86,7 @@
         self._idle_bytes = resident_bytes or DEFAULT_IDLE_BYTES
         self._set_capacity(0)
 
-    def has_room(self, use: MemoryUse, byte_count: int = 0) -> bool:
+    def can_reserve(self, use: MemoryUse, byte_count: int = 0) -> bool:
         """Return whether this use may grow by ``byte_count``."""
         return self.used_bytes + byte_count <= self._limits[use]
 
--- a/lugtally/overload/resource_monitor.py
+++ b/lugtally/overload/resource_monitor.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import os
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lugtally.memory import ResidentMemory
+from lugtally.memory.resident import STATM_PATH
 from lugtally.overload.delay_meter import ResourceUsage
 
-STATM_READ_BYTES = 128
-"""More than the length of ``/proc/self/statm``, which has seven numbers on one line."""
-
 
 @dataclass(frozen=True, slots=True)
 class ResourceLimits:
@@ -30,15 +28,11 @@
     """
 
     def __init__(
-        self, limits: ResourceLimits, open_descriptors: Callable[[], int], statm_path: str = "/proc/self/statm"
+        self, limits: ResourceLimits, open_descriptors: Callable[[], int], statm_path: str = STATM_PATH
     ) -> None:
         self._limits = limits
         self._open_descriptors = open_descriptors
-        self._page_bytes = os.sysconf("SC_PAGE_SIZE")
-        try:
-            self._statm_fd: int | None = os.open(statm_path, os.O_RDONLY | os.O_CLOEXEC)
-        except OSError:
-            self._statm_fd = None  # without procfs, the resident memory counts as 0
+        self._resident_memory = ResidentMemory(statm_path)
         self._last_wall_ns, self._last_cpu_ns = time.monotonic_ns(), time.process_time_ns()
 
     def read(self) -> ResourceUsage:
@@ -58,13 +52,8 @@
 
     def resident_bytes(self) -> int:
         """Return the resident memory, or 0 if it cannot be read."""
-        if self._statm_fd is None:
-            return 0
-        _, resident_pages, *_ = os.pread(self._statm_fd, STATM_READ_BYTES, 0).split()
-        return int(resident_pages) * self._page_bytes
+        return self._resident_memory.read()
 
     def close(self) -> None:
-        """Close the descriptor of ``/proc/self/statm``."""
-        if self._statm_fd is not None:
-            os.close(self._statm_fd)
-            self._statm_fd = None
+        """Close the descriptor that the resident memory is read from."""
+        self._resident_memory.close()
--- a/lugtally/upstream/attempt.py
+++ b/lugtally/upstream/attempt.py
@@ -100,7 +100,7 @@
 def read_response(loop: EventLoop, connection: UpstreamConnection, deadline_ns: int, memory: MemoryBudget) -> Message:
     """Read a complete response, or only the head if the response is to be streamed.
 
-    A short response, too, is streamed if ``memory`` has no room for it.
+    A short response, too, is streamed if ``memory`` cannot grant it.
 
     Raises:
         AttemptAborted: The response was not complete by the deadline, or is malformed.
--- a/lugtally/upstream/connection.py
+++ b/lugtally/upstream/connection.py
@@ -213,9 +213,9 @@
             BlockingIOError: There is nothing to read, or the kernel had no memory for the call.
             OSError: The connection failed.
         """
-        has_room = self._memory.has_room(MemoryUse.BUFFERED_STREAMS, READ_CHUNK_BYTES)
+        can_reserve = self._memory.can_reserve(MemoryUse.BUFFERED_STREAMS, READ_CHUNK_BYTES)
         try:
-            return self.sock.recv(READ_CHUNK_BYTES if has_room else MIN_READ_CHUNK_BYTES)
+            return self.sock.recv(READ_CHUNK_BYTES if can_reserve else MIN_READ_CHUNK_BYTES)
         except OSError as error:
             if error.errno in TRANSIENT_ERRNOS:
                 raise BlockingIOError from error
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -200,7 +200,7 @@
     """Read the first bytes of a body, until the body is complete or its buffering ends.
 
     The client has received nothing until then, so that a failure can be retried or answered.  Buffering ends when the
-    bytes exceed ``MAX_BODY_BYTES``, when a long response must be claimed, or if ``memory`` has no room.
+    bytes exceed ``MAX_BODY_BYTES``, when a long response must be claimed, or if ``memory`` cannot grant it.
 
     Raises:
         AttemptAborted: The connection was closed, the deadline passed or the attempt was cancelled.
@@ -215,26 +215,35 @@
             break
         if now_ns >= hold_until_ns and (has_length or _is_long(len(buffered), now_ns - received_ns)):
             break
+        if now_ns >= deadline_ns and not has_length:
+            raise AttemptAborted(AttemptOutcome.TIMEOUT)
         reason = loop.wait(connection.fd, READABLE, hold_until_ns if now_ns < hold_until_ns else deadline_ns)
         if reason is WakeReason.INTERRUPTED:
             raise AttemptAborted(AttemptOutcome.CANCELLED)
         if reason is WakeReason.TIMEOUT:
-            if loop.now() >= deadline_ns and not has_length:
-                raise AttemptAborted(AttemptOutcome.TIMEOUT)
             continue
         try:
             data = connection.receive()
         except BlockingIOError:
             continue
         if not data:
-            if framing.until_close:
-                return _BodyPrefix(bytes(buffered), is_complete=True)
-            raise AttemptAborted(AttemptOutcome.RESET)
+            return _end_prefix(framing, buffered)
         received_ns = loop.now()
         buffered += data[: _feed(loop, framing, data)]
     return _BodyPrefix(bytes(buffered), framing.done)
 
 
+def _end_prefix(framing: BodyFraming, buffered: bytearray) -> _BodyPrefix:
+    """Return a body that ended with its connection.
+
+    Raises:
+        AttemptAborted: Its framing says that it is truncated.
+    """
+    if not framing.until_close:
+        raise AttemptAborted(AttemptOutcome.RESET)
+    return _BodyPrefix(bytes(buffered), is_complete=True)
+
+
 def _hold_end_ns(has_length: bool, now_ns: int, deadline_ns: int) -> int:
     """Return until when to buffer the first bytes of a body whose head has just been received."""
     max_hold_ns = MAX_PREFIX_HOLD_NS if has_length else MAX_UNDECLARED_HOLD_NS
