--- a/lugtally/daemon/memory_monitor.py
+++ b/lugtally/daemon/memory_monitor.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from lugtally.eventloop import EventLoop
-from lugtally.memory import MemoryBudget, ResidentMemory
+from lugtally.memory import MemoryBudget, read_resident_bytes
 from lugtally.memory.budget import BYTES_PER_MB
 from lugtally.units import NS_PER_MS
 
@@ -19,13 +19,13 @@
 """Fractions of the budget above which its usage is logged: the uses of memory give way one after the other there."""
 
 
-def monitor_memory(loop: EventLoop, budget: MemoryBudget, resident_memory: ResidentMemory) -> None:
+def monitor_memory(loop: EventLoop, budget: MemoryBudget) -> None:
     """Correct the budget and log its usage, periodically and without end."""
     logged_ns = loop.now() - MIN_WARNING_INTERVAL_NS
     logged_level = 0
     while True:
         loop.sleep(CHECK_INTERVAL_NS)
-        resident_bytes = resident_memory.read()
+        resident_bytes = read_resident_bytes()
         if resident_bytes:
             budget.correct(resident_bytes)
         level = sum(budget.usage > usage for usage in LOGGED_USAGES)
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -29,7 +29,7 @@
 from lugtally.downstream.recent_ids import TABLE_BYTES, RecentRequestIds
 from lugtally.downstream.server import DownstreamServer, SharedResources
 from lugtally.eventloop import EventLoop
-from lugtally.memory import MemoryBudget, ResidentMemory
+from lugtally.memory import MemoryBudget, read_resident_bytes
 from lugtally.memory.budget import BYTES_PER_MB
 from lugtally.overload.admission import AdmissionController, OverloadLimits
 from lugtally.overload.resource_monitor import ResourceLimits, ResourceMonitor
@@ -121,9 +121,8 @@
         # The objects built so far live as long as the process.  Excluding them keeps garbage collections short.
         gc.collect()
         gc.freeze()
-        resident_memory = ResidentMemory()
-        self.downstream.memory.record_idle(resident_memory.read())
-        self.loop.spawn(monitor_memory, self.loop, self.downstream.memory, resident_memory)
+        self.downstream.memory.record_idle(read_resident_bytes())
+        self.loop.spawn(monitor_memory, self.loop, self.downstream.memory)
         config = self.config
         logger.info(
             "{sidecar} serves at {host}:{port}",
--- a/lugtally/memory/__init__.py
+++ b/lugtally/memory/__init__.py
@@ -4,6 +4,6 @@
 """
 
 from lugtally.memory.budget import MemoryBudget, MemoryUse, Reservation, unlimited_budget
-from lugtally.memory.resident import ResidentMemory
+from lugtally.memory.resident import ResidentMemory, read_resident_bytes
 
-__all__ = ["MemoryBudget", "MemoryUse", "Reservation", "ResidentMemory", "unlimited_budget"]
+__all__ = ["MemoryBudget", "MemoryUse", "Reservation", "ResidentMemory", "read_resident_bytes", "unlimited_budget"]
--- a/lugtally/memory/resident.py
+++ b/lugtally/memory/resident.py
@@ -34,3 +34,12 @@
         if self._fd is not None:
             os.close(self._fd)
             self._fd = None
+
+
+def read_resident_bytes() -> int:
+    """Return the resident memory in bytes, or 0 if it cannot be read; no descriptor stays open."""
+    resident_memory = ResidentMemory()
+    try:
+        return resident_memory.read()
+    finally:
+        resident_memory.close()
