Review scripts: status 2 whenever a case or its stand-ins fail, also after SIGTERM

Cause: an exception outside the expected ones ended a script with status 1, which means that the rule was broken, and SIGTERM left the sidecars running.

--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -12,7 +13,7 @@
 from pathlib import Path
 
 from standins_2.discovery import Discovery
-from standins_2.platform import SidecarName, StartError, reserve_listener_descriptor
+from standins_2.platform import SidecarName, reserve_listener_descriptor
 from standins_2.pledge_server import PledgeServer
 from standins_2.record import Record
 
@@ -92,10 +93,13 @@
 
 
 async def _run(context: CaseContext, play: Callable[[CaseContext], Awaitable[None]]) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         async with asyncio.timeout(TIME_LIMIT_S):
             await play(context)
-    except (CannotRunError, StartError, OSError, TimeoutError):
+    except (Exception, asyncio.CancelledError):
         context.record.write(traceback.format_exc().replace("\n", "\n          "))
         traceback.print_exc(file=sys.stderr)
         return EXIT_NOT_RUN
