A response that pauses after its first bytes starts in time and is not held back

Cause: the buffering of a body without a declared length ended after its time only if the body "was long", by 4 KiB received or input in the last 100 ms. Any other body was buffered until the deadline, which failed it. Whether a body is long cannot be seen from what was received.

The event `upstream.buffering_ended` now says when and why buffering ended.

Change: the guess and its two constants are removed; when its time ends, the response starts with whatever was received. Within that time a reset still gives a retry or 502.

--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple, Protocol
 
+from loguru import logger
+
 from lugtally.dispatch.attempt_outcome import AttemptOutcome
 from lugtally.eventloop import READABLE, EventLoop, WakeReason
 from lugtally.http1 import MAX_BODY_BYTES, BodyFraming, Message, ProtocolError
@@ -20,19 +23,17 @@
 """How long the first bytes of a body with a declared length are buffered: a failure in that time can be retried."""
 MAX_UNDECLARED_HOLD_NS = 1000 * NS_PER_MS
 """As ``MAX_PREFIX_HOLD_NS``, for a body without a declared length, which may be a short one."""
+MIN_UNDECLARED_HOLD_NS = 100 * NS_PER_MS
+"""How long such a body is buffered if its head was received late, so that a short one can still be complete."""
 CLAIM_MARGIN_NS = 200 * NS_PER_MS
 """How long before the deadline of the request a response is claimed at the latest.
 
 The process may be delayed by up to 150 ms between reading the clock and writing.
 """
 MIN_CLAIM_MARGIN_NS = 20 * NS_PER_MS
-"""As ``CLAIM_MARGIN_NS``, if the head of a response without a declared length was received late."""
+"""As ``CLAIM_MARGIN_NS``, for ``MIN_UNDECLARED_HOLD_NS``."""
 MAX_BUFFERED_PAUSE_NS = 500 * NS_PER_MS
 """A response that is buffered for pipelined requests has stalled if no byte of it was received for this long."""
-MIN_LONG_BODY_BYTES = 4 * 1024
-"""A body without a declared length counts as a long one if this many bytes of it were received by its latest claim."""
-MAX_RECENT_INPUT_NS = 100 * NS_PER_MS
-"""A body without a declared length also counts as a long one if bytes of it were received more recently."""
 PARSE_SLICE_BYTES = 4 * 1024
 """A chunked body is parsed in slices of this size, so that the task can yield between them."""
 MAX_PARSE_TURN_NS = NS_PER_MS
@@ -64,11 +65,20 @@
 """Returns the sink for a response with this head; ``None`` if the client gets the response of another attempt."""
 
 
+class BufferingEnd(Enum):
+    """Why the buffering of the first bytes of a body ended.  The values are those of the log event."""
+
+    COMPLETE = "the body is complete"
+    FULL = "the buffer is full"
+    NO_MEMORY = "the memory budget cannot grant more"
+    TIME_LIMIT = "the time limit of the buffering"
+
+
 class _BodyPrefix(NamedTuple):
     """The first bytes of a body, which are buffered before the client receives any of it."""
 
     data: bytes
-    is_complete: bool
+    end: BufferingEnd
 
 
 def stream_response(
@@ -85,13 +95,13 @@
     A response that has started has no deadline: the endpoint may write its body more slowly than that.
 
     Raises:
-        AttemptAborted: The body was truncated before any byte of it was sent to the client, or its length is not
-            declared and it has stalled at ``deadline_ns``.
+        AttemptAborted: The body was truncated, or the attempt was cancelled, before any byte was sent to the client.
     """
     framing, data = connection.parser.detach_body()
     try:
         prefix = _buffer_prefix(loop, connection, framing, data, deadline_ns, memory)
-        if prefix.is_complete and framing.until_close:
+        _log_buffering_end(connection, prefix)
+        if prefix.end is BufferingEnd.COMPLETE and framing.until_close:
             response.body = prefix.data
             response.streamed = False
             return AttemptOutcome.SERVED
@@ -199,25 +209,18 @@
 ) -> _BodyPrefix:
     """Read the first bytes of a body, until the body is complete or its buffering ends.
 
-    The client has received nothing until then, so that a failure can be retried or answered.  Buffering ends when the
-    bytes exceed ``MAX_BODY_BYTES``, when a long response must be claimed, or if ``memory`` cannot grant it.
+    The client has received nothing until then, so that a failure can be retried or answered.  How many bytes were
+    received, and when, does not tell a short body from a long one that pauses, so neither fails a response.
 
     Raises:
-        AttemptAborted: The connection was closed, the deadline passed or the attempt was cancelled.
+        AttemptAborted: The connection was closed, or the attempt was cancelled.
     """
-    has_length = _has_length(framing)
-    received_ns = loop.now()
-    hold_until_ns = _hold_end_ns(has_length, received_ns, deadline_ns)
+    hold_until_ns = _hold_end_ns(_has_length(framing), loop.now(), deadline_ns)
     buffered = bytearray(data[: _feed(loop, framing, data)])
-    while not framing.done and len(buffered) <= MAX_BODY_BYTES:
-        now_ns = loop.now()
-        if not memory.resize(len(buffered)):
-            break
-        if now_ns >= hold_until_ns and (has_length or _is_long(len(buffered), now_ns - received_ns)):
-            break
-        if now_ns >= deadline_ns and not has_length:
-            raise AttemptAborted(AttemptOutcome.TIMEOUT)
-        reason = loop.wait(connection.fd, READABLE, hold_until_ns if now_ns < hold_until_ns else deadline_ns)
+    while not framing.done:
+        if (end := _buffering_end(loop, buffered, hold_until_ns, memory)) is not None:
+            return _BodyPrefix(bytes(buffered), end)
+        reason = loop.wait(connection.fd, READABLE, hold_until_ns)
         if reason is WakeReason.INTERRUPTED:
             raise AttemptAborted(AttemptOutcome.CANCELLED)
         if reason is WakeReason.TIMEOUT:
@@ -228,9 +231,19 @@
             continue
         if not data:
             return _end_prefix(framing, buffered)
-        received_ns = loop.now()
         buffered += data[: _feed(loop, framing, data)]
-    return _BodyPrefix(bytes(buffered), framing.done)
+    return _BodyPrefix(bytes(buffered), BufferingEnd.COMPLETE)
+
+
+def _buffering_end(
+    loop: EventLoop, buffered: bytearray, hold_until_ns: int, memory: Reservation
+) -> BufferingEnd | None:
+    """Return why an incomplete body is not buffered any longer; ``None`` if it is."""
+    if len(buffered) > MAX_BODY_BYTES:
+        return BufferingEnd.FULL
+    if not memory.resize(len(buffered)):
+        return BufferingEnd.NO_MEMORY
+    return BufferingEnd.TIME_LIMIT if loop.now() >= hold_until_ns else None
 
 
 def _end_prefix(framing: BodyFraming, buffered: bytearray) -> _BodyPrefix:
@@ -241,7 +254,19 @@
     """
     if not framing.until_close:
         raise AttemptAborted(AttemptOutcome.RESET)
-    return _BodyPrefix(bytes(buffered), is_complete=True)
+    return _BodyPrefix(bytes(buffered), BufferingEnd.COMPLETE)
+
+
+def _log_buffering_end(connection: UpstreamConnection, prefix: _BodyPrefix) -> None:
+    host, port = connection.address
+    logger.debug(
+        "buffered {bytes} bytes of a response of {host}:{port}: {reason}",
+        event="upstream.buffering_ended",
+        bytes=len(prefix.data),
+        host=host,
+        port=port,
+        reason=prefix.end.value,
+    )
 
 
 def _hold_end_ns(has_length: bool, now_ns: int, deadline_ns: int) -> int:
@@ -250,13 +275,4 @@
     hold_end_ns = min(now_ns + max_hold_ns, deadline_ns - CLAIM_MARGIN_NS)
     if has_length:
         return hold_end_ns
-    # A short body gets the time in which a long one shows that it continues.
-    return max(hold_end_ns, min(now_ns + MAX_RECENT_INPUT_NS, deadline_ns - MIN_CLAIM_MARGIN_NS))
-
-
-def _is_long(received_bytes: int, since_input_ns: int) -> bool:
-    """Return whether a body without a declared length is a long one, whose rest is not due at the deadline.
-
-    A short one that is late looks alike.  A body that has stalled after a few bytes counts as short.
-    """
-    return received_bytes >= MIN_LONG_BODY_BYTES or (received_bytes > 0 and since_input_ns < MAX_RECENT_INPUT_NS)
+    return max(hold_end_ns, min(now_ns + MIN_UNDECLARED_HOLD_NS, deadline_ns - MIN_CLAIM_MARGIN_NS))
