Operators' drains: each change has a file of its own, so that none is overwritten

Cause: each process replaced the whole drain file with the drains that it knew, and read the file only every 250 ms. A change that the other process had not read yet was overwritten, and the process that had made it then read the file and ended its own drain.

Evidence: the logs of the case. The new process has `drain.started` of s-1 without a `drain.reloaded` before it, 53 ms after that of s-0 at the old one, which reads ['s-1'] 5 ms later. So the file was overwritten; a change that is written but not noticed would have left both in it.

Change: `DrainStore` stores each change in a file whose name orders it, and no process rewrites what another one wrote. A call reads, makes its change and writes it; the last change of an endpoint is in force. A killed writer leaves a complete file or none; a stopped one keeps nobody waiting, and its change keeps its order; so does one that is written again after ENOSPC or EIO.

--- a/lugtally/admin/drain_store.py
+++ b/lugtally/admin/drain_store.py
@@ -1,130 +1,128 @@
-"""The drain file: stores the names of the endpoints that operators drain, so that drains survive a restart.
+"""Stores operators' drains in ``$TMPDIR``, so that they survive a restart and reach the process that replaces this one.
 
-A drain remains in force until an operator ends it, regardless of the endpoint list.  It also applies to the process
-that replaces this one, because both use the same ``$TMPDIR``.  The file is replaced atomically: a temporary file is
-written and renamed, so that a reader never sees an incomplete file.
+Each change has a file of its own, whose name orders it among the changes of all processes of one sidecar name.  The
+last change of an endpoint is in force.  No process replaces or rewrites what another one has written, so that no
+change is lost, and none has to wait, whenever a writer is stopped or killed.  A file gets its name only when it is
+complete.  Files of changes that are no longer in force are removed, which any process may do at any time.
 """
 
 from __future__ import annotations
 
-import os
+import time
 from pathlib import Path
 from typing import NamedTuple
 
-import ujson
-from loguru import logger
-
+from lugtally.admin.drain_change import DrainChange, decode_change, is_change_file
+from lugtally.admin.drain_file import (
+    DrainFile,
+    log_unreadable,
+    remove_file,
+    rename_invalid_file,
+    write_file,
+)
 from lugtally.file_names import file_safe_name
 
-FORMAT_VERSION = 1
-MAX_DRAINED_ENDPOINTS = 4096
-"""Upper limit of the names in a file.  No endpoint list is longer, so a longer file was written by another program."""
+EXPIRY_S = 3600.0
+"""How long the end of a drain, or an incomplete file, is stored.  All processes have read the end long before."""
+
 
+class StoredDrains(NamedTuple):
+    """What is stored.
 
-class _FileVersion(NamedTuple):
-    """Identifies one version of the file, because each write creates a new inode."""
+    Attributes:
+        changes: The last change of each endpoint that has one, by endpoint name.
+        in_drain_file: The endpoints that are drained by the drain file.  A change takes precedence.
+    """
 
-    inode: int
-    modified_ns: int
-    size: int
+    changes: dict[str, DrainChange]
+    in_drain_file: frozenset[str]
 
 
 class DrainStore:
-    """The drain file of one sidecar name.  All processes with this name read and write the same file."""
+    """The stored drains of one sidecar name.  All processes with this name read and write the same folder."""
 
     def __init__(self, folder: str, sidecar_name: str) -> None:
-        self.path = Path(folder) / f"lugtally-{file_safe_name(sidecar_name)}-drains.json"
-        self._last_version: _FileVersion | None = None
-        """The version that was last read or written."""
-
-    def read(self) -> set[str] | None:
-        """Return the names of the drained endpoints, or ``None``.
-
-        ``None`` is returned if there is no valid file, or if it has not changed since this object last read or wrote
-        it.  An error is logged.  An invalid file is renamed, so that its contents are not lost.
-        """
+        prefix = f"lugtally-{file_safe_name(sidecar_name)}-drains"
+        self.folder = Path(folder) / prefix
+        self.drain_file = DrainFile(Path(folder) / f"{prefix}.json")
+        self._changes: dict[str, DrainChange] = {}
+        """The changes in the folder that have been read, by file name."""
+
+    def read(self) -> StoredDrains | None:
+        """Return what is stored; ``None`` if it cannot be read.  An error is logged."""
         try:
-            version = self._current_version()
-        except FileNotFoundError:
-            self._last_version = None
-            return None
+            self._read_folder()
         except OSError as error:
-            self._log_unreadable(error)
-            return None
-        if version == self._last_version:
+            log_unreadable(error)
             return None
+        last: dict[str, DrainChange] = {}
+        for change in self._changes.values():
+            if change.is_after(last.get(change.endpoint_name)):
+                last[change.endpoint_name] = change
+        self._remove_superseded(last)
+        self.drain_file.read()
+        return StoredDrains(last, self.drain_file.drained)
+
+    def write(self, change: DrainChange) -> bool:
+        """Store a change; return whether that succeeded.  An error is logged."""
         try:
-            drained = decode(self.path.read_bytes())
-        except OSError as error:
-            self._log_unreadable(error)  # the file may be valid, and is read again
-            return None
-        except ValueError as error:
-            self._rename_invalid_file(error)
-            return None
-        self._last_version = version
-        return drained
-
-    def write(self, drained: set[str]) -> bool:
-        """Replace the file atomically; return whether that succeeded.  An error is logged."""
-        temporary_path = self.path.with_suffix(f".{os.getpid()}.new")
-        try:
-            temporary_path.write_bytes(encode(drained))
-            os.replace(temporary_path, self.path)
-            self._last_version = self._current_version()
-        except OSError as error:
-            logger.error(
-                "the drain file cannot be written: {reason}", event="drain.write_failed", reason=error.strerror
-            )
-            try:
-                temporary_path.unlink()
-            except OSError:
-                pass  # the file was not written, or has already been renamed
+            self.folder.mkdir(mode=0o700, exist_ok=True)
+        except OSError:
+            pass  # the write below fails as well, and logs the error
+        if not write_file(self.folder / change.file_name, change.encode()):
             return False
+        self._changes[change.file_name] = change
         return True
 
-    @staticmethod
-    def _log_unreadable(error: OSError) -> None:
-        logger.error("the drain file cannot be read: {reason}", event="drain.file_unreadable", reason=error.strerror)
-
-    def _current_version(self) -> _FileVersion:
-        status = self.path.stat()
-        return _FileVersion(status.st_ino, status.st_mtime_ns, status.st_size)
-
-    def _rename_invalid_file(self, error: Exception) -> None:
-        """Log the error and rename the invalid file."""
-        renamed_path = self.path.with_suffix(".bad")
-        logger.error(
-            "the drain file {path} is invalid: {reason}; renamed to {aside}",
-            event="drain.file_rejected",
-            path=str(self.path),
-            reason=str(error),
-            aside=renamed_path.name,
-        )
+    def update_drain_file(self, drained: set[str]) -> None:
+        """Write the drain file, for an earlier version.  Call this only after :meth:`read` has succeeded."""
+        self.drain_file.update(frozenset(drained))
+
+    def remove_expired(self) -> None:
+        """Remove ends of drains that all processes have read, and incomplete files of processes that were killed.
+
+        The end of a drain is still needed while the endpoint is drained by the drain file.
+        """
+        stored = self.read()
+        if stored is None:
+            return
+        needed = {change.file_name for name, change in stored.changes.items() if change.is_drained}
+        needed |= {stored.changes[name].file_name for name in stored.changes.keys() & stored.in_drain_file}
         try:
-            os.replace(self.path, renamed_path)
+            for path in self.folder.iterdir():
+                if path.name not in needed and time.time() - path.stat().st_mtime > EXPIRY_S:
+                    self._forget(path)
         except OSError:
-            pass  # another process renamed it, or the folder is not writable: then the next read logs the error again
-        self._last_version = None
+            pass  # there is no folder yet, or another process has removed a file
 
+    def _read_folder(self) -> None:
+        """Read the files of changes that have not been read yet, and forget those that have been removed.
 
-def encode(drained: set[str]) -> bytes:
-    """Return the contents of a drain file with these endpoint names."""
-    return ujson.dumps({"format": FORMAT_VERSION, "banned": sorted(drained)}).encode() + b"\n"
+        Raises:
+            OSError: The folder or a file cannot be read.
+        """
+        try:
+            names = {path.name for path in self.folder.iterdir() if is_change_file(path.name)}
+        except FileNotFoundError:
+            names = set()
+        for name in self._changes.keys() - names:
+            del self._changes[name]
+        for name in names - self._changes.keys():
+            self._read_change(self.folder / name)
 
+    def _read_change(self, path: Path) -> None:
+        try:
+            self._changes[path.name] = decode_change(path.name, path.read_bytes())
+        except FileNotFoundError:
+            pass  # another process has removed a change that is no longer in force
+        except ValueError as error:
+            rename_invalid_file(path, error)
 
-def decode(data: bytes) -> set[str]:
-    """Return the endpoint names in the contents of a file.
+    def _remove_superseded(self, last: dict[str, DrainChange]) -> None:
+        for change in list(self._changes.values()):
+            if change is not last[change.endpoint_name]:
+                self._forget(self.folder / change.file_name)
 
-    Raises:
-        ValueError: The contents are not those of a drain file; the text names the cause.
-    """
-    raw = ujson.loads(data)
-    version = raw.get("format") if isinstance(raw, dict) else None
-    if not isinstance(raw, dict) or version != FORMAT_VERSION:
-        raise ValueError(f"format: must be {FORMAT_VERSION}, not {version!r}")
-    drained = raw.get("banned")
-    if not isinstance(drained, list) or not all(isinstance(name, str) for name in drained):
-        raise ValueError("banned: must be a list of endpoint ids")
-    if len(drained) > MAX_DRAINED_ENDPOINTS:
-        raise ValueError(f"banned: must have at most {MAX_DRAINED_ENDPOINTS} ids")
-    return set(drained)
+    def _forget(self, path: Path) -> None:
+        remove_file(path)
+        self._changes.pop(path.name, None)
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -18,7 +18,7 @@
 from lugtally.daemon.errors import InvalidConfigurationError, ListenError, StartupError
 from lugtally.daemon.maintenance import run_maintenance
 from lugtally.daemon.memory_monitor import monitor_memory
-from lugtally.daemon.operator_drains import OperatorDrains, poll_drain_file
+from lugtally.daemon.operator_drains import OperatorDrains, poll_stored_drains
 from lugtally.daemon.overload_protection import monitor_resources
 from lugtally.daemon.reload import reload_configuration
 from lugtally.daemon.shared_table import map_shared_table
@@ -97,6 +97,7 @@
         self._started_ns = 0
         self._status_socket: StatusSocket | None = None
         self._admin_server: AdminServer | None = None
+        self._drains: OperatorDrains | None = None
 
     def start(self, status_socket_path: str = "") -> None:
         """Open the sockets and spawn the tasks, which do not run before :meth:`run`.
@@ -107,10 +108,13 @@
         self._started_ns = self.loop.now()
         if self.admission is not None:
             self.loop.spawn(monitor_resources, self.loop, self.admission, self._resource_monitor())
-        drains = OperatorDrains(self.dispatcher, self.downstream, DrainStore(tempfile.gettempdir(), self.config.name))
+        store = DrainStore(tempfile.gettempdir(), self.config.name)
+        store.remove_expired()
+        drains = OperatorDrains(self.loop, self.dispatcher, self.downstream, store)
         drains.reload()
         if status_socket_path:
             self._status_socket = StatusSocket(self.loop, status_socket_path, self.snapshot)
+        self._drains = drains
         self._admin_server = self._open_admin_server(drains)
         self._listen_downstream()
         self._handle_signals()
@@ -139,6 +143,8 @@
             self._status_socket.close()
         if self._admin_server is not None:
             self._admin_server.close()
+        if self._drains is not None:
+            self._drains.reload()  # write what could not be written before
         logger.info("{sidecar} has stopped", event="sidecar.stopped", sidecar=self.config.name)
 
     def snapshot(self) -> dict[str, Any]:
@@ -206,7 +212,7 @@
         loop = self.loop
         loop.spawn(self.endpoint_watcher.start, self.config.cached_endpoints)
         loop.spawn(run_maintenance, loop, self.upstream, self.endpoint_watcher, self.downstream)
-        loop.spawn(poll_drain_file, loop, drains)
+        loop.spawn(poll_stored_drains, loop, drains)
 
 
 def build_sidecar(
--- a/tests/running_sidecar.py
+++ b/tests/running_sidecar.py
@@ -30,6 +30,7 @@
     Attributes:
         process: The process.
         listen_address: The address for clients.
+        admin_address: The address for operators.
     """
 
     def __init__(
@@ -53,8 +54,9 @@
             arguments: Further arguments of ``serve``.
         """
         self._discovery = listener()
-        with listener() as free_port:
+        with listener() as free_port, listener() as free_admin_port:
             self.listen_address = ("127.0.0.1", free_port.getsockname()[1])
+            self.admin_address = ("127.0.0.1", free_admin_port.getsockname()[1])
         self._clients: list[socket.socket] = []
         self._log_path = folder / f"log-{self.listen_address[1]}"
         limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": max_descriptors}
@@ -98,6 +100,16 @@
         self._clients.append(client)
         return client
 
+    def admin_call(self, method: str, path: str) -> tuple[int, bytes]:
+        """Make one call at the admin address; return the status and the body of the response."""
+        with socket.create_connection(self.admin_address, timeout=MAX_WAIT_S) as caller:
+            caller.sendall(f"{method} {path} HTTP/1.1\r\nHost: o\r\nContent-Length: 0\r\n\r\n".encode())
+            received = b""
+            while data := caller.recv(65536):
+                received += data
+        head, _, body = received.partition(b"\r\n\r\n")
+        return int(head.split()[1]), body
+
     def peak_memory_mb(self) -> float:
         """Return the largest resident memory so far, in units of 1024 * 1024 bytes.
 
@@ -124,6 +136,7 @@
             "name": "n1",
             "listen": f"{host}:{port}",
             "discovery": address(self._discovery),
+            "operator": f"{host}:{self.admin_address[1]}",
             "seed": "5e",
             "limits": limits,
             "known": {"version": 1, "full": True, "servers": records},
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -1,4 +1,4 @@
-"""Tests that data stored by an earlier version is read and written unchanged: a drain file, event logs and a report."""
+"""Tests that data stored by an earlier version is read and written unchanged: drains, event logs and a report."""
 
 from __future__ import annotations
 
@@ -22,11 +22,26 @@
 def test_stored_drain_file_is_read_and_written_unchanged(tmp_path: Path) -> None:
     drained = {"s-001", "s-003", "płyta/ő"}
     shutil.copy(STORED_DATA / "drains.json", tmp_path / "lugtally-n1-drains.json")
-    assert DrainStore(str(tmp_path), "n1").read() == drained
-    assert DrainStore(str(tmp_path), "n2").write(drained)
+    stored = DrainStore(str(tmp_path), "n1").read()
+    assert stored is not None
+    assert stored.in_drain_file == drained
+    other_store = DrainStore(str(tmp_path), "n2")
+    other_store.read()
+    other_store.update_drain_file(drained)
     assert (tmp_path / "lugtally-n2-drains.json").read_bytes() == (STORED_DATA / "drains.json").read_bytes()
 
 
+def test_stored_drain_changes_are_read_and_written_unchanged(tmp_path: Path) -> None:
+    shutil.copytree(STORED_DATA / "drains", tmp_path / "lugtally-n1-drains")
+    stored = DrainStore(str(tmp_path), "n1").read()
+    assert stored is not None
+    assert {name: change.is_drained for name, change in stored.changes.items()} == {"s-001": True, "płyta/ő": False}
+    for change in stored.changes.values():
+        assert DrainStore(str(tmp_path), "n2").write(change)
+        copy = tmp_path / "lugtally-n2-drains" / change.file_name
+        assert copy.read_bytes() == (STORED_DATA / "drains" / change.file_name).read_bytes()
+
+
 def test_stored_records_are_read_and_written_unchanged(tmp_path: Path) -> None:
     records = read_records([STORED_DATA / "kinds.jsonl"])
     assert len({type(record) for record in records}) == len(records) == 11
