An id that arrives at both processes of an upgrade in one moment runs once

What callers saw: nobody has reported it.

Cause: the processes share a table of recent ids, and RecentRequestIds.add looked for the id before it wrote it, with no order between two processes.

Change: a record lock on the bytes of one set of entries makes both one step. It is never waited for: after 100 tries the request gets 503. So a process that is stopped within `add` holds up none at the other one. The kernel unlocks what a killed process had locked.

--- a/lugtally/dispatch/dispatcher.py
+++ b/lugtally/dispatch/dispatcher.py
@@ -96,8 +96,8 @@
         self.metrics.record_shed(class_index)
         return Rejected(admission.retry_after_ns())
 
-    def reject_for_memory(self, class_index: int | None) -> Rejected:
-        """Return the rejection of a request for which the memory budget cannot grant it, and count it.
+    def reject_before_submission(self, class_index: int | None) -> Rejected:
+        """Return the rejection of a request that this sidecar itself cannot process now, and count it.
 
         ``class_index`` is ``None`` if the class is unknown.
         """
--- a/lugtally/downstream/server.py
+++ b/lugtally/downstream/server.py
@@ -21,7 +21,7 @@
 from lugtally.downstream.health import HEALTH_PATH, HealthCheckRateLimiter
 from lugtally.downstream.input_throttle import InputThrottle
 from lugtally.downstream.listener import adopt_listener, bind_listener
-from lugtally.downstream.recent_ids import RecentRequestIds
+from lugtally.downstream.recent_ids import AddResult, RecentRequestIds
 from lugtally.downstream.request_queue import ReceivedRequest
 from lugtally.downstream.request_reader import (
     REQUEST_TIMEOUT_NS,
@@ -31,6 +31,7 @@
 )
 from lugtally.downstream.responses import (
     FinalResponse,
+    Response,
     StreamedResponse,
     health_response,
     internal_error_response,
@@ -38,7 +39,7 @@
     rejected_response,
 )
 from lugtally.downstream.shutdown_state import ShutdownState
-from lugtally.downstream.validation import RequestValidator
+from lugtally.downstream.validation import RequestValidator, ValidatedRequest
 from lugtally.eventloop import Event, EventLoop
 from lugtally.eventloop.tcp_socket import disable_nagle
 from lugtally.http1 import ProtocolError, serialize_response
@@ -220,7 +221,7 @@
         if received.message.body_discarded:
             _log_rejected(received.message.header_map.get("x-correlation-id", ""), "memory")
             class_index = self._validator.class_index(received.message)
-            return rejected_response(self._dispatcher.reject_for_memory(class_index))
+            return rejected_response(self._dispatcher.reject_before_submission(class_index))
         try:
             request = self._validator.validate(received)
         except ProtocolError as error:
@@ -233,13 +234,13 @@
         rejected = self._dispatcher.reject_if_overloaded(request.class_index, time_left_ns)
         reason = "overload"
         if rejected is None and not reader.connection.memory.start_exchange():
-            rejected = self._dispatcher.reject_for_memory(request.class_index)
+            rejected = self._dispatcher.reject_before_submission(request.class_index)
             reason = "memory"
         if rejected is not None:
             _log_rejected(request.correlation_id, reason)
             return rejected_response(rejected)
-        if request.must_not_run_twice and not self._recent_ids.add(request.correlation_id):
-            return protocol_error_response(REPEATED_ID_ERROR)
+        if request.must_not_run_twice and (response := self._register_id(request)) is not None:
+            return response
         self._ids_in_progress.add(request.correlation_id)
         exchange = Exchange(self._services, reader, request)
         try:
@@ -249,6 +250,16 @@
             if request.must_not_run_twice and not exchange.may_have_run:
                 self._recent_ids.remove(request.correlation_id)
 
+    def _register_id(self, request: ValidatedRequest) -> Response | None:
+        """Store the id of a request that must not run twice; return the response if it may not be processed."""
+        result = self._recent_ids.add(request.correlation_id)
+        if result is AddResult.REPEATED:
+            return protocol_error_response(REPEATED_ID_ERROR)
+        if result is AddResult.UNAVAILABLE:
+            _log_rejected(request.correlation_id, "id_table_locked")
+            return rejected_response(self._dispatcher.reject_before_submission(request.class_index))
+        return None
+
 
 def _log_rejected(request_id: str, reason: str) -> None:
     logger.debug(
--- a/tests/integration/test_repeated_ids.py
+++ b/tests/integration/test_repeated_ids.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import time
 from pathlib import Path
@@ -12,6 +13,7 @@
 from tests.threaded_endpoint import EndpointRequest, ThreadedEndpoint, respond_ok
 
 REPEATS = 5
+PAIR_COUNT = 500
 WAIT_S = 0.1
 
 
@@ -53,6 +55,51 @@
     endpoint.close()
 
 
+def read_status(client: socket.socket) -> bytes:
+    return client.recv(4096).split()[1]
+
+
+def test_id_at_both_processes_in_one_moment_runs_once(tmp_path: Path) -> None:
+    """Guards against an id that both processes of an upgrade look for before one of them has added it."""
+    endpoint = ThreadedEndpoint()
+    with (
+        RunningSidecar(tmp_path, [endpoint.address]) as first,
+        RunningSidecar(tmp_path, [endpoint.address]) as second,
+    ):
+        clients = [first.connect(), second.connect()]
+        for number in range(PAIR_COUNT):
+            data = request("/receipt-issue", f"r{number}")
+            for client in clients:
+                client.sendall(data)
+            statuses = [read_status(client) for client in clients]
+            assert statuses.count(b"200") == 1
+            refused = 1 - statuses.index(b"200")
+            assert statuses[refused] in (b"409", b"503")  # 503 if the other process was suspended as it added the id
+            clients[refused].close()
+            clients[refused] = (first, second)[refused].connect()
+    assert endpoint.request_ids == [f"r{number}" for number in range(PAIR_COUNT)]
+    endpoint.close()
+
+
+def test_locked_table_rejects_only_requests_that_must_not_run_twice(tmp_path: Path) -> None:
+    """Guards against a request that waits for, or runs despite, a process that is stopped as it adds an id."""
+    endpoint = ThreadedEndpoint()
+    with RunningSidecar(tmp_path, [endpoint.address]) as sidecar:
+        with (tmp_path / "lugtally-n1-requests").open("r+b") as table:
+            fcntl.lockf(table, fcntl.LOCK_EX)  # as a process that is stopped
+            client = sidecar.connect()
+            started_at = time.monotonic()
+            client.sendall(request("/receipt-issue", "r1"))
+            assert read_status(client) == b"503"
+            assert time.monotonic() - started_at < WAIT_S
+            client.sendall(request("/campaign-read", "r2").replace(b"POST", b"GET"))
+            assert read_status(client) == b"200"
+        client.sendall(request("/receipt-issue", "r1"))
+        assert read_status(client) == b"200"
+    assert endpoint.request_ids == ["r2", "r1"]
+    endpoint.close()
+
+
 def test_id_of_rejected_request_may_be_sent_again(tmp_path: Path) -> None:
     """Guards against a retry that is refused although the first request was not processed."""
     with socket.socket() as closed:
