Fault injection: endpoints that pause within a body, and a test of the checker for it

The checker demands that a begun response is not cut off. Nothing that was a violation before is allowed now. The rule had no test; test_begun_response_may_only_fail_in_front_of_a_request has its eight cases.

--- a/tests/fault_injection/behaviour.py
+++ b/tests/fault_injection/behaviour.py
@@ -31,6 +31,7 @@
     UNPROCESSED = "unprocessed"
     SERVER_ERROR = "server_error"
     SLOW_BODY = "slow_body"
+    PAUSING_BODY = "pausing_body"
 
 
 class TimedFault(Enum):
--- a/tests/fault_injection/records.py
+++ b/tests/fault_injection/records.py
@@ -110,6 +110,8 @@
     """When the endpoint wrote the first bytes of such a response."""
     has_length: bool = True
     """Whether its response declares the length of its body."""
+    pauses: bool = False
+    """Whether its response stalls after the first bytes of its body."""
     closed_early_ns: int | None = None
     """When the endpoint found its connection closed while it wrote such a response."""
     plan: str = ""
--- a/tests/fault_injection/test_checker.py
+++ b/tests/fault_injection/test_checker.py
@@ -104,6 +104,32 @@
     assert run.violated_rules() == [Rule.NO_ANSWER]
 
 
+@pytest.mark.parametrize(
+    ("has_length", "pauses", "has_request_behind", "is_allowed"),
+    [
+        (True, False, False, False),
+        (True, False, True, False),
+        (True, True, False, False),
+        (True, True, True, True),
+        (False, False, False, False),
+        (False, False, True, True),
+        (False, True, False, False),
+        (False, True, True, True),
+    ],
+)
+def test_begun_response_may_only_fail_in_front_of_a_request(
+    has_length: bool, pauses: bool, has_request_behind: bool, is_allowed: bool, run: RecordedRun
+) -> None:
+    run.answer.status, run.answer.body = 502, b"failed"
+    attempt = run.attempt
+    attempt.writes_slowly, attempt.has_length, attempt.pauses = True, has_length, pauses
+    attempt.response_started_ns, attempt.closed_early_ns = ns(1150), ns(DEADLINE_MS)
+    if has_request_behind:
+        run.add_request("r2", position=1)
+        run.records.answers.append(Answer(1, "r2", 503, b"busy", True, ns(DEADLINE_MS)))
+    assert run.violated_rules() == ([] if is_allowed else [Rule.STREAM_CLOSED_EARLY])
+
+
 def test_truncated_answer_counts_as_no_answer(run: RecordedRun) -> None:
     run.answer.body, run.answer.is_complete = BODY[:200], False
     run.end_connection(1200, ConnectionEnd.RESET_BY_SIDECAR)
