--- a/tests/admin/test_drain_store.py
+++ b/tests/admin/test_drain_store.py
@@ -7,24 +7,16 @@
 import time
 from itertools import pairwise
 from pathlib import Path
-from typing import cast
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lugtally import balancing
 from lugtally.admin import drain_store
 from lugtally.admin.drain_change import DrainChange, decode_change
 from lugtally.admin.drain_file import decode, encode
 from lugtally.admin.drain_store import DrainStore
-from lugtally.config.endpoint_list import ListedState, endpoint_id_of
-from lugtally.daemon.operator_drains import OperatorDrains
-from lugtally.dispatch import Dispatcher, ListedEndpoint
-from lugtally.downstream.server import DownstreamServer
-from lugtally.eventloop import EventLoop
-
-ENDPOINTS = ("s-1", "s-2", "s-3")
+from tests.admin.processes import Process
 
 
 @pytest.fixture
@@ -32,24 +24,6 @@
     return DrainStore(str(tmp_path), "n1")
 
 
-class Process:
-    """The drains of one process, which shares a folder with other processes of its name."""
-
-    def __init__(self, folder: Path, endpoints: tuple[str, ...] = ENDPOINTS) -> None:
-        loop = EventLoop()
-        dispatcher = Dispatcher(balancing.Settings(), 1, loop)
-        listed = [ListedEndpoint(endpoint_id_of(name), 0, 0, ListedState.READY, 0) for name in endpoints]
-        dispatcher.update_endpoints(balancing.EndpointUpdateKind.FULL, listed)
-        self.store = DrainStore(str(folder), "n1")
-        self.drains = OperatorDrains(loop, dispatcher, cast(DownstreamServer, None), self.store)
-        self.drains.reload()
-
-    def drained(self) -> set[str]:
-        """Return the drained endpoints, after a regular read of the folder."""
-        self.drains.reload()
-        return set(self.drains._drained)
-
-
 def change_files(folder: Path) -> list[str]:
     return sorted(path.name for path in (folder / "lugtally-n1-drains").iterdir())
 
