Table of recent ids: system calls in place of a mapping, which took a further descriptor

What was seen: the whole suite on, exchange no_descriptor, which runs with 12 descriptors: no connection to an endpoint was made after the idle clients had left. The other 1,141 tests of that part passed.

Cause: kept the descriptor of the table for its locks, beside the one that the mapping holds. With 12 descriptors the last one was missing.

Change: the table is no longer mapped. A set is read by one call and an entry is written by another, under the lock; what cannot be read or written counts as locked (503).

Measured: no_descriptor and no_descriptor_idle pass; tests/integration, the fault injection, test_server, test_layers, test_stored_data passed in one run.

--- a/lugtally/daemon/shared_table.py
+++ b/lugtally/daemon/shared_table.py
@@ -1,10 +1,10 @@
-"""A table in a file that all processes of one sidecar name map into their memory."""
+"""A table in a file that all processes of one sidecar name read and write."""
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
-from mmap import mmap
 from pathlib import Path
 
 from loguru import logger
@@ -16,24 +16,14 @@
 
 
 class SharedTable:
-    """The mapped table, of which byte ranges can be locked against the other processes.
+    """The table, of which byte ranges can be locked against the other processes.
 
     The kernel unlocks the ranges of a process that ends.
-
-    Attributes:
-        data: The bytes of the table.
     """
 
-    def __init__(self, fd: int, byte_count: int) -> None:
-        """Map the file and take ownership of ``fd``, which must stay open: closing it would end the locks.
-
-        Raises:
-            OSError: The file cannot be mapped, or its file system supports no locks.
-            ValueError: The file is shorter than the table.
-        """
+    def __init__(self, fd: int) -> None:
+        """``fd`` is the descriptor of the file, which must stay open: closing it would end the locks."""
         self._fd = fd
-        self.data: bytearray | mmap = mmap(fd, byte_count)
-        fcntl.lockf(fd, fcntl.LOCK_UN, byte_count)
 
     def try_lock(self, start: int, byte_count: int) -> bool:
         """Lock a range; return false if another process keeps it locked.  This never waits for that process."""
@@ -43,6 +33,26 @@
         """Unlock a range that was locked."""
         self._lock(fcntl.LOCK_UN, start, byte_count)
 
+    def read(self, start: int, byte_count: int) -> bytes:
+        """Return the bytes of a range.
+
+        Raises:
+            OSError: They cannot be read.
+        """
+        data = os.pread(self._fd, byte_count, start)
+        if len(data) != byte_count:
+            raise OSError(errno.EIO, "the read was incomplete")
+        return data
+
+    def write(self, start: int, data: bytes) -> None:
+        """Replace the bytes of a range.
+
+        Raises:
+            OSError: They cannot be written completely.
+        """
+        if os.pwrite(self._fd, data, start) != len(data):
+            raise OSError(errno.EIO, "the write was incomplete")
+
     def _lock(self, operation: int, start: int, byte_count: int) -> bool:
         for _ in range(MAX_LOCK_TRIES):
             try:
@@ -53,22 +63,22 @@
         return False
 
 
-def map_shared_table(folder: str, sidecar_name: str, byte_count: int) -> SharedTable | None:
-    """Map the table of a sidecar, which is created with zeros; return ``None`` if that is not possible.
+def open_shared_table(folder: str, sidecar_name: str, byte_count: int) -> SharedTable | None:
+    """Open the table of a sidecar, which is created with zeros; return ``None`` if that is not possible.
 
-    The blocks of the file are allocated first: writing to a block that the file system cannot provide later would end
-    the process.
+    The blocks of the file are allocated first, so that later writes do not fail for lack of space.
     """
     path = Path(folder) / f"lugtally-{file_safe_name(sidecar_name)}-requests"
     try:
         fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             os.posix_fallocate(fd, 0, byte_count)
-            return SharedTable(fd, byte_count)
-        except (OSError, ValueError):
+            fcntl.lockf(fd, fcntl.LOCK_UN, byte_count)  # fails if the file system has no locks
+            return SharedTable(fd)
+        except OSError:
             os.close(fd)
             raise
-    except (OSError, ValueError) as error:
+    except OSError as error:
         logger.error(
             "request ids are not shared with another process of this name: {reason}",
             event="requests.not_shared",
--- a/lugtally/daemon/sidecar.py
+++ b/lugtally/daemon/sidecar.py
@@ -21,7 +21,7 @@
 from lugtally.daemon.operator_drains import OperatorDrains, poll_stored_drains
 from lugtally.daemon.overload_protection import monitor_resources
 from lugtally.daemon.reload import reload_configuration
-from lugtally.daemon.shared_table import map_shared_table
+from lugtally.daemon.shared_table import open_shared_table
 from lugtally.daemon.signals import handle_signals
 from lugtally.daemon.status_socket import StatusSocket
 from lugtally.discovery import MAX_BACKOFF_NS, EndpointWatcher
@@ -233,7 +233,7 @@
     upstream = UpstreamPool(loop, _connection_limits(config, max_upstream), _load_report_fields(config), memory)
     endpoint_watcher = EndpointWatcher(loop, dispatcher, upstream, config.discovery, config.zones)
     dispatcher.set_handlers(upstream.close_idle_connections, endpoint_watcher.watch)
-    table = map_shared_table(tempfile.gettempdir(), config.name, TABLE_BYTES)
+    table = open_shared_table(tempfile.gettempdir(), config.name, TABLE_BYTES)
     recent_ids = RecentRequestIds(loop.now, table)
     resources = SharedResources(memory, recent_ids)
     downstream = DownstreamServer(
--- a/lugtally/downstream/recent_ids.py
+++ b/lugtally/downstream/recent_ids.py
@@ -9,9 +9,8 @@
 from _blake2 import blake2b  # hashlib would also load OpenSSL
 from collections.abc import Callable
 from enum import Enum
-from mmap import mmap
 from struct import Struct
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from lugtally.units import NS_PER_S
 
@@ -21,37 +20,57 @@
 SET_COUNT = 2048
 """With 8 entries for each set, this remembers 270 ids per second for 60 s."""
 _ENTRY = Struct("<QQ")  # hash of the id, and when it was added, on the system's monotonic clock; both 0 if unused
-SET_BYTES = ENTRIES_PER_SET * _ENTRY.size
+_SET = Struct(f"<{2 * ENTRIES_PER_SET}Q")
+SET_BYTES = _SET.size
 TABLE_BYTES = SET_COUNT * SET_BYTES
 """Size of the table."""
 _HASH_BYTES = 8
 
 
+class _IdSet(NamedTuple):
+    """The entries of a set: the hash of each id, and when it was added."""
+
+    hashes: tuple[int, ...]
+    added_ns: tuple[int, ...]
+
+
 class AddResult(Enum):
     """The result of adding an id."""
 
     ADDED = "the id was added"
     REPEATED = "the id is in the set already"
-    UNAVAILABLE = "another process keeps a part of the set locked"
+    UNAVAILABLE = "another process keeps a part of the set locked, or it cannot be read or written now"
 
 
 class IdTable(Protocol):
     """The bytes that store the ids, of which a range can be locked against other processes."""
 
-    data: bytearray | mmap
-
     def try_lock(self, start: int, byte_count: int) -> bool:
         """Lock a range; return false, without waiting, if another process keeps it locked."""
 
     def unlock(self, start: int, byte_count: int) -> None:
         """Unlock a range that was locked."""
 
+    def read(self, start: int, byte_count: int) -> bytes:
+        """Return the bytes of a range.
+
+        Raises:
+            OSError: They cannot be read.
+        """
+
+    def write(self, start: int, data: bytes) -> None:
+        """Replace the bytes of a range.
+
+        Raises:
+            OSError: They cannot be written completely.
+        """
+
 
 class PrivateTable:
     """A table of this process alone, which needs no locks."""
 
     def __init__(self) -> None:
-        self.data: bytearray | mmap = bytearray(TABLE_BYTES)
+        self._data = bytearray(TABLE_BYTES)
 
     def try_lock(self, start: int, byte_count: int) -> bool:
         """Return true."""
@@ -60,6 +79,14 @@
     def unlock(self, start: int, byte_count: int) -> None:
         """Do nothing."""
 
+    def read(self, start: int, byte_count: int) -> bytes:
+        """Return the bytes of a range."""
+        return bytes(self._data[start : start + byte_count])
+
+    def write(self, start: int, data: bytes) -> None:
+        """Replace the bytes of a range."""
+        self._data[start : start + len(data)] = data
+
 
 class RecentRequestIds:
     """A set of correlation ids, each of which is forgotten after ``REMEMBERED_NS``.
@@ -79,42 +106,50 @@
         if not self._table.try_lock(set_start, SET_BYTES):
             return AddResult.UNAVAILABLE
         try:
-            is_new = self._add(id_hash, set_start)
+            return self._add(id_hash, set_start)
+        except OSError:
+            return AddResult.UNAVAILABLE
         finally:
             self._table.unlock(set_start, SET_BYTES)
-        return AddResult.ADDED if is_new else AddResult.REPEATED
 
-    def _add(self, id_hash: int, set_start: int) -> bool:
+    def _add(self, id_hash: int, set_start: int) -> AddResult:
         now_ns = self._now()
-        oldest_position, oldest_ns = 0, now_ns + 1
-        for position in _positions(set_start):
-            entry_hash, added_ns = _ENTRY.unpack_from(self._table.data, position)
-            if entry_hash == id_hash and now_ns - added_ns < REMEMBERED_NS:
-                return False
-            if added_ns < oldest_ns:
-                oldest_position, oldest_ns = position, added_ns
-        _ENTRY.pack_into(self._table.data, oldest_position, id_hash, now_ns)
-        return True
+        hashes, added_ns = self._read_set(set_start)
+        if id_hash in hashes and any(
+            entry_hash == id_hash and now_ns - entry_added_ns < REMEMBERED_NS
+            for entry_hash, entry_added_ns in zip(hashes, added_ns, strict=True)
+        ):
+            return AddResult.REPEATED
+        oldest_index = added_ns.index(min(added_ns))
+        self._table.write(set_start + oldest_index * _ENTRY.size, _ENTRY.pack(id_hash, now_ns))
+        return AddResult.ADDED
 
     def remove(self, correlation_id: str) -> None:
         """Remove an id, because no endpoint processed its request.
 
-        It stays until it expires if another process keeps a part of the set locked.
+        It stays until it expires if it cannot be removed now, as when :meth:`add` returns ``UNAVAILABLE``.
         """
         id_hash = _hash(correlation_id)
         set_start = _set_start(id_hash)
         if not self._table.try_lock(set_start, SET_BYTES):
             return
         try:
-            self._remove(id_hash, set_start)
+            for index, entry_hash in enumerate(self._read_set(set_start).hashes):
+                if entry_hash == id_hash:
+                    self._table.write(set_start + index * _ENTRY.size, _ENTRY.pack(0, 0))
+        except OSError:
+            pass  # the id stays, and a further request with it gets 409
         finally:
             self._table.unlock(set_start, SET_BYTES)
 
-    def _remove(self, id_hash: int, set_start: int) -> None:
-        for position in _positions(set_start):
-            entry_hash, _ = _ENTRY.unpack_from(self._table.data, position)
-            if entry_hash == id_hash:
-                _ENTRY.pack_into(self._table.data, position, 0, 0)
+    def _read_set(self, set_start: int) -> _IdSet:
+        """Return the entries of a set.
+
+        Raises:
+            OSError: They cannot be read.
+        """
+        values = _SET.unpack(self._table.read(set_start, SET_BYTES))
+        return _IdSet(values[::2], values[1::2])
 
 
 def _hash(correlation_id: str) -> int:
@@ -126,8 +161,3 @@
 def _set_start(id_hash: int) -> int:
     """Return the position of the set of an id."""
     return (id_hash >> 1) % SET_COUNT * SET_BYTES
-
-
-def _positions(set_start: int) -> range:
-    """Return the positions of the entries in a set."""
-    return range(set_start, set_start + SET_BYTES, _ENTRY.size)
