--- a/lugtally/admin/drain_file.py
+++ b/lugtally/admin/drain_file.py
@@ -1,6 +1,6 @@
 """The drain file: the names of all drained endpoints, as versions up to f1cc82e store them.
 
-Drains survive an upgrade from such a version because this one reads the file, and a rollback because it writes it.
+Drains survive an upgrade from these versions because this one reads the file, and a rollback because it writes it.
 The stored changes take precedence, because two processes that replace one file may lose each other's change.
 """
 
--- a/lugtally/daemon/operator_drains.py
+++ b/lugtally/daemon/operator_drains.py
@@ -85,7 +85,8 @@
         """Return the order of a change that is made now.
 
         The processes of a machine share the monotonic clock, so that this is above that of a change which another
-        process has made but cannot write.  The clock starts anew with the machine, and the stored changes do not.
+        process has made but cannot write.  When the machine restarts, the clock starts from 0, and the stored changes
+        remain.
         """
         return max(self._loop.now(), max((change.order for change in self._changes.values()), default=0) + 1)
 
--- a/lugtally/downstream/recent_ids.py
+++ b/lugtally/downstream/recent_ids.py
@@ -39,7 +39,7 @@
 
     ADDED = "the id was added"
     REPEATED = "the id is in the set already"
-    UNAVAILABLE = "another process keeps a part of the set locked, or it cannot be read or written now"
+    UNAVAILABLE = "another process keeps the entries locked, or they cannot be read or written now"
 
 
 class IdTable(Protocol):
--- a/lugtally/upstream/streaming.py
+++ b/lugtally/upstream/streaming.py
@@ -210,7 +210,7 @@
     """Read the first bytes of a body, until the body is complete or its buffering ends.
 
     The client has received nothing until then, so that a failure can be retried or answered.  How many bytes were
-    received, and when, does not tell a short body from a long one that pauses, so neither fails a response.
+    received, and when, does not distinguish a short body from a long one that pauses, so neither fails a response.
 
     Raises:
         AttemptAborted: The connection was closed, or the attempt was cancelled.
--- a/tests/admin/test_drain_store.py
+++ b/tests/admin/test_drain_store.py
@@ -166,7 +166,7 @@
 
 
 @pytest.mark.parametrize("last_drains", [True, False])
-def test_change_that_cannot_be_written_does_not_undo_a_later_one(
+def test_repeated_write_does_not_undo_a_later_call(
     last_drains: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a repeated write that takes precedence over a later call at the other process."""
@@ -185,9 +185,7 @@
         assert process.drained() == expected
 
 
-def test_writer_stopped_before_its_file_is_complete_does_not_undo_a_later_call(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_stopped_writer_does_not_undo_a_later_call(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a process that is stopped within a change and completes it after a later call."""
     old, new = Process(tmp_path), Process(tmp_path)
     replace = os.replace
@@ -242,7 +240,7 @@
     assert Process(tmp_path).drained() == set()
 
 
-def test_drained_endpoint_is_known_to_a_process_that_never_listed_it(tmp_path: Path) -> None:
+def test_drained_endpoint_is_known_though_never_listed(tmp_path: Path) -> None:
     old, new = Process(tmp_path), Process(tmp_path, ("s-2",))
     assert not new.drains.start_drain("s-1")
     assert not new.drains.end_drain("s-1")
--- a/tests/admin/test_drains_random.py
+++ b/tests/admin/test_drains_random.py
@@ -17,7 +17,7 @@
 from tests.admin.processes import ENDPOINTS, Process
 
 SEEDS = range(60)
-STEP_COUNT = 60
+OPERATION_COUNT = 60
 MAX_PROCESSES = 3
 FAILURE_PROBABILITY = 0.15
 HEALING_ROUNDS = 2
@@ -34,7 +34,7 @@
 
 
 class DrainHistory:
-    """Runs random steps, and records what the last call for each endpoint was."""
+    """Runs random operations, and records what the last call for each endpoint was."""
 
     def __init__(self, folder: Path, seed: int) -> None:
         self._folder = folder
@@ -45,10 +45,10 @@
         """Endpoints whose last call was never written, because its process could not write until it was killed."""
 
     def run(self) -> None:
-        steps: list[Callable[[], None]] = [self._call, self._call, self._call, self._reload, self._change_failures]
-        steps += [self._start_process, self._kill_process]
-        for _ in range(STEP_COUNT):
-            self._random.choice(steps)()
+        operations: list[Callable[[], None]] = [self._call, self._call, self._call, self._reload, self._change_failures]
+        operations += [self._start_process, self._kill_process]
+        for _ in range(OPERATION_COUNT):
+            self._random.choice(operations)()
 
     def check(self) -> None:
         """Check that all processes, a new one and the drain file have the drains of the last calls."""
--- a/tests/dispatch/test_pausing_streams.py
+++ b/tests/dispatch/test_pausing_streams.py
@@ -78,7 +78,7 @@
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("first_bytes", [0, 1, FIRST_BYTES])
 def test_body_that_pauses_past_deadline_is_complete(first_bytes: int, framing: str, sidecar: Sidecar) -> None:
-    """Guards against a response that is held back and answered with 502 because its endpoint pauses (review/9)."""
+    """Guards against a response that is buffered until it fails with 502 because its endpoint pauses (review/9)."""
 
     def script() -> None:
         response = PausingResponse(sidecar, framing, first_bytes)
@@ -124,7 +124,7 @@
 
 @pytest.mark.parametrize("framing", ["chunked", "until close"])
 def test_client_leaving_in_a_pause_ends_the_attempt(framing: str, sidecar: Sidecar) -> None:
-    """Guards against an endpoint that works on for a client that has left."""
+    """Guards against an endpoint that works on for a client that disconnected."""
 
     def script() -> None:
         response = PausingResponse(sidecar, framing)
--- a/tests/fault_injection/endpoint_connection.py
+++ b/tests/fault_injection/endpoint_connection.py
@@ -26,7 +26,7 @@
     FaultPosition.IN_BODY: 2_000,
     FaultPosition.AFTER: 20_000,
 }
-"""The length of the part of the body that is sent before a pause, by the position in the plan."""
+"""How many bytes of the body are sent before a pause, by the position in the plan."""
 SLOW_BODY_EXCESS_S = 0.4
 SECOND_COPY_DELAY_S = 0.002
 MAX_SECOND_COPY_DELAY_NS = 5 * NS_PER_MS
@@ -37,8 +37,8 @@
 RECEIVE_BYTES = 64 * 1024
 
 
-class _ResponsePart(NamedTuple):
-    """A part of a response, and the pause after it."""
+class _DelayedWrite(NamedTuple):
+    """A write of some bytes of a response, and the pause after it."""
 
     data: bytes
     pause_s: float
@@ -191,9 +191,9 @@
         attempt.pauses = plan.behaviour is EndpointBehaviour.PAUSING_BODY
         duration_s = max(0.0, attempt.time_left_ns / NS_PER_S) + SLOW_BODY_EXCESS_S
         try:
-            for part in _split(response, plan, duration_s):
-                await self._send(part.data)
-                await self._wait_unless_closed(part.pause_s)
+            for write in _split(response, plan, duration_s):
+                await self._send(write.data)
+                await self._wait_unless_closed(write.pause_s)
         except OSError:
             attempt.closed_early_ns = now_ns()
             raise
@@ -287,12 +287,12 @@
         await self._wait_unless_closed(SILENCE_S)
 
 
-def _split(response: bytes, plan: ResponsePlan, duration_s: float) -> list[_ResponsePart]:
-    """Return the parts in which a slow response is sent within a duration."""
+def _split(response: bytes, plan: ResponsePlan, duration_s: float) -> list[_DelayedWrite]:
+    """Return the writes by which a slow response is sent within a duration."""
     if plan.behaviour is EndpointBehaviour.PAUSING_BODY:
         first_bytes = response.find(HEAD_END) + len(HEAD_END) + BYTES_BEFORE_PAUSE[plan.fault_position]
-        return [_ResponsePart(response[:first_bytes], duration_s), _ResponsePart(response[first_bytes:], 0.0)]
-    part_bytes = -(-len(response) // SLOW_BODY_PARTS)
+        return [_DelayedWrite(response[:first_bytes], duration_s), _DelayedWrite(response[first_bytes:], 0.0)]
+    piece_bytes = -(-len(response) // SLOW_BODY_PARTS)
     pause_s = duration_s / SLOW_BODY_PARTS
-    starts = range(0, len(response), part_bytes)
-    return [_ResponsePart(response[start : start + part_bytes], pause_s) for start in starts]
+    starts = range(0, len(response), piece_bytes)
+    return [_DelayedWrite(response[start : start + piece_bytes], pause_s) for start in starts]
--- a/tests/fault_injection/test_checker.py
+++ b/tests/fault_injection/test_checker.py
@@ -117,7 +117,7 @@
         (False, True, True, True),
     ],
 )
-def test_begun_response_may_only_fail_in_front_of_a_request(
+def test_started_response_fails_only_before_another_request(
     has_length: bool, pauses: bool, has_request_behind: bool, is_allowed: bool, run: RecordedRun
 ) -> None:
     run.answer.status, run.answer.body = 502, b"failed"
--- a/tests/integration/test_repeated_ids.py
+++ b/tests/integration/test_repeated_ids.py
@@ -81,7 +81,7 @@
     endpoint.close()
 
 
-def test_locked_table_rejects_only_requests_that_must_not_run_twice(tmp_path: Path) -> None:
+def test_locked_table_rejects_only_non_idempotent_requests(tmp_path: Path) -> None:
     """Guards against a request that waits for, or runs despite, a process that is stopped as it adds an id."""
     endpoint = ThreadedEndpoint()
     with RunningSidecar(tmp_path, [endpoint.address]) as sidecar:
--- a/tests/integration/test_shared_drains.py
+++ b/tests/integration/test_shared_drains.py
@@ -128,7 +128,7 @@
 
 
 def test_drain_in_shutdown_is_heeded_by_the_old_process(upgrade: Upgrade) -> None:
-    """Guards against requests of a process in its shutdown to an endpoint that the new one was told to drain."""
+    """Guards against requests of a process in its shutdown to an endpoint that the new one drains."""
     client = upgrade.old.connect()
     client.sendall(b"GET /campaign-read HTTP/1.1\r\n")  # its request delays the end of the shutdown
     upgrade.old.process.send_signal(signal.SIGTERM)
@@ -160,7 +160,7 @@
 
 
 def test_incomplete_change_of_a_killed_writer_is_ignored(upgrade: Upgrade, tmp_path: Path) -> None:
-    """Guards against a file that a kill has left half written."""
+    """Guards against an incomplete file of a killed process."""
     upgrade.call("old", "offline", "s-0")
     folder = tmp_path / "lugtally-n1-drains"
     change = DrainChange("s-0", False, time.monotonic_ns(), 1)
