Tests of the upstream pool: an attempt waits for reuse however late it starts

Cause: the test assumes that its attempt starts within 8 ms (MIN_IDLE_BEFORE_REUSE_NS) of the moment at which the connection became idle. If the process is suspended for longer, the connection may be reused without a wait, so that the change which the test makes during the wait never happens.

Change: the harness sets the time to 200 ms for these tests. What they check is as strict as before, and the product is unchanged.

--- a/tests/upstream/pool_harness.py
+++ b/tests/upstream/pool_harness.py
@@ -9,12 +9,14 @@
 
 from lugtally.eventloop import READABLE, Task, WakeReason
 from lugtally.http1 import ForwardedRequest, Message
-from lugtally.units import NS_PER_S
-from lugtally.upstream import FinishedAttempt
+from lugtally.units import NS_PER_MS, NS_PER_S
+from lugtally.upstream import FinishedAttempt, pool
 from tests.fakes import PeerConnection, Sidecar
 
 ENDPOINT = 1
 ATTEMPT_TIMEOUT_NS = 8 * NS_PER_S
+LONG_IDLE_BEFORE_REUSE_NS = 200 * NS_PER_MS
+"""So that an attempt has to wait for a connection even if the test is suspended for a moment before it starts."""
 Change = Callable[[], object]
 
 
@@ -81,6 +83,7 @@
     a new connection is established).
     """
     if waits_for == "reuse":
+        patch.setattr(pool, "MIN_IDLE_BEFORE_REUSE_NS", LONG_IDLE_BEFORE_REUSE_NS)
         peer = open_idle_connections(sidecar, 1)[0]
         change_while_awaiting_reuse(sidecar, patch, change)
         start_attempt(sidecar, results)
